--- /dev/null
+++ b/features/steps/platform_helpers.py
@@ -0,0 +1,46 @@
+"""Shared by the steps that use the platform's stand-ins."""
+
+import asyncio
+import socket
+
+from balsamrail.environment import Environment
+from balsamrail.logs import Log
+from balsamrail.settings import Settings, StoreSettings
+
+
+class Lines:
+    """A log output that keeps its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, text):
+        self.lines.append(text)
+
+
+def make_environment(*, store_address='127.0.0.1:1', timeout_s=2, watch_s=30, host='attiki-a-1'):
+    settings = Settings(
+        deployment='selokosmos',
+        host=host,
+        region='attiki',
+        availability_zone='attiki-a',
+        caller_address='127.0.0.1:1',
+        peer_address='127.0.0.1:2',
+        operator_address='127.0.0.1:3',
+        store=StoreSettings(address=store_address, timeout_s=timeout_s, watch_s=watch_s),
+    )
+    return Environment.create(settings=settings, log=Log(host=host, output=Lines()))
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def run_real(main, *, limit_s=20):
+    async def bounded():
+        async with asyncio.timeout(limit_s):
+            return await main
+
+    return asyncio.run(bounded())
--- /dev/null
+++ b/features/steps/store_client_steps.py
@@ -0,0 +1,134 @@
+"""Steps of store_client.feature."""
+
+import asyncio
+
+from behave import given, then, when
+from platform_helpers import make_environment, run_real
+
+from balsamrail.errors import BalsamrailError, StoreError
+from balsamrail.store import HttpStore, ListedHost
+from standins.store import StoreStandIn
+
+NAME = 'blocks/0 é'
+VALUE = {'a': 'é'}
+
+
+async def with_store(main, *, fault='none', **options):
+    stand_in = StoreStandIn(**({'writes_per_s': 0, 'reads_per_s': 0} if fault == 'rate' else {}))
+    await stand_in.start()
+    store = HttpStore(
+        environment=make_environment(store_address=stand_in.address, timeout_s=0.2, **options)
+    )
+    match fault:
+        case 'refused':
+            await stand_in.stop()
+        case 'lost answer':
+            stand_in.faults.lose_answers = 1
+        case 'down':
+            stand_in.faults.down = True
+        case 'slow':
+            stand_in.faults.delay_s = 3
+        case 'existing' | 'garbled':
+            await store.write(NAME, value=VALUE, version=0)
+            stand_in.faults.garble_answers = int(fault == 'garbled')
+    try:
+        return await main(store, stand_in)
+    finally:
+        await stand_in.stop()
+
+
+@given('a store with the fault {fault}')
+def step_store_fault(context, fault):
+    context.fault = fault
+
+
+@when('the client creates an object')
+def step_create(context):
+    async def main(store, stand_in):
+        try:
+            context.outcome = f'version {await store.write(NAME, value=VALUE, version=0)}'
+        except BalsamrailError as error:
+            context.outcome = type(error).__name__
+        context.version = stand_in.state.objects.read(NAME)[0]
+
+    run_real(with_store(main, fault=context.fault))
+
+
+@when('the client reads an object')
+def step_read_object(context):
+    async def main(store, stand_in):
+        try:
+            found = await store.read(NAME)
+            context.outcome = str(found and found.value)
+        except BalsamrailError as error:
+            context.outcome = type(error).__name__
+
+    run_real(with_store(main, fault=context.fault))
+
+
+@then('the write ends with {outcome}')
+@then('the read ends with {outcome}')
+def step_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+@then('the store holds {writes:d} write')
+def step_writes(context, writes):
+    assert context.version == writes, context.version
+
+
+@then('a watch returns the change that is made while it waits, with one call counted')
+def step_watch(context):
+    async def main(store, stand_in):
+        await store.write(NAME, value=1, version=0)
+        watch = asyncio.create_task(store.watch(NAME, version=1))
+        await asyncio.sleep(0.4)
+        assert not watch.done()
+        await store.write(NAME, value=2, version=1)
+        found = await watch
+        assert (found.version, found.value) == (2, 2), found
+        assert stand_in.calls('watch') == 1, stand_in.state.calls_by_kind
+
+    run_real(with_store(main))
+
+
+@then('a watch without a change returns nothing after its time')
+def step_watch_idle(context):
+    async def main(store, stand_in):
+        started_at = asyncio.get_running_loop().time()
+        assert await store.watch('absent', version=0) is None
+        assert 0.9 < asyncio.get_running_loop().time() - started_at < 2
+
+    run_real(with_store(main, watch_s=1))
+
+
+@then('objects are listed by prefix and hosts with the lag that is set')
+def step_lists(context):
+    async def main(store, stand_in):
+        await store.write('shares/a', value=1, version=0)
+        await store.write('shares/a', value=2, version=1)
+        await store.write('record', value=1, version=0)
+        assert await store.list_names(prefix='shares/') == {'shares/a': 2}
+        listed = ListedHost(host='h1', address='127.0.0.1:9', state='live')
+        await store.announce_host(listed)
+        assert await store.list_hosts() == [listed]
+        stand_in.faults.list_lag_s = 5
+        assert await store.list_hosts() == []
+
+    run_real(with_store(main))
+
+
+@then('a value of {fits:d} bytes is read back and one of {exceeds:d} bytes is refused')
+def step_sizes(context, fits, exceeds):
+    async def main(store, stand_in):
+        await store.write(NAME, value='x' * (fits - 2), version=0)
+        found = await store.read(NAME)
+        assert found.value == 'x' * (fits - 2)
+        try:
+            await store.write(NAME, value='x' * (exceeds - 2), version=1)
+        except StoreError as error:
+            assert type(error) is StoreError, error
+        else:
+            raise AssertionError('the store took a value that is too large')
+
+    run_real(with_store(main))
--- a/src/balsamrail/store/__init__.py
+++ b/src/balsamrail/store/__init__.py
@@ -1,7 +1,8 @@
 """Client of the platform's object store and host list."""
 
+from balsamrail.store.http_store import HttpStore
 from balsamrail.store.listed_host import ListedHost
 from balsamrail.store.store import Store
 from balsamrail.store.stored_object import StoredObject
 
-__all__ = ('ListedHost', 'Store', 'StoredObject')
+__all__ = ('HttpStore', 'ListedHost', 'Store', 'StoredObject')
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,100 @@
+"""Stand-in of the platform's store: the object API and the host list, in memory.
+
+Run it with ``python -m standins.store --port 7000``.
+"""
+
+import argparse
+import asyncio
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from standins.rate_limit import RateLimit
+from standins.serving import listen, serve_forever
+from standins.store_faults import StoreFaults
+from standins.store_handlers import (
+    LARGEST_VALUE_BYTES,
+    CountersHandler,
+    FaultsHandler,
+    HostHandler,
+    HostsHandler,
+    ListHandler,
+    ObjectHandler,
+    StoreState,
+)
+
+
+class StoreStandIn:
+    """Serves the store protocol on a loopback port inside the running loop.
+
+    Tests set faults directly::
+
+        store = StoreStandIn()
+        await store.start()
+        store.faults.lose_answers = 1
+        ...
+        await store.stop()
+
+    :param port: 0 takes a free port; :attr:`address` names it after the start.
+    """
+
+    def __init__(
+        self, *, port: int = 0, writes_per_s: int = 400, reads_per_s: int = 2_000
+    ) -> None:
+        self.address = f'127.0.0.1:{port}'
+        self.state = StoreState(
+            write_limit=RateLimit(per_s=writes_per_s),
+            read_limit=RateLimit(per_s=reads_per_s),
+        )
+        self._server: HTTPServer | None = None
+
+    @property
+    def faults(self) -> StoreFaults:
+        """The faults shown from the next call on."""
+        return self.state.faults
+
+    def calls(self, kind: str) -> int:
+        """Return the number of calls of one kind, such as ``write`` or ``watch``."""
+        return self.state.calls_by_kind[kind]
+
+    async def start(self) -> None:
+        """Listen. After :meth:`stop` it listens again on the same address with all objects."""
+        arguments = {'state': self.state}
+        application = Application(
+            [
+                (r'/objects', ListHandler, arguments),
+                (r'/objects/(.+)', ObjectHandler, arguments),
+                (r'/hosts', HostsHandler, arguments),
+                (r'/hosts/([^/]+)', HostHandler, arguments),
+                (r'/faults', FaultsHandler, arguments),
+                (r'/counters', CountersHandler, arguments),
+            ],
+            log_function=lambda _: None,
+        )
+        self._server, self.address = listen(
+            application, address=self.address, max_body_size=2 * LARGEST_VALUE_BYTES
+        )
+
+    async def stop(self) -> None:
+        """Stop to listen, so that connections are refused, and close those that are open."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+            self._server = None
+
+
+def main() -> None:
+    """Run the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--writes-per-s', type=int, default=400)
+    parser.add_argument('--reads-per-s', type=int, default=2_000)
+    options = parser.parse_args()
+    stand_in = StoreStandIn(
+        port=options.port, writes_per_s=options.writes_per_s, reads_per_s=options.reads_per_s
+    )
+    asyncio.run(serve_forever(stand_in))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/store_handlers.py
@@ -0,0 +1,218 @@
+"""The HTTP calls of the store's stand-in."""
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import asdict, dataclass, field, fields
+from typing import Any
+
+from tornado.web import Finish, RequestHandler
+
+from standins.host_list import HostList
+from standins.rate_limit import RateLimit
+from standins.serving import drop_connection
+from standins.store_faults import StoreFaults
+from standins.store_objects import StoreObjects
+
+LARGEST_VALUE_BYTES = 1_000_000
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreState:
+    """Everything that the calls work on."""
+
+    objects: StoreObjects = field(default_factory=StoreObjects)
+    hosts: HostList = field(default_factory=HostList)
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls_by_kind: Counter[str] = field(default_factory=Counter)
+    write_limit: RateLimit
+    read_limit: RateLimit
+    watching: set['CallHandler'] = field(default_factory=set)
+
+
+class CallHandler(RequestHandler):
+    """A call that is counted, limited and subject to faults."""
+
+    state: StoreState
+
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    async def begin(self, kind: str) -> None:
+        """Count a call, show the faults and enforce the rates."""
+        state = self.state
+        if state.faults.down:
+            state.calls_by_kind['dropped'] += 1
+            self.drop()
+        state.calls_by_kind[kind] += 1
+        limit = state.write_limit if kind.startswith('write') else state.read_limit
+        if not limit.take():
+            state.calls_by_kind['limited'] += 1
+            self.answer(429, {'error': 'rate exceeded'})
+        if state.faults.delay_s:
+            await asyncio.sleep(state.faults.delay_s)
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        drop_connection(self)
+        raise Finish
+
+    def answer(self, status: int, body: Any = None) -> None:
+        """Answer with JSON."""
+        self.set_status(status)
+        if body is not None:
+            self.set_header('Content-Type', 'application/json')
+            self.write(json.dumps(body))
+        raise Finish
+
+    def answer_write(self, body: Any) -> None:
+        """Answer a write that took effect, unless the answer is to be lost."""
+        if self.state.faults.lose_answers > 0:
+            self.state.faults.lose_answers -= 1
+            self.state.calls_by_kind['lost'] += 1
+            self.drop()
+        self.answer(200, body)
+
+    def read_body(self) -> Any:
+        """Return the JSON body, or answer 413 or 400."""
+        if len(self.request.body) > LARGEST_VALUE_BYTES:
+            self.answer(413, {'error': 'value too large'})
+        try:
+            return json.loads(self.request.body)
+        except ValueError:
+            self.answer(400, {'error': 'not JSON'})
+
+
+class ObjectHandler(CallHandler):
+    """``/objects/{name}``."""
+
+    _waiting: asyncio.Task[bool] | None = None
+
+    async def get(self, name: str) -> None:
+        watched = self.get_query_argument('watch', None)
+        await self.begin('read' if watched is None else 'watch')
+        if watched is not None:
+            await self._watch(name, int(watched), float(self.get_query_argument('wait_s', '30')))
+        version, text = self.state.objects.read(name)
+        if not version:
+            self.answer(404, {'error': 'no such object'})
+        if self.state.faults.garble_answers > 0:
+            self.state.faults.garble_answers -= 1
+            self.finish(b'{"name": "')
+            return
+        self.set_header('Content-Type', 'application/json')
+        head = json.dumps({'name': name, 'version': version})
+        self.finish(head[:-1].encode() + b', "value": ' + text + b'}')
+
+    async def put(self, name: str) -> None:
+        await self.begin('write')
+        if self.state.faults.down:
+            self.drop()
+        self.read_body()
+        new_version = self.state.objects.write(
+            name, text=self.request.body, version=self._expected_version()
+        )
+        if new_version is None:
+            version, text = self.state.objects.read(name)
+            self.state.calls_by_kind['conflict'] += 1
+            self.answer(412, {'version': version, 'value': json.loads(text)})
+        self.answer_write({'version': new_version})
+
+    def on_connection_close(self) -> None:
+        if self._waiting is not None:
+            self._waiting.cancel()
+
+    def on_finish(self) -> None:
+        self.state.watching.discard(self)
+
+    def _expected_version(self) -> int:
+        if self.request.headers.get('If-None-Match') == '*':
+            return 0
+        expected = self.request.headers.get('If-Match', '').strip('"')
+        if not expected.isdigit() or expected == '0':
+            self.answer(400, {'error': 'If-Match or If-None-Match is missing'})
+        return int(expected)
+
+    async def _watch(self, name: str, version: int, wait_s: float) -> None:
+        objects = self.state.objects
+        self._waiting = asyncio.ensure_future(
+            objects.wait_change(name, version=version, wait_s=wait_s)
+        )
+        self.state.watching.add(self)
+        try:
+            changed = await self._waiting
+        except asyncio.CancelledError:
+            raise Finish
+        finally:
+            self.state.watching.discard(self)
+        if not changed:
+            self.answer(304)
+
+
+class ListHandler(CallHandler):
+    """``/objects?prefix=``."""
+
+    async def get(self) -> None:
+        await self.begin('list')
+        versions = self.state.objects.versions(prefix=self.get_query_argument('prefix', ''))
+        listed = [{'name': name, 'version': version} for name, version in versions.items()]
+        self.answer(200, {'objects': listed})
+
+
+class HostsHandler(CallHandler):
+    """``/hosts``."""
+
+    async def get(self) -> None:
+        await self.begin('hosts')
+        listed = self.state.hosts.listed(lag_s=self.state.faults.list_lag_s)
+        self.answer(200, {'hosts': listed})
+
+
+class HostHandler(CallHandler):
+    """``/hosts/{host}``; DELETE is how the platform itself takes a lost host off the list."""
+
+    async def put(self, host: str) -> None:
+        await self.begin('write_host')
+        entry = self.read_body()
+        if not isinstance(entry, dict) or entry.get('state') not in {'live', 'leaving'}:
+            self.answer(400, {'error': 'address and state live or leaving are expected'})
+        self.state.hosts.put(host, {'address': entry.get('address'), 'state': entry['state']})
+        self.answer_write({})
+
+    def delete(self, host: str) -> None:
+        self.state.hosts.put(host, None)
+        self.answer(200, {})
+
+
+class FaultsHandler(RequestHandler):
+    """``/faults``, which is outside of the object API and is never counted."""
+
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    def get(self) -> None:
+        self.write(asdict(self.state.faults))
+
+    def post(self) -> None:
+        changes = json.loads(self.request.body)
+        unknown = set(changes) - {entry.name for entry in fields(StoreFaults)}
+        if unknown:
+            self.set_status(400)
+            self.write({'error': f'unknown faults: {", ".join(sorted(unknown))}'})
+            return
+        for name, setting in changes.items():
+            setattr(self.state.faults, name, setting)
+        if self.state.faults.down:
+            for watcher in list(self.state.watching):
+                drop_connection(watcher)
+        self.write(asdict(self.state.faults))
+
+
+class CountersHandler(RequestHandler):
+    """``/counters``: the number of calls by kind."""
+
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    def get(self) -> None:
+        self.write(dict(self.state.calls_by_kind))
