--- a/standins/serving.py
+++ b/standins/serving.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import signal
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from tornado import netutil
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
+ServerT = TypeVar('ServerT', bound=HTTPServer)
+
 
 class StandIn(Protocol):
     """A stand-in that can be started inside a running loop."""
@@ -17,19 +20,31 @@
     async def stop(self) -> None: ...
 
 
-def listen(application: Application, *, address: str, **options: Any) -> tuple[HTTPServer, str]:
+def listen(
+    application: Application,
+    *,
+    address: str,
+    kind: type[ServerT],
+    max_body_size: int,
+) -> tuple[ServerT, str]:
     """Serve on ``address`` and return the server with the address it got for port 0."""
     number, _, port = address.rpartition(':')
-    server = HTTPServer(application, **options)
+    server = kind(application, max_body_size=max_body_size)
     sockets = netutil.bind_sockets(int(port), number)
     server.add_sockets(sockets)
     return server, f'{number}:{sockets[0].getsockname()[1]}'
 
 
+def stream_of(handler: RequestHandler) -> IOStream:
+    """Return the stream of the caller's connection."""
+    connection: Any = handler.request.connection
+    stream: IOStream = connection.stream
+    return stream
+
+
 def drop_connection(handler: RequestHandler) -> None:
     """Close the caller's connection without an answer."""
-    connection: Any = handler.request.connection
-    connection.stream.close()
+    stream_of(handler).close()
 
 
 async def serve_forever(stand_in: StandIn) -> None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -72,7 +72,10 @@
             log_function=lambda _: None,
         )
         self._server, self.address = listen(
-            application, address=self.address, max_body_size=2 * LARGEST_VALUE_BYTES
+            application,
+            address=self.address,
+            kind=HTTPServer,
+            max_body_size=2 * LARGEST_VALUE_BYTES,
         )
 
     async def stop(self) -> None:
