--- /dev/null
+++ b/src/balsamrail/configuration/submit.py
@@ -0,0 +1,145 @@
+"""Submission of a declaration by an operator."""
+
+import json
+from typing import Any
+
+from balsamrail.configuration.candidate import Candidate
+from balsamrail.configuration.checks import load_declaration
+from balsamrail.configuration.differences import differing_paths
+from balsamrail.configuration.record import RECORD_NAME, Record, decode_record, encode_record
+from balsamrail.configuration.record_changes import with_text
+from balsamrail.configuration.submit_conflict import SubmitConflict
+from balsamrail.configuration.submitted import Submitted
+from balsamrail.environment import Environment
+from balsamrail.errors import (
+    DocumentError,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from balsamrail.store import SettledWrite, Store
+
+# Each further attempt follows a trial that ended between the read and the write.
+_ATTEMPTS = 4
+
+
+async def submit_declaration(
+    *,
+    environment: Environment,
+    store: Store,
+    text: str | bytes,
+    author: str,
+    base_revision: int | None = None,
+) -> Submitted | SubmitConflict:
+    """Write a declaration into the record, on trial or accepted as its ``trial`` says.
+
+    :param text: the declaration.
+    :param author: who submits it.
+    :param base_revision: the revision that the text was edited from, 0 for none. By default it
+        is the newest one now, unless that is another author's candidate, which is a conflict.
+    :raises DocumentError: if the text or the record in the store is wrong.
+    :raises StoreError: if the store does not answer;
+        :class:`balsamrail.errors.StoreOutcomeUnknownError` if the text may be in force.
+    """
+    submission = _Submission(environment=environment, store=store, text=text, author=author)
+    return await submission.submit(base_revision)
+
+
+class _Submission:
+    """One text on its way into the record."""
+
+    __slots__ = ('_author', '_document', '_environment', '_store', '_trial')
+
+    def __init__(
+        self, *, environment: Environment, store: Store, text: str | bytes, author: str
+    ) -> None:
+        self._trial = load_declaration(text).trial
+        self._document: dict[str, Any] = json.loads(text)
+        self._environment = environment
+        self._store = store
+        self._author = author
+
+    async def submit(self, base_revision: int | None) -> Submitted | SubmitConflict:
+        version = 0
+        for _ in range(_ATTEMPTS):
+            record, version = await self._read()
+            if record is not None:
+                known = self._compare(record, base_revision)
+                if known is not None:
+                    return known
+            base_revision = record.newest.revision if record else 0
+            try:
+                return await self._write(record, version=version)
+            except StoreConflictError:
+                self._environment.log.event('submit_conflict', version=version)
+        raise StoreConflictError(name=RECORD_NAME, version=version)
+
+    def _compare(
+        self, record: Record, base_revision: int | None
+    ) -> Submitted | SubmitConflict | None:
+        """Return the outcome if there is nothing to write."""
+        if not differing_paths(record.newest.text, self._document):
+            return _submitted(record)
+        if base_revision is None:
+            candidate = record.candidate
+            if candidate is None or candidate.author == self._author:
+                return None
+        return None if record.newest.revision == base_revision else self._conflict(record)
+
+    async def _read(self) -> tuple[Record | None, int]:
+        found = await self._store.read(RECORD_NAME)
+        if found is None:
+            return None, 0
+        return decode_record(found.value), found.version
+
+    async def _write(self, record: Record | None, *, version: int) -> Submitted | SubmitConflict:
+        changed = with_text(
+            record,
+            text=self._document,
+            author=self._author,
+            since=self._environment.clock.wall(),
+            trial=self._trial,
+        )
+        write = SettledWrite(environment=self._environment, store=self._store)
+        try:
+            await write.write(RECORD_NAME, value=encode_record(changed), version=version)
+        except StoreOutcomeUnknownError as error:
+            return await self._find_outcome(changed.newest.revision, error=error)
+        return _submitted(changed)
+
+    async def _find_outcome(
+        self, revision: int, *, error: StoreOutcomeUnknownError
+    ) -> Submitted | SubmitConflict:
+        """Look for the text by its revision, since a later write has replaced the mark."""
+        try:
+            record, _ = await self._read()
+        except (StoreError, DocumentError):
+            raise error
+        if record is None:
+            raise error
+        for kept in (record.accepted, record.candidate):
+            if kept is not None and kept.revision == revision:
+                if differing_paths(kept.text, self._document):
+                    return self._conflict(record)
+                return Submitted(
+                    number=record.number, revision=revision, accepted=kept is record.accepted
+                )
+        raise error
+
+    def _conflict(self, record: Record) -> SubmitConflict:
+        newest = record.newest
+        return SubmitConflict(
+            number=record.number,
+            revision=newest.revision,
+            author=newest.author if isinstance(newest, Candidate) else '',
+            text=newest.text,
+            paths=differing_paths(newest.text, self._document),
+        )
+
+
+def _submitted(record: Record) -> Submitted:
+    return Submitted(
+        number=record.number,
+        revision=record.newest.revision,
+        accepted=record.candidate is None,
+    )
--- a/src/balsamrail/store/__init__.py
+++ b/src/balsamrail/store/__init__.py
@@ -2,7 +2,8 @@
 
 from balsamrail.store.http_store import HttpStore
 from balsamrail.store.listed_host import ListedHost
+from balsamrail.store.settled_write import SettledWrite
 from balsamrail.store.store import Store
 from balsamrail.store.stored_object import StoredObject
 
-__all__ = ('HttpStore', 'ListedHost', 'Store', 'StoredObject')
+__all__ = ('HttpStore', 'ListedHost', 'SettledWrite', 'Store', 'StoredObject')
