Add upstream connections, the forwarder and the key table

Change: exchanges on tornado's HTTP1Connection, a bounded pool, attempts with a retry budget, key table, crash register and problem answers. An answer without a length is refused, since tornado cannot tell its end from a cut.

--- /dev/null
+++ b/features/upstream_framing.feature
@@ -0,0 +1,83 @@
+Feature: An exchange with an upstream ends with a complete answer or an error
+
+  Scenario Outline: Each kind of answer; guards against a truncated or shifted answer that looks complete
+    When the upstream answers <method> with "<answer>" and then <end>
+    Then the exchange gives <outcome>
+    And the upstream connection is <connection>
+
+    Examples:
+      | method | answer                                                                          | end    | outcome | connection |
+      | GET    | HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc                                 | waits  | abc     | kept       |
+      | GET    | HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc            | waits  | abc     | closed     |
+      | GET    | HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\nabc                                 | waits  | abc     | closed     |
+      | GET    | HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n              | waits  | abc     | closed     |
+      | GET    | HTTP/1.1 200 OK\r\n\r\nabc                                                      | closes | error   | closed     |
+      | GET    | HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc | waits  | abc     | kept       |
+      | GET    | HTTP/1.1 100 Continue\r\n\r\n                                                   | closes | error   | closed     |
+      | GET    | HTTP/1.1 101 Switching\r\nContent-Length: 0\r\n\r\n                             | waits  | error   | closed     |
+      | GET    | HTTP/1.1 204 No Content\r\n\r\n                                                 | waits  | empty   | kept       |
+      | GET    | HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc                         | waits  | error   | closed     |
+      | GET    | HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n                          | waits  | empty   | kept       |
+      | HEAD   | HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n                                    | waits  | empty   | kept       |
+      | GET    | HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd           | waits  | error   | closed     |
+      | GET    | HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc   | waits  | error   | closed     |
+      | GET    | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n      | waits  | abc     | kept       |
+      | GET    | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nabc\r\n0\r\n\r\n      | waits  | error   | closed     |
+      | GET    | HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nabc                          | waits  | error   | closed     |
+      | GET    | not HTTP\r\n\r\n                                                                | waits  | error   | closed     |
+
+  Scenario Outline: A cut at every byte; guards against passing on a truncated answer
+    When the upstream cuts "<answer>" after each of its bytes by <way>
+    Then no cut answer is taken for complete
+
+    Examples:
+      | answer                                                                                     | way   |
+      | HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc                                            | end   |
+      | HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc                                            | reset |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n      | end   |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n      | reset |
+      | HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na   | end   |
+
+  Scenario: An answer with the id of another request is discarded with its connection; guards against crossed answers
+    When the upstream echoes the id of another request
+    Then the exchange gives error
+    And the upstream connection is closed
+
+  Scenario: A late answer reaches nobody; guards against reuse of a connection that timed out
+    When the upstream answers the first request after its deadline and the next one at once
+    Then the exchanges give "error second"
+
+  Scenario: A cancelled exchange closes its connection; guards against upstream work nobody waits for
+    When an exchange is cancelled while the upstream works
+    Then the upstream saw the connection close
+
+  Scenario: Bytes that arrive on a kept connection; guards against taking them for the next answer
+    When the upstream sends a stray answer after the first one
+    Then the exchanges give "first second"
+    And 2 upstream connections were opened
+
+  Scenario Outline: Reuse; guards against requests on connections that the upstream may be closing
+    When two <kind> requests are sent <pause> s apart
+    Then <count> upstream connections were opened
+
+    Examples:
+      | kind       | pause | count |
+      | idempotent | 0.1   | 1     |
+      | fresh      | 0.1   | 1     |
+      | fresh      | 1.1   | 2     |
+      | idempotent | 1.1   | 1     |
+      | idle       | 0.3   | 2     |
+      | old        | 0.3   | 2     |
+
+  Scenario: The bound on connections; guards against more connections than a target takes
+    When 5 requests are sent at once to a target with 3 connections
+    Then 3 upstream connections were opened
+    And 2 of the requests provably did not run
+
+  Scenario: A large body both ways; guards against loss when a body is written apart from its headers
+    When a body of 3 MB is sent and answered
+    Then the exchange gives the same 3 MB
+
+  Scenario: The socket options; guards against connections that stay silent unnoticed
+    When an upstream connection is opened
+    Then its socket has no delay, keepalive and a user timeout of 5000 ms
--- a/src/balsamrail/errors.py
+++ b/src/balsamrail/errors.py
@@ -163,6 +163,12 @@
     status = 400
 
 
+class BodyTimeoutError(BadRequestError):
+    """The body did not arrive in time."""
+
+    status = 408
+
+
 class TooLargeError(RequestError):
     """The body or the headers are larger than the limit."""
 
@@ -170,6 +176,12 @@
     status = 413
 
 
+class HeadersTooLargeError(TooLargeError):
+    """The headers are larger than the limit."""
+
+    status = 431
+
+
 class KeyInvalidError(RequestError):
     """The idempotency key has no valid form."""
 
--- /dev/null
+++ b/src/balsamrail/forwarding/__init__.py
@@ -0,0 +1,26 @@
+"""Forwarding of requests to upstreams, at most once where that is asked for."""
+
+from balsamrail.forwarding.answer import Answer
+from balsamrail.forwarding.bound_key import BoundKey, make_key_prefix
+from balsamrail.forwarding.caller_request import CallerRequest
+from balsamrail.forwarding.claims import Claims
+from balsamrail.forwarding.connection_pool import ConnectionPool
+from balsamrail.forwarding.crash_register import CrashRegister
+from balsamrail.forwarding.forward_handler import ForwardHandler
+from balsamrail.forwarding.forwarder import Forwarder
+from balsamrail.forwarding.key_table import KeyTable
+from balsamrail.forwarding.problem import problem_answer
+
+__all__ = (
+    'Answer',
+    'BoundKey',
+    'CallerRequest',
+    'Claims',
+    'ConnectionPool',
+    'CrashRegister',
+    'ForwardHandler',
+    'Forwarder',
+    'KeyTable',
+    'make_key_prefix',
+    'problem_answer',
+)
--- /dev/null
+++ b/src/balsamrail/forwarding/attempt_error.py
@@ -0,0 +1,33 @@
+"""The failure of one attempt at a target."""
+
+from balsamrail.errors import BalsamrailError
+
+
+class AttemptError(BalsamrailError):
+    """An attempt ended without a complete answer.
+
+    :param detail: one sentence for a person.
+    :param may_have_run: false only if no byte of the request was written, or if the whole answer
+        has a status that the service declares as a refusal.
+    :param reused: whether the connection had carried another request before.
+    :param timed_out: whether the attempt reached its deadline.
+    :param retry_after_s: when the upstream wants to be asked again, in seconds.
+    """
+
+    code = 'attempt_failed'
+
+    def __init__(
+        self,
+        *,
+        detail: str,
+        may_have_run: bool,
+        reused: bool = False,
+        timed_out: bool = False,
+        retry_after_s: int = 1,
+    ) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.may_have_run = may_have_run
+        self.reused = reused
+        self.timed_out = timed_out
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/src/balsamrail/forwarding/collaborators.py
@@ -0,0 +1,54 @@
+"""The parts of other modules that forwarding uses."""
+
+from typing import Protocol
+
+from balsamrail.configuration import Declaration, Route, Target
+from balsamrail.membership.member import Member
+from balsamrail.steering.attempt_result import AttemptResult
+
+
+class Declarations(Protocol):
+    """The tracker of the configuration."""
+
+    def for_caller(self, caller: str) -> tuple[int, Declaration]:
+        """Return the revision and the declaration in force for a caller."""
+
+
+class Admitted(Protocol):
+    """A request's place at a target."""
+
+    @property
+    def target(self) -> Target:
+        """The target that was chosen."""
+
+    def close(self, result: AttemptResult, *, latency_s: float = 0) -> None:
+        """Give the shares back; closing twice does nothing."""
+
+
+class Admissions(Protocol):
+    """The router."""
+
+    def admit(
+        self,
+        *,
+        service: str,
+        declaration: Declaration,
+        route: Route,
+        tried: frozenset[str] = ...,
+        only: frozenset[str] | None = ...,
+    ) -> Admitted:
+        """Choose a target that is not in ``tried`` and take the shares for it."""
+
+
+class KnownMembers(Protocol):
+    """The member table."""
+
+    def get(self, host: str) -> Member | None:
+        """Return the newest known incarnation of a host."""
+
+
+class Judge(Protocol):
+    """The judge of a trial."""
+
+    def observe(self, *, revision: int, failed: bool, latency_s: float) -> None:
+        """Count a request."""
--- /dev/null
+++ b/src/balsamrail/forwarding/connection_pool.py
@@ -0,0 +1,158 @@
+"""Connections to upstreams that are kept for the next request."""
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+from balsamrail.configuration import Target
+from balsamrail.environment import Environment
+from balsamrail.forwarding.answer import Answer
+from balsamrail.forwarding.attempt_error import AttemptError
+from balsamrail.forwarding.outgoing import Outgoing
+from balsamrail.forwarding.pool_full_error import PoolFullError
+from balsamrail.forwarding.upstream_connection import UpstreamConnection
+
+# An upstream that closes idle connections does not do so within this time after an answer.
+_JUST_USED_S = 1.0
+_CONNECT_S = 1.0
+_PROBE_S = 0.2
+_SWEEP_S = 1.0
+
+
+class ConnectionPool:
+    """Opens, reuses and bounds connections, by target address."""
+
+    __slots__ = ('_count_by_address', '_environment', '_idle_by_address')
+
+    def __init__(self, *, environment: Environment) -> None:
+        self._environment = environment
+        self._idle_by_address: dict[str, list[UpstreamConnection]] = {}
+        self._count_by_address: Counter[str] = Counter()
+
+    async def exchange(
+        self,
+        *,
+        target: Target,
+        outgoing: Outgoing,
+        deadline: float,
+        fresh: bool = False,
+        reused_deadline: float | None = None,
+    ) -> Answer:
+        """Send a request over a new or kept connection and return the complete answer.
+
+        :param fresh: take a new connection or one that finished an answer within the last
+            second, as requests that are not idempotent need.
+        :param reused_deadline: an earlier deadline in case the connection was used before, since
+            a kept connection may have gone silent.
+        :raises AttemptError: if no complete answer arrived by ``deadline``.
+        """
+        connection = await self._take(target, fresh=fresh, deadline=deadline)
+        if connection.used and reused_deadline is not None:
+            deadline = min(deadline, reused_deadline)
+        try:
+            return await connection.exchange(outgoing, deadline=deadline)
+        finally:
+            self._give_back(connection)
+
+    async def refuses(self, address: str) -> bool:
+        """Return whether a target refuses a new connection, as a crashed one does."""
+        probe = UpstreamConnection(environment=self._environment, address=address)
+        deadline = self._environment.clock.monotonic() + _PROBE_S
+        try:
+            await probe.connect(deadline=deadline)
+        except AttemptError as error:
+            return not error.timed_out
+        finally:
+            probe.close()
+        return False
+
+    async def run(self) -> None:
+        """Close connections that are too old or idle, once a second, until cancelled."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Close the kept connections that may not be used again."""
+        for address, idle in list(self._idle_by_address.items()):
+            kept = [connection for connection in idle if connection.is_usable()]
+            for connection in idle:
+                if connection not in kept:
+                    self._drop(connection)
+            self._idle_by_address[address] = kept
+            if not kept:
+                self._idle_by_address.pop(address)
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                self._drop(connection)
+        self._idle_by_address.clear()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of open and of kept connections by address."""
+        idle = {address: len(kept) for address, kept in self._idle_by_address.items()}
+        return {'open': dict(self._count_by_address), 'idle': idle}
+
+    async def _take(self, target: Target, *, fresh: bool, deadline: float) -> UpstreamConnection:
+        kept = self._take_kept(target.address, fresh=fresh)
+        if kept is not None:
+            return kept
+        self._make_room(target)
+        self._count_by_address[target.address] += 1
+        limit = min(deadline, self._environment.clock.monotonic() + _CONNECT_S)
+        connection: UpstreamConnection | None = None
+        try:
+            connection = UpstreamConnection(
+                environment=self._environment,
+                address=target.address,
+            )
+            await connection.connect(deadline=limit)
+        except BaseException as error:
+            self._forget(target.address)
+            if isinstance(error, OSError):
+                raise AttemptError(detail=f'cannot open a socket: {error}', may_have_run=False)
+            raise
+        return connection
+
+    def _take_kept(self, address: str, *, fresh: bool) -> UpstreamConnection | None:
+        idle = self._idle_by_address.get(address, [])
+        while idle:
+            # The one used last is at the end, so older ones age and close.
+            if fresh and not self._is_just_used(idle[-1]):
+                return None
+            connection = idle.pop()
+            if connection.is_usable():
+                return connection
+            self._drop(connection)
+        return None
+
+    def _is_just_used(self, connection: UpstreamConnection) -> bool:
+        return self._environment.clock.monotonic() - connection.last_used <= _JUST_USED_S
+
+    def _make_room(self, target: Target) -> None:
+        if self._count_by_address[target.address] < target.connections:
+            return
+        idle = self._idle_by_address.get(target.address)
+        if not idle:
+            raise PoolFullError(
+                detail='all connections to the target are in use',
+                may_have_run=False,
+            )
+        self._drop(idle.pop(0))
+
+    def _give_back(self, connection: UpstreamConnection) -> None:
+        if connection.closed():
+            self._forget(connection.address)
+        else:
+            self._idle_by_address.setdefault(connection.address, []).append(connection)
+
+    def _drop(self, connection: UpstreamConnection) -> None:
+        connection.close()
+        self._forget(connection.address)
+
+    def _forget(self, address: str) -> None:
+        self._count_by_address[address] -= 1
+        if not self._count_by_address[address]:
+            self._count_by_address.pop(address)
--- /dev/null
+++ b/src/balsamrail/forwarding/executor.py
@@ -0,0 +1,143 @@
+"""Runs requests with an idempotency key at the host that the key names."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from balsamrail.configuration import Target
+from balsamrail.environment import Environment
+from balsamrail.errors import KeyClaimError, KeyInvalidError, OutcomeUnknownError
+from balsamrail.forwarding.answer import Answer
+from balsamrail.forwarding.attempt_error import AttemptError
+from balsamrail.forwarding.bound_key import BoundKey
+from balsamrail.forwarding.claims import Claims
+from balsamrail.forwarding.collaborators import KnownMembers
+from balsamrail.forwarding.connection_pool import ConnectionPool
+from balsamrail.forwarding.hop_headers import passed_on
+from balsamrail.forwarding.key_table import KeyTable
+from balsamrail.forwarding.outgoing import Outgoing
+from balsamrail.forwarding.plan import Plan
+from balsamrail.settings.address import Address
+
+_MS_IN_S = 1_000
+# A key that expires far in the future would hold its record for that long.
+_LONGEST_KEY_S = 86_400.0
+# A claim may expire between a resend's claim and the look into the table, so the record of a
+# caller's own key outlives the claim.
+_OWN_KEY_GRACE_S = 60.0
+_PASSED_ON = 'Balsamrail-Passed-On'
+_REPLACED_HEADERS = frozenset(('balsamrail-passed-on', 'content-length', 'deadline-ms'))
+
+
+class Executor:
+    """Takes a keyed request to the one incarnation that may run it."""
+
+    __slots__ = ('_claims', '_environment', '_members', '_pool', 'keys')
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        members: KnownMembers,
+        pool: ConnectionPool,
+        claims: Claims | None,
+    ) -> None:
+        self._environment = environment
+        self._members = members
+        self._pool = pool
+        self._claims = claims
+        self.keys = KeyTable(environment=environment)
+
+    async def execute(
+        self,
+        key: str,
+        plan: Plan,
+        run: Callable[[Plan], Awaitable[Answer]],
+    ) -> Answer:
+        """Run the request here or at the host that the key names, at most once.
+
+        :raises OutcomeUnknownError: if the key expired, its host is gone or does not answer, or
+            an earlier run of the key may have taken effect.
+        :raises KeyInvalidError: if the key has no valid form.
+        :raises KeyClaimError: if the key is the caller's own and cannot be claimed.
+        """
+        try:
+            async with asyncio.timeout_at(plan.deadline):
+                return await self._execute(key, plan, run)
+        except TimeoutError:
+            raise OutcomeUnknownError(detail='the deadline passed while the request ran')
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the key table."""
+        return self.keys.dump()
+
+    async def _execute(
+        self,
+        key: str,
+        plan: Plan,
+        run: Callable[[Plan], Awaitable[Answer]],
+    ) -> Answer:
+        bound = BoundKey.parse(key)
+        if bound is None:
+            holder, expiry_wall_s = await self._claim(key, plan)
+        else:
+            self._check_expiry(bound, plan)
+            holder, expiry_wall_s = f'{bound.host}@{bound.incarnation}', bound.expiry_wall_s
+        if holder != self._environment.holder:
+            return await self._pass_on(holder, plan)
+        return await self.keys.run_once(
+            key,
+            expiry_wall_s=expiry_wall_s,
+            fingerprint=plan.fingerprint,
+            run=lambda: run(plan),
+        )
+
+    async def _claim(self, key: str, plan: Plan) -> tuple[str, float]:
+        if self._claims is None:
+            raise KeyClaimError(detail="callers' own keys are not available on this host")
+        expiry_wall_s = self._environment.clock.wall() + plan.route.keep_key_s
+        holder = await self._claims.claim(key, expiry_wall_s=expiry_wall_s)
+        return holder, expiry_wall_s + _OWN_KEY_GRACE_S
+
+    def _check_expiry(self, bound: BoundKey, plan: Plan) -> None:
+        keep_s = [route.keep_key_s for route in plan.service.routes]
+        longest_s = max(_LONGEST_KEY_S, *keep_s, plan.route.keep_key_s)
+        if bound.expiry_wall_s > self._environment.clock.wall() + longest_s:
+            raise KeyInvalidError(detail='the idempotency key expires too far in the future')
+
+    async def _pass_on(self, holder: str, plan: Plan) -> Answer:
+        request = plan.request
+        if _PASSED_ON in request.headers:
+            raise OutcomeUnknownError(detail='the host that the key names has started anew')
+        host, _, incarnation = holder.partition('@')
+        member = self._members.get(host)
+        if member is None or member.incarnation != incarnation or member.state == 'gone':
+            raise OutcomeUnknownError(detail='the host that the key names is gone')
+        self._environment.metrics.count('keyed_requests_passed_on')
+        headers = passed_on(request.headers, without=_REPLACED_HEADERS)
+        headers[_PASSED_ON] = self._environment.settings.host
+        left_s = plan.deadline - self._environment.clock.monotonic()
+        headers['Deadline-Ms'] = str(max(1, int(left_s * _MS_IN_S)))
+        headers.setdefault('Host', member.caller_address)
+        outgoing = Outgoing(
+            method=request.method,
+            path=f'/services/{request.service}{request.path}',
+            headers=headers,
+            body=request.body,
+        )
+        target = Target(
+            address=Address(member.caller_address),
+            availability_zone=member.availability_zone,
+            slots=1,
+        )
+        try:
+            return await self._pool.exchange(
+                target=target,
+                outgoing=outgoing,
+                fresh=True,
+                deadline=plan.deadline,
+            )
+        except AttemptError as error:
+            raise OutcomeUnknownError(
+                detail=f'the host that the key names did not answer: {error.detail}',
+            )
--- /dev/null
+++ b/src/balsamrail/forwarding/forward_handler.py
@@ -0,0 +1,203 @@
+"""The HTTP handler of forwarded requests."""
+
+import asyncio
+from typing import Any
+
+from tornado.web import HTTPError, RequestHandler, stream_request_body
+
+from balsamrail.environment import Environment
+from balsamrail.errors import (
+    BadRequestError,
+    BodyTimeoutError,
+    HeadersTooLargeError,
+    OutcomeUnknownError,
+    RequestError,
+    TooLargeError,
+)
+from balsamrail.forwarding.answer import Answer
+from balsamrail.forwarding.caller_request import CallerRequest
+from balsamrail.forwarding.forwarder import Forwarder
+from balsamrail.forwarding.problem import problem_answer
+
+_MS_IN_S = 1_000
+_LONGEST_DEADLINE_DIGITS = 9
+_JOINED_BODY_BYTES = 16_384
+# Bytes of a header line beside its name and value: the colon, the blank and the line end.
+_LINE_BYTES = 4
+_LENGTH_ONLY = frozenset((204, 304))
+_METHOD_NOT_ALLOWED = 405
+_PREFIX_PARTS = 3
+
+
+@stream_request_body
+class ForwardHandler(RequestHandler):
+    """Forwards any method on ``/services/{service}/{path}``.
+
+    The body is streamed into memory so that the limits are checked before it is read::
+
+        Application([(ForwardHandler.pattern, ForwardHandler, {'forwarder': ..., ...})])
+
+    The server's ``max_body_size`` does not apply, and its ``max_header_size`` has to be above
+    ``limits.header_bytes`` for a caller to get an answer rather than a closed connection.
+    """
+
+    pattern = '/services/([^/?]+)(/.*)?'
+
+    def initialize(self, *, forwarder: Forwarder, environment: Environment) -> None:
+        """Take the collaborators, as tornado hands them over."""
+        self._forwarder = forwarder
+        self._environment = environment
+        self._chunks: list[bytes] = []
+        self._received = 0
+        self._deadline: float | None = None
+        self._body_timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[Answer] | None = None
+
+    def prepare(self) -> None:
+        """Check headers and length before the body is read."""
+        limits = self._environment.settings.limits
+        try:
+            self._check_headers()
+        except RequestError as error:
+            self._refuse(error)
+        else:
+            self._allow_body(limits.body_bytes)
+            loop = asyncio.get_running_loop()
+            self._body_timer = loop.call_later(limits.body_timeout_s, self._body_is_late)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        if self._finished:
+            return
+        self._received += len(chunk)
+        if self._received > self._environment.settings.limits.body_bytes:
+            self._refuse(TooLargeError(detail='the body is too large'))
+            return
+        self._chunks.append(chunk)
+
+    def on_connection_close(self) -> None:
+        """Cancel the request when its caller goes away."""
+        self._stop_timer()
+        if self._task is not None:
+            self._task.cancel()
+
+    def on_finish(self) -> None:
+        """Stop the timer of the body."""
+        self._stop_timer()
+
+    def compute_etag(self) -> str | None:
+        """Leave entity tags to the upstream."""
+
+    def set_default_headers(self) -> None:
+        """Send only the headers of the answer."""
+        self.clear_header('Server')
+        self.clear_header('Content-Type')
+
+    def write_error(self, status_code: int, **fields: Any) -> None:
+        """Answer tornado's own errors as problems too."""
+        cause = fields.get('exc_info', (None, None, None))[1]
+        error = BadRequestError(detail='the request is malformed')
+        if isinstance(cause, HTTPError) and cause.log_message:
+            error.detail = cause.log_message
+        if status_code == _METHOD_NOT_ALLOWED:
+            error.detail = f'{self.request.method} is not supported'
+        answer = problem_answer(error)
+        answer.status = status_code
+        self._send(answer)
+
+    async def get(self, *parts: str) -> None:
+        """Forward the request."""
+        self._stop_timer()
+        chunks = self._chunks
+        request = CallerRequest(
+            method=self.request.method or '',
+            service=parts[0],
+            path=self._upstream_path(),
+            caller=self.request.remote_ip or '',
+            headers=self.request.headers,
+            body=chunks[0] if len(chunks) == 1 else b''.join(chunks),
+            deadline=self._deadline,
+        )
+        self._chunks = []
+        self._task = asyncio.create_task(self._forwarder.handle(request))
+        try:
+            answer = await self._task
+        except RequestError as error:
+            self._environment.metrics.count(f'problems_{error.code}')
+            answer = problem_answer(error)
+        except Exception as error:
+            # It may have been sent already.
+            self._environment.log.event('forwarding_failed', error=repr(error))
+            answer = problem_answer(OutcomeUnknownError(detail='the host failed'))
+        except asyncio.CancelledError:
+            self._environment.metrics.count('callers_gone')
+            return
+        self._environment.metrics.count(f'answers_{answer.status}')
+        self._send(answer)
+
+    head = post = put = patch = delete = options = get
+
+    def _check_headers(self) -> None:
+        limits = self._environment.settings.limits
+        lines = self.request.headers.get_all()
+        size = sum(len(name) + len(value) + _LINE_BYTES for name, value in lines)
+        if size + len(self.request.uri or '') > limits.header_bytes:
+            raise HeadersTooLargeError(detail=f'the headers exceed {limits.header_bytes} bytes')
+        length = self.request.headers.get('Content-Length', '0')
+        if not length.isdigit() or int(length) > limits.body_bytes:
+            raise TooLargeError(detail=f'the body exceeds {limits.body_bytes} bytes')
+        deadline_ms = self.request.headers.get('Deadline-Ms')
+        if deadline_ms is not None:
+            is_number = deadline_ms.isascii() and deadline_ms.isdigit()
+            if not is_number or len(deadline_ms) > _LONGEST_DEADLINE_DIGITS:
+                raise BadRequestError(detail='Deadline-Ms is not a number of milliseconds')
+            now = self._environment.clock.monotonic()
+            self._deadline = now + int(deadline_ms) / _MS_IN_S
+
+    def _allow_body(self, limit: int) -> None:
+        connection: Any = self.request.connection
+        # One byte more, so that the handler and not tornado finds a chunked body too large.
+        connection.set_max_body_size(limit + 1)
+
+    def _upstream_path(self) -> str:
+        # The text as sent, since decoding and encoding again could change it.
+        uri = self.request.uri or ''
+        parts = uri.split('/', _PREFIX_PARTS)
+        if len(parts) > _PREFIX_PARTS:
+            return f'/{parts[_PREFIX_PARTS]}'
+        _, question_mark, query = uri.partition('?')
+        return f'/{question_mark}{query}'
+
+    def _body_is_late(self) -> None:
+        self._refuse(BodyTimeoutError(detail='the body did not arrive in time'))
+
+    def _refuse(self, error: RequestError) -> None:
+        self._stop_timer()
+        self._environment.metrics.count(f'problems_{error.code}')
+        self._chunks = []
+        answer = problem_answer(error)
+        # The rest of the body is not read, so nothing else can follow on this connection.
+        answer.headers['Connection'] = 'close'
+        self._send(answer)
+
+    def _send(self, answer: Answer) -> None:
+        self.set_status(answer.status)
+        if 'Date' in answer.headers:
+            self.clear_header('Date')
+        keeps_length = self.request.method == 'HEAD' or answer.status in _LENGTH_ONLY
+        for name, value in answer.headers.get_all():
+            if keeps_length or name != 'Content-Length':
+                self.add_header(name, value)
+        if keeps_length:
+            self.finish()
+            return
+        self.set_header('Content-Length', str(len(answer.body)))
+        if len(answer.body) > _JOINED_BODY_BYTES:
+            # tornado joins headers and first chunk, which would copy the body.
+            self.flush()
+        self.finish(answer.body)
+
+    def _stop_timer(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+            self._body_timer = None
--- /dev/null
+++ b/src/balsamrail/forwarding/forwarder.py
@@ -0,0 +1,197 @@
+"""Forwards callers' requests to upstreams."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+from urllib.parse import unquote
+
+from balsamrail.configuration import Route
+from balsamrail.environment import Environment
+from balsamrail.errors import (
+    BadRequestError,
+    DeadlineExpiredError,
+    HostLeavingError,
+    RequestError,
+    UnknownServiceError,
+)
+from balsamrail.forwarding.answer import Answer
+from balsamrail.forwarding.attempts import Attempts
+from balsamrail.forwarding.caller_request import CallerRequest
+from balsamrail.forwarding.claims import Claims
+from balsamrail.forwarding.collaborators import Admissions, Declarations, Judge, KnownMembers
+from balsamrail.forwarding.connection_pool import ConnectionPool
+from balsamrail.forwarding.crash_register import CrashRegister
+from balsamrail.forwarding.executor import Executor
+from balsamrail.forwarding.fingerprint import fingerprint_of
+from balsamrail.forwarding.hop_headers import passed_on
+from balsamrail.forwarding.plan import Plan
+from balsamrail.forwarding.retrieve import retrieve_error
+from balsamrail.membership.network import Network
+
+_MS_IN_S = 1_000
+_SERVER_ERROR = 500
+_DOT_SEGMENTS = frozenset(('.', '..'))
+_REQUEST_ID = frozenset(('request-id',))
+_CALLER_FAULT = 'refused'
+
+
+class Forwarder:
+    """Takes complete requests and returns complete answers.
+
+    Cancelling :meth:`handle` means that the caller went away: an idempotent request is cancelled
+    at its upstream, another one goes on.
+    """
+
+    __slots__ = (
+        '_attempts',
+        '_background',
+        '_environment',
+        '_executor',
+        '_in_flight',
+        '_is_leaving',
+        '_judge',
+        '_pool',
+        '_tracker',
+        'crashes',
+    )
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        tracker: Declarations,
+        router: Admissions,
+        network: Network,
+        members: KnownMembers,
+        judge: Judge | None = None,
+        claims: Claims | None = None,
+        pool: ConnectionPool | None = None,
+    ) -> None:
+        self._environment = environment
+        self._tracker = tracker
+        self._judge = judge
+        self._pool = pool or ConnectionPool(environment=environment)
+        self.crashes = CrashRegister(environment=environment, network=network)
+        self._attempts = Attempts(
+            environment=environment,
+            router=router,
+            pool=self._pool,
+            crashes=self.crashes,
+        )
+        self._executor = Executor(
+            environment=environment,
+            members=members,
+            pool=self._pool,
+            claims=claims,
+        )
+        self._background: set[asyncio.Task[Answer]] = set()
+        self._in_flight = 0
+        self._is_leaving = False
+
+    async def handle(self, request: CallerRequest) -> Answer:
+        """Return the complete answer to a request.
+
+        :raises RequestError: if there is none; its ``outcome`` says whether the request ran.
+        """
+        if self._is_leaving:
+            raise HostLeavingError(detail='the host is stopping')
+        started = self._environment.clock.monotonic()
+        revision, plan = self._plan(request, started)
+        failed = False
+        self._in_flight += 1
+        try:
+            answer = await self._run(plan)
+            failed = answer.status >= _SERVER_ERROR
+        except RequestError as error:
+            failed = error.outcome != _CALLER_FAULT
+            raise
+        finally:
+            self._in_flight -= 1
+            self._observe(revision, started, failed=failed)
+        return _for_caller(request, answer)
+
+    def refuse_new(self) -> None:
+        """Answer ``host_leaving`` from now on; requests in flight are finished."""
+        self._is_leaving = True
+
+    def in_flight(self) -> int:
+        """Return the number of unfinished requests, 0 only if none runs without a caller either."""
+        return max(self._in_flight, len(self._background) + self._executor.keys.in_flight())
+
+    async def run(self) -> None:
+        """Maintain the connections until cancelled, then close the kept ones."""
+        try:
+            await self._pool.run()
+        finally:
+            self._pool.close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return connections, keys and crashes as plain data."""
+        return {
+            'in_flight': self.in_flight(),
+            'connections': self._pool.dump(),
+            'keys': self._executor.dump(),
+            'crashes': self.crashes.dump(),
+        }
+
+    def _observe(self, revision: int, started: float, *, failed: bool) -> None:
+        latency_s = self._environment.clock.monotonic() - started
+        self._environment.metrics.record('request', latency_s)
+        if self._judge is not None:
+            self._judge.observe(revision=revision, failed=failed, latency_s=latency_s)
+
+    def _plan(self, request: CallerRequest, now: float) -> tuple[int, Plan]:
+        revision, declaration = self._tracker.for_caller(request.caller)
+        service = declaration.services.get(request.service)
+        if service is None:
+            raise UnknownServiceError(detail=f'there is no service {request.service}')
+        route = service.route_for(method=request.method, path=_decoded(request.path))
+        deadline = now + service.deadline_ms / _MS_IN_S
+        if request.deadline is not None:
+            deadline = min(deadline, request.deadline)
+        if deadline <= now:
+            raise DeadlineExpiredError(detail='the deadline passed before the request was read')
+        return revision, Plan(
+            request=request,
+            declaration=declaration,
+            service=service,
+            route=route or Route(methods=[request.method]),
+            deadline=deadline,
+            fingerprint=fingerprint_of(request),
+        )
+
+    async def _run(self, plan: Plan) -> Answer:
+        if plan.route.idempotent:
+            return await self._attempts.run(plan)
+        key = plan.request.headers.get('Idempotency-Key')
+        if key is None:
+            return await self._run_on(self._attempts.run(plan))
+        return await self._executor.execute(key, plan, self._attempts.run)
+
+    async def _run_on(self, run: Coroutine[Any, Any, Answer]) -> Answer:
+        # A request that is not idempotent goes on when its caller goes away: cancelling it would
+        # leave the caller without any way to learn whether it ran.
+        task = asyncio.create_task(run)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        task.add_done_callback(retrieve_error)
+        return await asyncio.shield(task)
+
+
+def _decoded(path: str) -> str:
+    decoded = unquote(path.partition('?')[0])
+    # An upstream may resolve these, and then the promises of another route would hold.
+    if _DOT_SEGMENTS.intersection(decoded.split('/')) or '//' in decoded:
+        raise BadRequestError(detail='the path has empty or dot segments')
+    return decoded
+
+
+def _for_caller(request: CallerRequest, answer: Answer) -> Answer:
+    headers = passed_on(answer.headers, without=_REQUEST_ID)
+    if 'Request-Id' in request.headers:
+        headers['Request-Id'] = request.headers['Request-Id']
+    return Answer(
+        status=answer.status,
+        headers=headers,
+        body=answer.body,
+    )
--- /dev/null
+++ b/src/balsamrail/forwarding/key_record.py
@@ -0,0 +1,21 @@
+"""What the executor knows of one idempotency key."""
+
+import asyncio
+from dataclasses import dataclass
+
+from balsamrail.forwarding.answer import Answer
+
+
+@dataclass(slots=True, kw_only=True)
+class KeyRecord:
+    """One run of a keyed request.
+
+    ``state`` is ``in_flight``, ``done`` or ``unknown``. ``task`` is set while the run is in flight
+    and ``answer`` while a finished run's answer is kept.
+    """
+
+    fingerprint: bytes
+    expiry_wall_s: float
+    state: str = 'in_flight'
+    task: asyncio.Task[Answer] | None = None
+    answer: Answer | None = None
--- /dev/null
+++ b/src/balsamrail/forwarding/upstream_stream.py
@@ -0,0 +1,46 @@
+"""The stream below a connection to an upstream."""
+
+import ipaddress
+import socket
+
+from tornado.iostream import IOStream
+
+from balsamrail.settings.address import split_address
+
+_MS_IN_S = 1_000
+
+
+class UpstreamStream(IOStream):
+    """An :class:`IOStream` that can tell whether unread bytes wait on it."""
+
+    @classmethod
+    def unconnected(
+        cls, *, address: str, user_timeout_s: float, buffer_bytes: int
+    ) -> 'UpstreamStream':
+        """Make a stream with the socket options of upstream connections.
+
+        ``TCP_USER_TIMEOUT`` ends a connection whose peer stopped acknowledging, so that a silent
+        one is found without an answer from the other side.
+        """
+        number, _ = split_address(address)
+        version = ipaddress.ip_address(number).version
+        family = socket.AF_INET if version == 4 else socket.AF_INET6
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        timeout_ms = int(user_timeout_s * _MS_IN_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        return cls(sock, max_buffer_size=buffer_bytes)
+
+    def is_quiet(self) -> bool:
+        """Return whether the stream is open with nothing left to read or write."""
+        if self.closed() or self.writing() or self._read_buffer_size:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Either unread bytes or the end of the stream.
+        return False
