--- a/features/upstream_framing.feature
+++ b/features/upstream_framing.feature
@@ -14,7 +14,7 @@
       | GET    | HTTP/1.1 200 OK\r\n\r\nabc                                                      | closes | error   | closed     |
       | GET    | HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc | waits  | abc     | kept       |
       | GET    | HTTP/1.1 100 Continue\r\n\r\n                                                   | closes | error   | closed     |
-      | GET    | HTTP/1.1 101 Switching\r\nContent-Length: 0\r\n\r\n                             | waits  | error   | closed     |
+      | GET    | HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc   | waits  | error   | closed     |
       | GET    | HTTP/1.1 204 No Content\r\n\r\n                                                 | waits  | empty   | kept       |
       | GET    | HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc                         | waits  | error   | closed     |
       | GET    | HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n                          | waits  | empty   | kept       |
--- a/src/balsamrail/forwarding/attempt_error.py
+++ b/src/balsamrail/forwarding/attempt_error.py
@@ -11,7 +11,6 @@
         has a status that the service declares as a refusal.
     :param reused: whether the connection had carried another request before.
     :param timed_out: whether the attempt reached its deadline.
-    :param retry_after_s: when the upstream wants to be asked again, in seconds.
     """
 
     code = 'attempt_failed'
@@ -23,11 +22,9 @@
         may_have_run: bool,
         reused: bool = False,
         timed_out: bool = False,
-        retry_after_s: int = 1,
     ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.may_have_run = may_have_run
         self.reused = reused
         self.timed_out = timed_out
-        self.retry_after_s = retry_after_s
--- a/src/balsamrail/forwarding/attempts.py
+++ b/src/balsamrail/forwarding/attempts.py
@@ -25,6 +25,7 @@
 from balsamrail.forwarding.plan import Plan
 from balsamrail.forwarding.pool_full_error import PoolFullError
 from balsamrail.forwarding.retry_budget import RetryBudget
+from balsamrail.forwarding.shed_error import ShedError
 from balsamrail.steering.attempt_result import AttemptResult
 
 _MS_IN_S = 1_000
@@ -78,12 +79,13 @@
         budget.add_first_try()
         tried: set[str] = set()
         may_have_run = False
+        failure: AttemptError | None = None
         pause_s = _FIRST_PAUSE_S
         while True:
             try:
                 admission = self._admit(plan, tried)
             except NotRunError as refusal:
-                raise _final(refusal, may_have_run=may_have_run)
+                raise _not_admitted(refusal, failure, may_have_run=may_have_run)
             try:
                 return await self._attempt(plan, admission, budget)
             except AttemptError as error:
@@ -94,7 +96,7 @@
             pause = self._random.uniform(0, pause_s)
             pause_s = min(_LONGEST_PAUSE_S, pause_s * 2)
             if not self._is_sent_again(plan, failure, budget, pause):
-                raise self._final_failure(plan, failure, may_have_run=may_have_run)
+                raise self._gave_up(plan, failure, may_have_run=may_have_run)
             self._environment.metrics.count('retries')
             await asyncio.sleep(pause)
 
@@ -208,24 +210,30 @@
             echoed_id=request_id if plan.service.echoes_request_id else None,
         )
 
-    def _final_failure(
-        self,
-        plan: Plan,
-        failure: AttemptError,
-        *,
-        may_have_run: bool,
-    ) -> RequestError:
+    def _gave_up(self, plan: Plan, failure: AttemptError, *, may_have_run: bool) -> RequestError:
         if may_have_run:
             return OutcomeUnknownError(detail=failure.detail)
+        if isinstance(failure, ShedError):
+            return _shed(failure)
         if self._environment.clock.monotonic() >= plan.deadline:
             return DeadlineExpiredError(detail=failure.detail)
-        return OverloadedError(detail=failure.detail, retry_after_s=failure.retry_after_s)
+        return NoTargetError(detail=failure.detail)
 
 
-def _final(refusal: NotRunError, *, may_have_run: bool) -> RequestError:
+def _not_admitted(
+    refusal: NotRunError,
+    failure: AttemptError | None,
+    *,
+    may_have_run: bool,
+) -> RequestError:
     if may_have_run:
         return OutcomeUnknownError(detail=f'an attempt failed, then: {refusal.detail}')
-    return refusal
+    # The time that a target named is worth more than that no further target is left.
+    return _shed(failure) if isinstance(failure, ShedError) else refusal
+
+
+def _shed(failure: ShedError) -> OverloadedError:
+    return OverloadedError(detail=failure.detail, retry_after_s=failure.retry_after_s)
 
 
 def _result_of(plan: Plan, answer: Answer) -> AttemptResult:
@@ -234,10 +242,9 @@
     return AttemptResult.failed if answer.status in _FAILED_STATUSES else AttemptResult.ok
 
 
-def _refusal(answer: Answer) -> AttemptError:
+def _refusal(answer: Answer) -> ShedError:
     text = answer.headers.get('Retry-After', '')
-    return AttemptError(
+    return ShedError(
         detail=f'the target refused the request with status {answer.status}',
-        may_have_run=False,
         retry_after_s=int(text) if text.isascii() and text.isdigit() and len(text) < 5 else 1,
     )
--- /dev/null
+++ b/src/balsamrail/forwarding/shed_error.py
@@ -0,0 +1,16 @@
+"""A target refused a request before it ran."""
+
+from balsamrail.forwarding.attempt_error import AttemptError
+
+
+class ShedError(AttemptError):
+    """The complete answer has a status that the service declares as a refusal.
+
+    :param retry_after_s: when the target wants to be asked again, in seconds.
+    """
+
+    code = 'shed'
+
+    def __init__(self, *, detail: str, retry_after_s: int) -> None:
+        super().__init__(detail=detail, may_have_run=False)
+        self.retry_after_s = retry_after_s
