--- a/features/steps/memory_store.py
+++ b/features/steps/memory_store.py
@@ -23,6 +23,7 @@
         self.script = list(script)
         self.values_by_name = {}
         self.late = []
+        self.writes = 0
 
     async def read(self, name):
         delay, fate = self._next()
@@ -37,6 +38,7 @@
         return found
 
     async def write(self, name, *, value, version):
+        self.writes += 1
         text = json.dumps(value)
         delay, fate = self._next()
         await asyncio.sleep(delay)
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -24,6 +24,8 @@
             await stand_in.stop()
         case 'lost answer':
             stand_in.faults.lose_answers = 1
+        case 'garbled write':
+            stand_in.faults.garble_answers = 1
         case 'down':
             stand_in.faults.down = True
         case 'slow':
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -16,6 +16,7 @@
       | down         | StoreOutcomeUnknownError | 0      |
       | slow         | StoreOutcomeUnknownError | 0      |
       | existing     | StoreConflictError       | 1      |
+      | garbled write | StoreOutcomeUnknownError | 1      |
 
   # Guards against a read error that passes as an absent object.
   Scenario Outline: Errors of a read against the stand-in
--- a/src/balsamrail/configuration/__init__.py
+++ b/src/balsamrail/configuration/__init__.py
@@ -17,6 +17,7 @@
 from balsamrail.configuration.target import Target
 from balsamrail.configuration.tracker import Tracker
 from balsamrail.configuration.trial import Trial
+from balsamrail.configuration.trial_judge import TrialJudge
 
 __all__ = (
     'RECORD_NAME',
@@ -35,6 +36,7 @@
     'Target',
     'Tracker',
     'Trial',
+    'TrialJudge',
     'decode_record',
     'encode_record',
     'load_declaration',
--- a/standins/store.py
+++ b/standins/store.py
@@ -11,11 +11,10 @@
 
 from standins.rate_limit import RateLimit
 from standins.serving import listen, serve_forever
+from standins.store_control import CountersHandler, FaultsHandler
 from standins.store_faults import StoreFaults
 from standins.store_handlers import (
     LARGEST_VALUE_BYTES,
-    CountersHandler,
-    FaultsHandler,
     HostHandler,
     HostsHandler,
     ListHandler,
--- /dev/null
+++ b/standins/store_control.py
@@ -0,0 +1,44 @@
+"""How tests and launchers set the faults of the store's stand-in and read its counters."""
+
+import json
+from dataclasses import asdict, fields
+
+from tornado.web import RequestHandler
+
+from standins.serving import drop_connection
+from standins.store_faults import StoreFaults
+from standins.store_handlers import StoreState
+
+
+class FaultsHandler(RequestHandler):
+    """``/faults``, which is outside of the object API and is never counted."""
+
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    def get(self) -> None:
+        self.write(asdict(self.state.faults))
+
+    def post(self) -> None:
+        changes = json.loads(self.request.body)
+        unknown = set(changes) - {entry.name for entry in fields(StoreFaults)}
+        if unknown:
+            self.set_status(400)
+            self.write({'error': f'unknown faults: {", ".join(sorted(unknown))}'})
+            return
+        for name, setting in changes.items():
+            setattr(self.state.faults, name, setting)
+        if self.state.faults.down:
+            for watcher in list(self.state.watching):
+                drop_connection(watcher)
+        self.write(asdict(self.state.faults))
+
+
+class CountersHandler(RequestHandler):
+    """``/counters``: the number of calls by kind."""
+
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    def get(self) -> None:
+        self.write(dict(self.state.calls_by_kind))
--- a/standins/store_faults.py
+++ b/standins/store_faults.py
@@ -9,8 +9,8 @@
 
     ``down`` closes connections without an answer. ``delay_s`` holds each call back before it takes
     effect. The next ``lose_answers`` writes take effect without an answer, and the next
-    ``garble_answers`` reads are answered with bytes that are not JSON. ``list_lag_s`` is the age
-    of the host list.
+    ``garble_answers`` reads and writes are answered with bytes that are not JSON.
+    ``list_lag_s`` is the age of the host list.
     """
 
     down: bool = False
--- a/standins/store_handlers.py
+++ b/standins/store_handlers.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections import Counter
-from dataclasses import asdict, dataclass, field, fields
+from dataclasses import dataclass, field
 from typing import Any
 
 from tornado.web import Finish, RequestHandler
@@ -15,6 +15,7 @@
 from standins.store_objects import StoreObjects
 
 LARGEST_VALUE_BYTES = 1_000_000
+GARBLED = b'{"version": "'
 
 
 @dataclass(slots=True, kw_only=True)
@@ -71,8 +72,17 @@
             self.state.faults.lose_answers -= 1
             self.state.calls_by_kind['lost'] += 1
             self.drop()
+        if self.take_garbling():
+            self.finish(GARBLED)
+            return
         self.answer(200, body)
 
+    def take_garbling(self) -> bool:
+        """Return whether this answer is one of those to be garbled."""
+        left = self.state.faults.garble_answers
+        self.state.faults.garble_answers = max(0, left - 1)
+        return left > 0
+
     def read_body(self) -> Any:
         """Return the JSON body, or answer 413 or 400."""
         if len(self.request.body) > LARGEST_VALUE_BYTES:
@@ -96,9 +106,8 @@
         version, text = self.state.objects.read(name)
         if not version:
             self.answer(404, {'error': 'no such object'})
-        if self.state.faults.garble_answers > 0:
-            self.state.faults.garble_answers -= 1
-            self.finish(b'{"name": "')
+        if self.take_garbling():
+            self.finish(GARBLED)
             return
         self.set_header('Content-Type', 'application/json')
         head = json.dumps({'name': name, 'version': version})
@@ -182,37 +191,3 @@
     def delete(self, host: str) -> None:
         self.state.hosts.put(host, None)
         self.answer(200, {})
-
-
-class FaultsHandler(RequestHandler):
-    """``/faults``, which is outside of the object API and is never counted."""
-
-    def initialize(self, state: StoreState) -> None:
-        self.state = state
-
-    def get(self) -> None:
-        self.write(asdict(self.state.faults))
-
-    def post(self) -> None:
-        changes = json.loads(self.request.body)
-        unknown = set(changes) - {entry.name for entry in fields(StoreFaults)}
-        if unknown:
-            self.set_status(400)
-            self.write({'error': f'unknown faults: {", ".join(sorted(unknown))}'})
-            return
-        for name, setting in changes.items():
-            setattr(self.state.faults, name, setting)
-        if self.state.faults.down:
-            for watcher in list(self.state.watching):
-                drop_connection(watcher)
-        self.write(asdict(self.state.faults))
-
-
-class CountersHandler(RequestHandler):
-    """``/counters``: the number of calls by kind."""
-
-    def initialize(self, state: StoreState) -> None:
-        self.state = state
-
-    def get(self) -> None:
-        self.write(dict(self.state.calls_by_kind))
