Let judges wait before they read an unusable record again

A judge whose trial was over and whose store held a record that the tracker refuses read it every second; in a large fleet that alone takes up a good part of the read rate. It now waits 10 to 20 s between attempts. After its own write a judge reads the record, so that the mark it keeps is the one in the store.

--- a/features/steps/memory_store.py
+++ b/features/steps/memory_store.py
@@ -23,9 +23,11 @@
         self.script = list(script)
         self.values_by_name = {}
         self.late = []
+        self.reads = 0
         self.writes = 0
 
     async def read(self, name):
+        self.reads += 1
         delay, fate = self._next()
         await asyncio.sleep(delay)
         if fate != 'ok':
--- a/features/steps/trial_steps.py
+++ b/features/steps/trial_steps.py
@@ -166,6 +166,22 @@
     run_virtual(main())
 
 
+@then(
+    'a judge whose trial is over reads an unusable record at most {reads:d} times '
+    'in {duration:d} s'
+)
+def step_unusable(context, reads, duration):
+    async def main():
+        fleet = make_fleet(duration_s=1)
+        fleet.store.values_by_name[RECORD_NAME].append('{"number": 2}')
+        await fleet.run(duration)
+        assert fleet.store.version(RECORD_NAME) == 2
+        assert 1 < fleet.store.reads <= reads, fleet.store.reads
+        assert fleet.store.writes == 0
+
+    run_virtual(main())
+
+
 @then('with {hosts:d} hosts a receiver gets at most {limit:d} bytes/s of counters')
 def step_rate(context, hosts, limit):
     async def main():
--- a/features/trial.feature
+++ b/features/trial.feature
@@ -29,6 +29,10 @@
   Scenario: Judges take turns
     Then 9 judges that agree make 1 write
 
+  # Guards against a fleet that reads an unusable record each second.
+  Scenario: The record in the store does not parse
+    Then a judge whose trial is over reads an unusable record at most 12 times in 120 s
+
   # Guards against evidence that exceeds what control may cost a host.
   Scenario Outline: The rate of counters at a receiver
     Then with <hosts> hosts a receiver gets at most 3000 bytes/s of counters
--- a/src/balsamrail/configuration/trial_judge.py
+++ b/src/balsamrail/configuration/trial_judge.py
@@ -22,6 +22,7 @@
 
 _TICK_S = 1
 _STAGGERED_HOSTS = 20
+_RETRY_S = 10
 
 
 class TrialJudge:
@@ -100,6 +101,8 @@
         verdict = 'accept' if fault is None else 'stop'
         due = self._due_by_verdict.setdefault(verdict, now + self._turn_s(candidate.revision))
         if now >= due:
+            # While the store holds no usable record, the fleet must not read it every second.
+            self._due_by_verdict[verdict] = now + _RETRY_S * (1 + random.random())
             await self._end(candidate, fault=fault)
 
     def dump(self) -> dict[str, Any]:
@@ -116,22 +119,27 @@
         }
 
     async def _end(self, candidate: Candidate, *, fault: str | None) -> None:
-        found = await self._store.read(RECORD_NAME)
-        if found is None:
-            return
-        self._tracker.offer(found.value, version=found.version)
-        record = self._tracker.record
-        if record is None or self._tracker.version != found.version:
-            return
-        current = record.candidate
-        if current is None or current.revision != candidate.revision:
+        record = await self._read_record()
+        current = record.candidate if record else None
+        if record is None or current is None or current.revision != candidate.revision:
             return
         changed = _ended(record, current, fault=fault)
-        encoded = encode_record(changed)
-        await self._write.write(RECORD_NAME, value=encoded, version=found.version)
+        await self._write.write(
+            RECORD_NAME, value=encode_record(changed), version=self._tracker.version
+        )
         self._environment.log.event(
             'trial_ended', revision=current.revision, stopped=fault, number=changed.number
         )
+        # The written value carries a mark that only the store's copy has.
+        await self._read_record()
+
+    async def _read_record(self) -> Record | None:
+        """Return the record in the store, ``None`` if the tracker refuses it."""
+        found = await self._store.read(RECORD_NAME)
+        if found is None:
+            return None
+        self._tracker.offer(found.value, version=found.version)
+        return self._tracker.record if self._tracker.version == found.version else None
 
     def _receive(self, host: str, message: TrialCounters) -> None:
         own = message.host == self._environment.settings.host
