--- a/features/steps/memory_store.py
+++ b/features/steps/memory_store.py
@@ -23,8 +23,11 @@
         self.script = list(script)
         self.values_by_name = {}
         self.late = []
+        self.reads = 0
+        self.writes = 0
 
     async def read(self, name):
+        self.reads += 1
         delay, fate = self._next()
         await asyncio.sleep(delay)
         if fate != 'ok':
@@ -37,6 +40,7 @@
         return found
 
     async def write(self, name, *, value, version):
+        self.writes += 1
         text = json.dumps(value)
         delay, fate = self._next()
         await asyncio.sleep(delay)
