--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -79,6 +79,18 @@
       | POST       | finished  |
       | keyed POST | finished  |
 
+  Scenario Outline: Which connection; guards against bookings on a connection that the upstream may be closing
+    Given a host with 3 targets whose attempts end with <attempts>
+    When a caller sends <request>
+    Then the attempts ask for <connections> connections
+
+    Examples:
+      | request    | attempts    | connections     |
+      | GET        | ok          | any             |
+      | POST       | refuse ok   | fresh fresh     |
+      | keyed POST | ok          | fresh           |
+      | GET        | stale ok    | any fresh       |
+
   Scenario: Many failing lookups; guards against retries that multiply load
     Given a host with 3 targets whose attempts end with cut
     When 200 callers send GET one after another
@@ -98,6 +110,9 @@
       | calls with few keys  |
       | calls on a tiny host |
 
+  Scenario: A key that expires during its run; guards against kept bytes that are never given back
+    Then a key that expires during its run leaves nothing behind
+
   Scenario: A request that crashes targets; guards against the loss of all targets to one request
     Given a host with 3 targets whose attempts end with crash
     When a caller sends GET
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -43,6 +43,7 @@
         self.script = list(script)
         self.history = history
         self.sent = []
+        self.fresh = []
         self.passed_on = []
         self.states = []
         self.crashed = set()
@@ -51,7 +52,7 @@
     def dump(self):
         return {}
 
-    async def exchange(self, *, target, outgoing, deadline, **options):
+    async def exchange(self, *, target, outgoing, deadline, fresh=False, reused_deadline=None):
         if target.address == OTHER.caller_address:
             self.passed_on.append(outgoing)
             self.history.run(outgoing.headers['Idempotency-Key'], b'passed')
@@ -60,6 +61,7 @@
             return Answer(status=200, body=b'passed')
         word = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         self.sent.append(outgoing)
+        self.fresh.append(fresh)
         self.states.append('cancelled')
         number = len(self.sent)
         answer = await self._end(word, target, outgoing, deadline, number)
@@ -316,6 +318,12 @@
     assert play(context).pool.states == [state]
 
 
+@then('the attempts ask for {connections} connections')
+def step_fresh(context, connections):
+    asked = ['fresh' if fresh else 'any' for fresh in play(context).pool.fresh]
+    assert asked == connections.split(), asked
+
+
 @then('neither side sees a hop-by-hop header')
 def step_hop(context):
     host = play(context)
@@ -357,7 +365,7 @@
 
 async def interleave(script, calls, limits):
     host = Host(script, **limits)
-    keys = [host.key(str(number), lasts_s=4) for number in range(3)]
+    keys = [host.key(str(number), lasts_s=1 + 2 * number) for number in range(3)]
     tasks = []
     for number, pause, patience in calls:
         await asyncio.sleep(pause / 100)
@@ -369,6 +377,30 @@
     kept = host.forwarder.dump()['keys']
     assert kept['records'] <= limits.get('kept_keys', 3)
     assert kept['kept_bytes'] <= limits.get('kept_answer_bytes', 10_000)
+    await check_forgotten(host)
+
+
+async def check_forgotten(host):
+    await asyncio.sleep(6)
+    await host.send('POST', host.key('last'))
+    kept = host.forwarder.dump()['keys']
+    assert kept['records'] <= 1 and kept['kept_bytes'] <= 1_100, kept
+
+
+@then('a key that expires during its run leaves nothing behind')
+def step_expires(context):
+    async def main():
+        host = Host(['slow'])
+        key = host.key(lasts_s=3)
+        expiry_wall_s = int(key.split(':')[2].split('.')[0])
+        await asyncio.sleep(expiry_wall_s - host.environment.clock.wall() - 0.3)
+        run = asyncio.create_task(host.send('POST', key))
+        await asyncio.sleep(0.4)
+        await host.send('POST', host.key('next', lasts_s=3))
+        await run
+        await check_forgotten(host)
+
+    run_virtual(main())
 
 
 async def with_patience(call, patience):
--- a/features/steps/upstream_framing_steps.py
+++ b/features/steps/upstream_framing_steps.py
@@ -125,7 +125,6 @@
 
     async def script(exchanges):
         await exchanges.send(timeout_s=0.1)
-        await asyncio.sleep(0.1)
         await exchanges.send()
 
     context.exchanges = Exchanges(write).run(script)
--- a/src/balsamrail/forwarding/attempts.py
+++ b/src/balsamrail/forwarding/attempts.py
@@ -87,11 +87,13 @@
             except NotRunError as refusal:
                 raise _not_admitted(refusal, failure, may_have_run=may_have_run)
             try:
-                return await self._attempt(plan, admission, budget)
+                # A kept connection that failed leaves the others of its age in doubt.
+                fresh = not plan.route.idempotent or (failure is not None and failure.reused)
+                return await self._attempt(plan, admission, budget, fresh=fresh)
             except AttemptError as error:
                 failure = error
             may_have_run = may_have_run or failure.may_have_run
-            if not failure.reused or failure.timed_out:
+            if not failure.reused:
                 tried.add(admission.target.address)
             pause = self._random.uniform(0, pause_s)
             pause_s = min(_LONGEST_PAUSE_S, pause_s * 2)
@@ -133,11 +135,18 @@
             admission.close(AttemptResult.cancelled)
             tried.add(address)
 
-    async def _attempt(self, plan: Plan, admission: Admitted, budget: RetryBudget) -> Answer:
+    async def _attempt(
+        self,
+        plan: Plan,
+        admission: Admitted,
+        budget: RetryBudget,
+        *,
+        fresh: bool,
+    ) -> Answer:
         started = self._environment.clock.monotonic()
         result = AttemptResult.cancelled
         try:
-            answer = await self._exchange(plan, admission, budget)
+            answer = await self._exchange(plan, admission, budget, fresh=fresh)
             result = _result_of(plan, answer)
         except AttemptError as error:
             result = await self._failure_result(plan, admission.target.address, error)
@@ -177,16 +186,23 @@
         # An upstream may close a kept connection at any time; that is no fault of the target.
         return AttemptResult.cancelled if error.reused else AttemptResult.failed
 
-    async def _exchange(self, plan: Plan, admission: Admitted, budget: RetryBudget) -> Answer:
+    async def _exchange(
+        self,
+        plan: Plan,
+        admission: Admitted,
+        budget: RetryBudget,
+        *,
+        fresh: bool,
+    ) -> Answer:
         now = self._environment.clock.monotonic()
         request_id = f'{self._environment.incarnation}-{next(self._numbers)}'
         # A kept connection that went silent is given up early enough to ask another target.
         halfway = now + (plan.deadline - now) / 2
-        is_cut_early = plan.route.idempotent and budget.has_retry()
+        is_cut_early = not fresh and budget.has_retry()
         return await self._pool.exchange(
             target=admission.target,
             outgoing=self._outgoing(plan, admission, request_id, now),
-            fresh=not plan.route.idempotent,
+            fresh=fresh,
             deadline=plan.deadline,
             reused_deadline=halfway if is_cut_early else None,
         )
--- a/src/balsamrail/forwarding/connection_pool.py
+++ b/src/balsamrail/forwarding/connection_pool.py
@@ -51,6 +51,10 @@
             deadline = min(deadline, reused_deadline)
         try:
             return await connection.exchange(outgoing, deadline=deadline)
+        except AttemptError as error:
+            if error.reused and error.timed_out:
+                self._drop_kept(target.address)
+            raise
         finally:
             self._give_back(connection)
 
@@ -148,6 +152,11 @@
         else:
             self._idle_by_address.setdefault(connection.address, []).append(connection)
 
+    def _drop_kept(self, address: str) -> None:
+        # When one kept connection goes silent, the others to the same target usually have too.
+        for connection in self._idle_by_address.pop(address, []):
+            self._drop(connection)
+
     def _drop(self, connection: UpstreamConnection) -> None:
         connection.close()
         self._forget(connection.address)
--- a/src/balsamrail/forwarding/forward_handler.py
+++ b/src/balsamrail/forwarding/forward_handler.py
@@ -24,6 +24,9 @@
 _JOINED_BODY_BYTES = 16_384
 # Bytes of a header line beside its name and value: the colon, the blank and the line end.
 _LINE_BYTES = 4
+# tornado closes the connection with no reason when its own limit is exceeded, so only the handler
+# limits the body. It counts what arrives and keeps no more than its limit.
+_TORNADO_BODY_BYTES = 1 << 60
 _LENGTH_ONLY = frozenset((204, 304))
 _METHOD_NOT_ALLOWED = 405
 _PREFIX_PARTS = 3
@@ -61,7 +64,8 @@
         except RequestError as error:
             self._refuse(error)
         else:
-            self._allow_body(limits.body_bytes)
+            connection: Any = self.request.connection
+            connection.set_max_body_size(_TORNADO_BODY_BYTES)
             loop = asyncio.get_running_loop()
             self._body_timer = loop.call_later(limits.body_timeout_s, self._body_is_late)
 
@@ -101,9 +105,7 @@
             error.detail = cause.log_message
         if status_code == _METHOD_NOT_ALLOWED:
             error.detail = f'{self.request.method} is not supported'
-        answer = problem_answer(error)
-        answer.status = status_code
-        self._send(answer)
+        self._send(problem_answer(error, status=status_code))
 
     async def get(self, *parts: str) -> None:
         """Forward the request."""
@@ -154,11 +156,6 @@
             now = self._environment.clock.monotonic()
             self._deadline = now + int(deadline_ms) / _MS_IN_S
 
-    def _allow_body(self, limit: int) -> None:
-        connection: Any = self.request.connection
-        # One byte more, so that the handler and not tornado finds a chunked body too large.
-        connection.set_max_body_size(limit + 1)
-
     def _upstream_path(self) -> str:
         # The text as sent, since decoding and encoding again could change it.
         uri = self.request.uri or ''
@@ -184,11 +181,10 @@
         self.set_status(answer.status)
         if 'Date' in answer.headers:
             self.clear_header('Date')
-        keeps_length = self.request.method == 'HEAD' or answer.status in _LENGTH_ONLY
         for name, value in answer.headers.get_all():
-            if keeps_length or name != 'Content-Length':
-                self.add_header(name, value)
-        if keeps_length:
+            self.add_header(name, value)
+        if self.request.method == 'HEAD' or answer.status in _LENGTH_ONLY:
+            # The length, if any, is that of the body that is not sent.
             self.finish()
             return
         self.set_header('Content-Length', str(len(answer.body)))
--- a/src/balsamrail/forwarding/problem.py
+++ b/src/balsamrail/forwarding/problem.py
@@ -15,7 +15,7 @@
 }
 
 
-def problem_answer(error: RequestError) -> Answer:
+def problem_answer(error: RequestError, *, status: int | None = None) -> Answer:
     """Return the answer that tells a caller of an error.
 
     The body is JSON, such as::
@@ -30,10 +30,11 @@
             'retry_after_s': 1,
         }
     """
+    status = status or error.status
     problem: dict[str, Any] = {
         'type': f'urn:balsamrail:problem:{error.code}',
         'title': _TITLE_BY_OUTCOME[error.outcome],
-        'status': error.status,
+        'status': status,
         'detail': error.detail,
         'code': error.code,
         'outcome': error.outcome,
@@ -43,4 +44,4 @@
         problem['retry_after_s'] = error.retry_after_s
         headers['Retry-After'] = str(error.retry_after_s)
     body = json.dumps(problem).encode()
-    return Answer(status=error.status, headers=headers, body=body)
+    return Answer(status=status, headers=headers, body=body)
