Answer cancelled requests and split the attempts

Change: such a request is answered with outcome_unknown. Verdicts, progress and the outgoing request are files of their own; server_arguments holds the limits that tornado's server enforces. A crashed target is not asked again.

--- a/features/forward_handler.feature
+++ b/features/forward_handler.feature
@@ -39,6 +39,15 @@
       | GET    | 1     |
       | POST   | 0     |
 
+  Scenario Outline: A fault inside the host; guards against an empty answer that looks complete
+    When a caller sends a request to a host whose forwarder raises <error>
+    Then the answer is a problem with status 504, code outcome_unknown and outcome unknown
+
+    Examples:
+      | error          |
+      | CancelledError |
+      | ValueError     |
+
   Scenario: Many callers at once; guards against answers that reach another caller
     When 120 callers send requests over kept connections while upstreams cut, delay and cross answers
     Then each caller gets its own complete answer or a problem
--- a/features/steps/forward_handler_steps.py
+++ b/features/steps/forward_handler_steps.py
@@ -20,7 +20,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from balsamrail.forwarding import Forwarder, ForwardHandler, make_key_prefix
+from balsamrail.forwarding import Forwarder, ForwardHandler, make_key_prefix, server_arguments
 from balsamrail.membership.member import Member
 
 MB = 1_048_576
@@ -38,9 +38,9 @@
             network=PeerNetwork(),
             members=Members() if members is None else members,
         )
-        collaborators = {'forwarder': self.forwarder, 'environment': self.environment}
-        application = Application([(ForwardHandler.pattern, ForwardHandler, collaborators)])
-        self.server = HTTPServer(application)
+        self.collaborators = {'forwarder': self.forwarder, 'environment': self.environment}
+        application = Application([(ForwardHandler.pattern, ForwardHandler, self.collaborators)])
+        self.server = HTTPServer(application, **server_arguments(self.environment.settings.limits))
         sockets = bind_sockets(0, '127.0.0.1')
         self.server.add_sockets(sockets)
         self.port = sockets[0].getsockname()[1]
@@ -348,3 +348,22 @@
 @then('the caller is asked to come back after {retry_after_s:d} s')
 def step_retry_after(context, retry_after_s):
     assert context.headers['Retry-After'] == str(retry_after_s)
+
+
+class BrokenForwarder:
+    def __init__(self, error):
+        self.error = error
+
+    async def handle(self, request):
+        raise self.error
+
+
+@when('a caller sends a request to a host whose forwarder raises {name}')
+def step_broken(context, name):
+    error = {'CancelledError': asyncio.CancelledError, 'ValueError': ValueError}[name]
+
+    async def script(host, upstream):
+        host.collaborators['forwarder'] = BrokenForwarder(error())
+        return await ask(host.port, 'GET /services/bookings/ HTTP/1.1\nHost: x\n\n')
+
+    context.status, context.headers, context.body = run_with_host(script)
--- a/src/balsamrail/forwarding/__init__.py
+++ b/src/balsamrail/forwarding/__init__.py
@@ -10,6 +10,7 @@
 from balsamrail.forwarding.forwarder import Forwarder
 from balsamrail.forwarding.key_table import KeyTable
 from balsamrail.forwarding.problem import problem_answer
+from balsamrail.forwarding.server_arguments import server_arguments
 
 __all__ = (
     'Answer',
@@ -23,4 +24,5 @@
     'KeyTable',
     'make_key_prefix',
     'problem_answer',
+    'server_arguments',
 )
--- a/src/balsamrail/forwarding/attempt_error.py
+++ b/src/balsamrail/forwarding/attempt_error.py
@@ -11,6 +11,8 @@
         has a status that the service declares as a refusal.
     :param reused: whether the connection had carried another request before.
     :param timed_out: whether the attempt reached its deadline.
+
+    ``target_crashed`` is set when the target refuses new connections afterwards.
     """
 
     code = 'attempt_failed'
@@ -28,3 +30,4 @@
         self.may_have_run = may_have_run
         self.reused = reused
         self.timed_out = timed_out
+        self.target_crashed = False
--- a/src/balsamrail/forwarding/attempts.py
+++ b/src/balsamrail/forwarding/attempts.py
@@ -4,35 +4,23 @@
 import random
 from itertools import count
 
-from tornado.httputil import HTTPHeaders
-
 from balsamrail.environment import Environment
-from balsamrail.errors import (
-    DeadlineExpiredError,
-    NoTargetError,
-    NotRunError,
-    OutcomeUnknownError,
-    OverloadedError,
-    RequestError,
-)
+from balsamrail.errors import DeadlineExpiredError, NoTargetError, NotRunError
 from balsamrail.forwarding.answer import Answer
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.forwarding.collaborators import Admissions, Admitted
 from balsamrail.forwarding.connection_pool import ConnectionPool
 from balsamrail.forwarding.crash_register import CrashRegister
-from balsamrail.forwarding.hop_headers import passed_on
-from balsamrail.forwarding.outgoing import Outgoing
+from balsamrail.forwarding.outgoing import make_outgoing
 from balsamrail.forwarding.plan import Plan
 from balsamrail.forwarding.pool_full_error import PoolFullError
+from balsamrail.forwarding.progress import Progress
 from balsamrail.forwarding.retry_budget import RetryBudget
-from balsamrail.forwarding.shed_error import ShedError
+from balsamrail.forwarding.verdicts import gave_up, not_admitted, refusal_of, result_of
 from balsamrail.steering.attempt_result import AttemptResult
 
-_MS_IN_S = 1_000
 _FIRST_PAUSE_S = 0.01
 _LONGEST_PAUSE_S = 0.2
-_FAILED_STATUSES = frozenset((502, 503, 504))
-_OWN_HEADERS = frozenset(('balsamrail-passed-on', 'content-length', 'deadline-ms', 'request-id'))
 
 
 class Attempts:
@@ -77,45 +65,38 @@
         """
         budget = self._budget_by_service.setdefault(plan.request.service, RetryBudget())
         budget.add_first_try()
-        tried: set[str] = set()
-        may_have_run = False
-        failure: AttemptError | None = None
+        progress = Progress()
         pause_s = _FIRST_PAUSE_S
         while True:
             try:
-                admission = self._admit(plan, tried)
+                admission = self._admit(plan, progress)
             except NotRunError as refusal:
-                raise _not_admitted(refusal, failure, may_have_run=may_have_run)
+                raise not_admitted(refusal, progress)
             try:
-                # A kept connection that failed leaves the others of its age in doubt.
-                fresh = not plan.route.idempotent or (failure is not None and failure.reused)
-                return await self._attempt(plan, admission, budget, fresh=fresh)
+                return await self._attempt(plan, admission, budget, progress)
             except AttemptError as error:
-                failure = error
-            may_have_run = may_have_run or failure.may_have_run
-            if not failure.reused:
-                tried.add(admission.target.address)
+                progress.note(error, address=admission.target.address)
             pause = self._random.uniform(0, pause_s)
             pause_s = min(_LONGEST_PAUSE_S, pause_s * 2)
-            if not self._is_sent_again(plan, failure, budget, pause):
-                raise self._gave_up(plan, failure, may_have_run=may_have_run)
+            if not self._is_sent_again(plan, progress, budget, pause):
+                raise gave_up(plan, progress, now=self._environment.clock.monotonic())
             self._environment.metrics.count('retries')
             await asyncio.sleep(pause)
 
     def _is_sent_again(
         self,
         plan: Plan,
-        failure: AttemptError,
+        progress: Progress,
         budget: RetryBudget,
         pause: float,
     ) -> bool:
-        if failure.may_have_run and not plan.route.idempotent:
+        if progress.may_have_run and not plan.route.idempotent:
             return False
         if self._environment.clock.monotonic() + pause >= plan.deadline:
             return False
         return budget.take_retry()
 
-    def _admit(self, plan: Plan, tried: set[str]) -> Admitted:
+    def _admit(self, plan: Plan, progress: Progress) -> Admitted:
         while True:
             if self._environment.clock.monotonic() >= plan.deadline:
                 raise DeadlineExpiredError(detail='the deadline passed before a target was asked')
@@ -124,37 +105,36 @@
                 service=plan.request.service,
                 declaration=plan.declaration,
                 route=plan.route,
-                tried=frozenset(tried),
+                tried=frozenset(progress.tried),
             )
             address = admission.target.address
-            if address in tried:
+            if address in progress.tried:
                 admission.close(AttemptResult.cancelled)
                 raise NoTargetError(detail='every target was tried')
             if self._crashes.begin(plan.fingerprint, target=address):
                 return admission
             admission.close(AttemptResult.cancelled)
-            tried.add(address)
+            progress.tried.add(address)
 
     async def _attempt(
         self,
         plan: Plan,
         admission: Admitted,
         budget: RetryBudget,
-        *,
-        fresh: bool,
+        progress: Progress,
     ) -> Answer:
         started = self._environment.clock.monotonic()
         result = AttemptResult.cancelled
         try:
-            answer = await self._exchange(plan, admission, budget, fresh=fresh)
-            result = _result_of(plan, answer)
+            answer = await self._exchange(plan, admission, budget, progress)
+            result = result_of(plan, answer)
         except AttemptError as error:
             result = await self._failure_result(plan, admission.target.address, error)
             raise
         finally:
             self._end(plan, admission, result, started)
         if result is AttemptResult.refused:
-            raise _refusal(answer)
+            raise refusal_of(answer)
         return answer
 
     def _end(
@@ -181,6 +161,7 @@
         if error.timed_out or not error.may_have_run:
             return AttemptResult.failed
         if await self._pool.refuses(address):
+            error.target_crashed = True
             self._crashes.report_crash(service=plan.request.service, target=address)
             return AttemptResult.crashed
         # An upstream may close a kept connection at any time; that is no fault of the target.
@@ -191,76 +172,23 @@
         plan: Plan,
         admission: Admitted,
         budget: RetryBudget,
-        *,
-        fresh: bool,
+        progress: Progress,
     ) -> Answer:
         now = self._environment.clock.monotonic()
+        fresh = not plan.route.idempotent or progress.needs_fresh()
         request_id = f'{self._environment.incarnation}-{next(self._numbers)}'
         # A kept connection that went silent is given up early enough to ask another target.
         halfway = now + (plan.deadline - now) / 2
         is_cut_early = not fresh and budget.has_retry()
         return await self._pool.exchange(
             target=admission.target,
-            outgoing=self._outgoing(plan, admission, request_id, now),
+            outgoing=make_outgoing(
+                plan,
+                address=admission.target.address,
+                request_id=request_id,
+                now=now,
+            ),
             fresh=fresh,
             deadline=plan.deadline,
             reused_deadline=halfway if is_cut_early else None,
         )
-
-    def _outgoing(
-        self,
-        plan: Plan,
-        admission: Admitted,
-        request_id: str,
-        now: float,
-    ) -> Outgoing:
-        headers: HTTPHeaders = passed_on(plan.request.headers, without=_OWN_HEADERS)
-        headers['Deadline-Ms'] = str(max(1, int((plan.deadline - now) * _MS_IN_S)))
-        headers['Request-Id'] = request_id
-        headers.setdefault('Host', admission.target.address)
-        return Outgoing(
-            method=plan.request.method,
-            path=plan.request.path,
-            headers=headers,
-            body=plan.request.body,
-            echoed_id=request_id if plan.service.echoes_request_id else None,
-        )
-
-    def _gave_up(self, plan: Plan, failure: AttemptError, *, may_have_run: bool) -> RequestError:
-        if may_have_run:
-            return OutcomeUnknownError(detail=failure.detail)
-        if isinstance(failure, ShedError):
-            return _shed(failure)
-        if self._environment.clock.monotonic() >= plan.deadline:
-            return DeadlineExpiredError(detail=failure.detail)
-        return NoTargetError(detail=failure.detail)
-
-
-def _not_admitted(
-    refusal: NotRunError,
-    failure: AttemptError | None,
-    *,
-    may_have_run: bool,
-) -> RequestError:
-    if may_have_run:
-        return OutcomeUnknownError(detail=f'an attempt failed, then: {refusal.detail}')
-    # The time that a target named is worth more than that no further target is left.
-    return _shed(failure) if isinstance(failure, ShedError) else refusal
-
-
-def _shed(failure: ShedError) -> OverloadedError:
-    return OverloadedError(detail=failure.detail, retry_after_s=failure.retry_after_s)
-
-
-def _result_of(plan: Plan, answer: Answer) -> AttemptResult:
-    if answer.status in plan.service.refusal_statuses:
-        return AttemptResult.refused
-    return AttemptResult.failed if answer.status in _FAILED_STATUSES else AttemptResult.ok
-
-
-def _refusal(answer: Answer) -> ShedError:
-    text = answer.headers.get('Retry-After', '')
-    return ShedError(
-        detail=f'the target refused the request with status {answer.status}',
-        retry_after_s=int(text) if text.isascii() and text.isdigit() and len(text) < 5 else 1,
-    )
--- a/src/balsamrail/forwarding/forward_handler.py
+++ b/src/balsamrail/forwarding/forward_handler.py
@@ -40,8 +40,8 @@
 
         Application([(ForwardHandler.pattern, ForwardHandler, {'forwarder': ..., ...})])
 
-    The server's ``max_body_size`` does not apply, and its ``max_header_size`` has to be above
-    ``limits.header_bytes`` for a caller to get an answer rather than a closed connection.
+    The server needs :func:`balsamrail.forwarding.server_arguments`: its header limit is above
+    that of the handler, so that a caller gets an answer rather than a closed connection.
     """
 
     pattern = '/services/([^/?]+)(/.*)?'
@@ -132,8 +132,9 @@
             self._environment.log.event('forwarding_failed', error=repr(error))
             answer = problem_answer(OutcomeUnknownError(detail='the host failed'))
         except asyncio.CancelledError:
-            self._environment.metrics.count('callers_gone')
-            return
+            # Without an answer tornado would finish with an empty 200.
+            self._environment.metrics.count('requests_cancelled')
+            answer = problem_answer(OutcomeUnknownError(detail='the request was cancelled'))
         self._environment.metrics.count(f'answers_{answer.status}')
         self._send(answer)
 
--- a/src/balsamrail/forwarding/outgoing.py
+++ b/src/balsamrail/forwarding/outgoing.py
@@ -4,6 +4,12 @@
 
 from tornado.httputil import HTTPHeaders
 
+from balsamrail.forwarding.hop_headers import passed_on
+from balsamrail.forwarding.plan import Plan
+
+_MS_IN_S = 1_000
+_OWN_HEADERS = frozenset(('balsamrail-passed-on', 'content-length', 'deadline-ms', 'request-id'))
+
 
 @dataclass(slots=True, kw_only=True)
 class Outgoing:
@@ -18,3 +24,21 @@
     headers: HTTPHeaders = field(default_factory=HTTPHeaders)
     body: bytes = b''
     echoed_id: str | None = None
+
+
+def make_outgoing(plan: Plan, *, address: str, request_id: str, now: float) -> Outgoing:
+    """Return what is sent to the target at ``address``.
+
+    :param now: the loop's time in seconds, from which ``Deadline-Ms`` is counted.
+    """
+    headers = passed_on(plan.request.headers, without=_OWN_HEADERS)
+    headers['Deadline-Ms'] = str(max(1, int((plan.deadline - now) * _MS_IN_S)))
+    headers['Request-Id'] = request_id
+    headers.setdefault('Host', address)
+    return Outgoing(
+        method=plan.request.method,
+        path=plan.request.path,
+        headers=headers,
+        body=plan.request.body,
+        echoed_id=request_id if plan.service.echoes_request_id else None,
+    )
--- /dev/null
+++ b/src/balsamrail/forwarding/progress.py
@@ -0,0 +1,28 @@
+"""What the attempts of one request came to so far."""
+
+from dataclasses import dataclass, field
+
+from balsamrail.forwarding.attempt_error import AttemptError
+
+
+@dataclass(slots=True, kw_only=True)
+class Progress:
+    """The targets that are not asked again, the last failure and whether any attempt may have run."""
+
+    tried: set[str] = field(default_factory=set)
+    failure: AttemptError | None = None
+    may_have_run: bool = False
+
+    def note(self, failure: AttemptError, *, address: str) -> None:
+        """Take in the failure of an attempt at ``address``.
+
+        The target of a failed kept connection may be asked again over a new one.
+        """
+        self.failure = failure
+        self.may_have_run = self.may_have_run or failure.may_have_run
+        if failure.target_crashed or not failure.reused:
+            self.tried.add(address)
+
+    def needs_fresh(self) -> bool:
+        """Return whether kept connections are in doubt because one of them failed."""
+        return self.failure is not None and self.failure.reused
--- /dev/null
+++ b/src/balsamrail/forwarding/server_arguments.py
@@ -0,0 +1,25 @@
+"""Limits that tornado's server enforces."""
+
+from typing import Any
+
+from balsamrail.settings import Limits
+
+# The handler answers 431 up to this factor; above it tornado closes the connection.
+_HEADER_FACTOR = 4
+_BUFFER_BYTES = 1_048_576
+_IDLE_S = 60
+
+
+def server_arguments(limits: Limits) -> dict[str, Any]:
+    """Return the arguments of the :class:`tornado.httpserver.HTTPServer` for callers::
+
+        HTTPServer(application, **server_arguments(settings.limits))
+
+    Bodies are streamed, so the buffer of a connection is far smaller than the largest body.
+    """
+    header_bytes = limits.header_bytes * _HEADER_FACTOR
+    return {
+        'max_header_size': header_bytes,
+        'max_buffer_size': max(_BUFFER_BYTES, 2 * header_bytes),
+        'idle_connection_timeout': _IDLE_S,
+    }
