Check that given up requests are answered at once and probe real targets

Cause: no test failed when the pause before a retry went past the deadline, and the crash probe was only tested through a stand-in. Change: every call in forwarding.feature is checked against its deadline; a scenario probes a listening and a stopped target.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -163,6 +163,7 @@
         name = key or f'call {len(self.history.calls)}'
         request.headers['Test-Call'] = name
         call = self.history.call(name)
+        started = asyncio.get_running_loop().time()
         try:
             answer = await self.forwarder.handle(request)
         except RequestError as error:
@@ -171,6 +172,8 @@
         else:
             self.told, self.answer = 'done', answer
             self.history.end(call, 'done', answer.body)
+        # A request that is given up is answered at once, not after another pause.
+        assert asyncio.get_running_loop().time() - started < 2.001
 
     async def send_named(self, request):
         holder = f'{OTHER.host}:{{}}:{int(self.environment.clock.wall()) + 600}.x'
--- a/features/steps/upstream_framing_steps.py
+++ b/features/steps/upstream_framing_steps.py
@@ -256,3 +256,18 @@
 @then('its socket has no delay, keepalive and a user timeout of {timeout_ms:d} ms')
 def step_options(context, timeout_ms):
     assert context.stream_options == [1, 1, timeout_ms]
+
+
+@when('a target that listens and one that stopped are probed')
+def step_probe(context):
+    async def script(exchanges):
+        listening = await exchanges.pool.refuses(exchanges.upstream.address)
+        exchanges.upstream.stop()
+        context.probed = [listening, await exchanges.pool.refuses(exchanges.upstream.address)]
+
+    Exchanges(None).run(script)
+
+
+@then('only the one that stopped counts as crashed')
+def step_probed(context):
+    assert context.probed == [False, True]
--- a/features/upstream_framing.feature
+++ b/features/upstream_framing.feature
@@ -81,3 +81,7 @@
   Scenario: The socket options; guards against connections that stay silent unnoticed
     When an upstream connection is opened
     Then its socket has no delay, keepalive and a user timeout of 5000 ms
+
+  Scenario: A target that died; guards against crashes that are taken for slow answers
+    When a target that listens and one that stopped are probed
+    Then only the one that stopped counts as crashed
