--- a/features/claims.feature
+++ b/features/claims.feature
@@ -11,7 +11,7 @@
     When 200 keys of one part are claimed at once through its owner
     Then the store took at most 4 writes
 
-  Scenario: With the store down a claim is answered "not run" at once
+  Scenario: With the store down a claim is answered at once
     Guards against a caller that waits for its deadline while the store is down.
     When a key is claimed while the store is down
     Then the claim fails with code "store_unavailable" within 1 second
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -5,6 +5,7 @@
     When a caller sends <request>
     Then the caller is told <told>
     And <sent> attempts were made
+    And no target that failed was asked again
 
     Examples: states of the key table of the design page, and the same without a key
       | request    | attempts          | told             | sent |
@@ -44,6 +45,9 @@
       | ok        | the table is full                  | other keyed POST      | overloaded      | 3    |
       | ok        | the router has no share            | other keyed POST      | overloaded      | 1    |
       | ok        | the host is leaving                | other keyed POST      | host_leaving    | 1    |
+      | ok        | the host is leaving                | keyed POST            | done            | 1    |
+      | ok        | the router has no share            | keyed POST            | done            | 1    |
+      | ok        | nothing happens                    | keyed POST after its deadline | done    | 1    |
 
   Scenario Outline: Whose key it is; guards against two hosts that run the same key
     Given a host with 3 targets whose attempts end with ok
@@ -61,6 +65,7 @@
       | passed on POST for a live host         | outcome_unknown   | 0    | 0      |
       | POST with an own key                   | store_unavailable | 0    | 0      |
       | POST with an own key claimed here      | done              | 1    | 0      |
+      | POST with an own key, then the store fails | done          | 1    | 0      |
       | POST with an own key claimed elsewhere | done              | 0    | 1      |
       | POST with a key that lasts too long    | key_invalid       | 0    | 0      |
       | POST with an empty key                 | key_invalid       | 0    | 0      |
@@ -79,6 +84,18 @@
       | POST       | finished  |
       | keyed POST | finished  |
 
+  Scenario Outline: Which connection; guards against bookings on a connection that the upstream may be closing
+    Given a host with 3 targets whose attempts end with <attempts>
+    When a caller sends <request>
+    Then the attempts ask for <connections> connections
+
+    Examples:
+      | request    | attempts    | connections     |
+      | GET        | ok          | any             |
+      | POST       | refuse ok   | fresh fresh     |
+      | keyed POST | ok          | fresh           |
+      | GET        | stale ok    | any fresh       |
+
   Scenario: Many failing lookups; guards against retries that multiply load
     Given a host with 3 targets whose attempts end with cut
     When 200 callers send GET one after another
@@ -98,6 +115,9 @@
       | calls with few keys  |
       | calls on a tiny host |
 
+  Scenario: A key that expires during its run; guards against kept bytes that are never given back
+    Then a key that expires during its run leaves nothing behind
+
   Scenario: A request that crashes targets; guards against the loss of all targets to one request
     Given a host with 3 targets whose attempts end with crash
     When a caller sends GET
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -18,7 +18,7 @@
 from tornado.httputil import HTTPHeaders
 from virtual_time import run_virtual
 
-from balsamrail.errors import CrashesTargetsError, OverloadedError, RequestError
+from balsamrail.errors import CrashesTargetsError, KeyClaimError, OverloadedError, RequestError
 from balsamrail.forwarding import Answer, CallerRequest, CrashRegister, Forwarder, make_key_prefix
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.membership.member import Member
@@ -43,6 +43,8 @@
         self.script = list(script)
         self.history = history
         self.sent = []
+        self.fresh = []
+        self.targets = []
         self.passed_on = []
         self.states = []
         self.crashed = set()
@@ -51,7 +53,7 @@
     def dump(self):
         return {}
 
-    async def exchange(self, *, target, outgoing, deadline, **options):
+    async def exchange(self, *, target, outgoing, deadline, fresh=False, reused_deadline=None):
         if target.address == OTHER.caller_address:
             self.passed_on.append(outgoing)
             self.history.run(outgoing.headers['Idempotency-Key'], b'passed')
@@ -60,6 +62,8 @@
             return Answer(status=200, body=b'passed')
         word = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         self.sent.append(outgoing)
+        self.fresh.append(fresh)
+        self.targets.append(target.address)
         self.states.append('cancelled')
         number = len(self.sent)
         answer = await self._end(word, target, outgoing, deadline, number)
@@ -103,6 +107,8 @@
         self.holder = holder
 
     async def claim(self, key, *, expiry_wall_s):
+        if self.holder is None:
+            raise KeyClaimError(detail='the store is down')
         return self.holder
 
 
@@ -140,9 +146,14 @@
             + f'.{part}'
         )
 
-    async def send(self, method, key=None, *, path='/book', body=b'', **headers):
+    async def send(self, method, key=None, *, path='/book', body=b'', deadline=None, **headers):
         request = CallerRequest(
-            method=method, service='bookings', path=path, caller='10.0.0.1', body=body
+            method=method,
+            service='bookings',
+            path=path,
+            caller='10.0.0.1',
+            body=body,
+            deadline=deadline,
         )
         request.headers.update({name.replace('_', '-'): text for name, text in headers.items()})
         if path == 'service':
@@ -152,6 +163,7 @@
         name = key or f'call {len(self.history.calls)}'
         request.headers['Test-Call'] = name
         call = self.history.call(name)
+        started = asyncio.get_running_loop().time()
         try:
             answer = await self.forwarder.handle(request)
         except RequestError as error:
@@ -160,6 +172,8 @@
         else:
             self.told, self.answer = 'done', answer
             self.history.end(call, 'done', answer.body)
+        # A request that is given up is answered at once, not after another pause.
+        assert asyncio.get_running_loop().time() - started < 2.001
 
     async def send_named(self, request):
         holder = f'{OTHER.host}:{{}}:{int(self.environment.clock.wall()) + 600}.x'
@@ -171,6 +185,8 @@
                 await self.send('POST', self.first_key)
             case 'keyed POST of another body':
                 await self.send('POST', self.first_key, body=b'other')
+            case 'keyed POST after its deadline':
+                await self.send('POST', self.first_key, deadline=0)
             case 'other keyed POST':
                 await self.send('POST', self.key('other'))
             case 'POST for a live host':
@@ -189,6 +205,12 @@
             case 'POST with an own key claimed here':
                 self.make_forwarder(Claims(self.environment.holder))
                 await asyncio.gather(*(self.send('POST', 'booking-17') for _ in range(3)))
+            case 'POST with an own key, then the store fails':
+                claims = Claims(self.environment.holder)
+                self.make_forwarder(claims)
+                await self.send('POST', 'booking-17')
+                claims.holder = None
+                await self.send('POST', 'booking-17')
             case 'POST with an own key claimed elsewhere':
                 self.make_forwarder(Claims(OTHER.holder))
                 await self.send('POST', 'booking-17')
@@ -299,6 +321,13 @@
     assert len(play(context).pool.sent) == count, len(context.host.pool.sent)
 
 
+@then('no target that failed was asked again')
+def step_other_target(context):
+    targets = play(context).pool.targets
+    # A connection that went stale says nothing of its target.
+    assert 'stale' in context.script or len(set(targets)) == len(targets), targets
+
+
 @then('at most {count:d} attempts were made')
 def step_at_most(context, count):
     assert 200 < len(play(context).pool.sent) <= count, len(context.host.pool.sent)
@@ -316,6 +345,12 @@
     assert play(context).pool.states == [state]
 
 
+@then('the attempts ask for {connections} connections')
+def step_fresh(context, connections):
+    asked = ['fresh' if fresh else 'any' for fresh in play(context).pool.fresh]
+    assert asked == connections.split(), asked
+
+
 @then('neither side sees a hop-by-hop header')
 def step_hop(context):
     host = play(context)
@@ -357,7 +392,7 @@
 
 async def interleave(script, calls, limits):
     host = Host(script, **limits)
-    keys = [host.key(str(number), lasts_s=4) for number in range(3)]
+    keys = [host.key(str(number), lasts_s=1 + 2 * number) for number in range(3)]
     tasks = []
     for number, pause, patience in calls:
         await asyncio.sleep(pause / 100)
@@ -369,6 +404,30 @@
     kept = host.forwarder.dump()['keys']
     assert kept['records'] <= limits.get('kept_keys', 3)
     assert kept['kept_bytes'] <= limits.get('kept_answer_bytes', 10_000)
+    await check_forgotten(host)
+
+
+async def check_forgotten(host):
+    await asyncio.sleep(6)
+    await host.send('POST', host.key('last'))
+    kept = host.forwarder.dump()['keys']
+    assert kept['records'] <= 1 and kept['kept_bytes'] <= 1_100, kept
+
+
+@then('a key that expires during its run leaves nothing behind')
+def step_expires(context):
+    async def main():
+        host = Host(['slow'])
+        key = host.key(lasts_s=3)
+        expiry_wall_s = int(key.split(':')[2].split('.')[0])
+        await asyncio.sleep(expiry_wall_s - host.environment.clock.wall() - 0.3)
+        run = asyncio.create_task(host.send('POST', key))
+        await asyncio.sleep(0.4)
+        await host.send('POST', host.key('next', lasts_s=3))
+        await run
+        await check_forgotten(host)
+
+    run_virtual(main())
 
 
 async def with_patience(call, patience):
--- a/src/balsamrail/errors.py
+++ b/src/balsamrail/errors.py
@@ -116,12 +116,6 @@
     code = 'not_ready'
 
 
-class KeyClaimError(NotRunError):
-    """A caller's own key could not be claimed because the store did not answer."""
-
-    code = 'store_unavailable'
-
-
 class DeadlineExpiredError(NotRunError):
     """The deadline passed before the request was sent to an upstream."""
 
@@ -136,6 +130,16 @@
     outcome = 'unknown'
 
 
+class KeyClaimError(OutcomeUnknownError):
+    """A caller's own key could not be claimed because the store did not answer.
+
+    This host did not run the request, but an earlier send of the same key may have run on another
+    host. Resending with the same key is safe.
+    """
+
+    code = 'store_unavailable'
+
+
 class AnswerDroppedError(OutcomeUnknownError):
     """The request ran, but its answer is no longer kept."""
 
