--- a/src/balsamrail/errors.py
+++ b/src/balsamrail/errors.py
@@ -139,6 +139,9 @@
 
     code = 'store_unavailable'
 
+    def __init__(self, *, detail: str, retry_after_s: int = 1) -> None:
+        super().__init__(detail=detail, retry_after_s=retry_after_s)
+
 
 class AnswerDroppedError(OutcomeUnknownError):
     """The request ran, but its answer is no longer kept."""
