Spread records and test membership on an in-memory network

Cause: an accepted record has to be in force everywhere within 8 s, also with the store down. The panic rule is now applied at each tick: before, lost members were forgotten after a minute in which no lookup asked.

--- /dev/null
+++ b/features/record_sync.feature
@@ -0,0 +1,61 @@
+Feature: A record is in force everywhere within seconds and never reverts
+
+  Scenario Outline: A change reaches every host in time
+    # Guards against changes that some hosts miss or get late (R8: 8 s).
+    Given a fleet of <size> hosts that loses 5% of messages
+    When 5 s pass
+    And a tenth of the hosts are paused and record 2 is written
+    Then every running host has record 2 within 8 s
+    When the paused hosts wake
+    Then every running host has record 2 within 8 s
+    And no host ever went back to a lower number
+
+    Examples:
+      | size |
+      | 9    |
+      | 90   |
+      | 300  |
+
+  Scenario: A host restarts while the store is down
+    # Guards against a restarted host that serves an old record, or none.
+    Given a fleet of 9 hosts
+    When record 1 is written and then record 2
+    And 5 s pass
+    And the store is down and host 4 restarts with only seeds
+    Then host 4 is ready with record 2 within 15 s
+    And host 4 had at least 3 answers before it was ready
+    And no host ever went back to a lower number
+
+  Scenario: A host that reaches neither the store nor a peer is not ready
+    # Guards against serving without a record.
+    Given a fleet of 1 hosts
+    When the store is down before anything was read
+    And 60 s pass
+    Then host 0 is not ready
+
+  Scenario: Heartbeats repair announcements that were lost
+    # Guards against a lost announcement leaving a host behind for good.
+    Given a fleet of 30 hosts
+    When 5 s pass
+    And all announcements are lost and record 2 is written
+    Then every running host has record 2 within 8 s
+
+  Scenario: A watch that went silent ends in bounded time
+    # Guards against a watcher that waits for ever on a dead connection.
+    Given a fleet of 1 hosts
+    When 5 s pass
+    And the store never answers for 40 s and then record 2 is written
+    Then every running host has record 2 within 60 s
+
+  Scenario: A store that is down is not called in a tight loop
+    # Guards against a storm of calls that keeps the store down.
+    Given a fleet of 9 hosts
+    When 5 s pass
+    And the store is down for 120 s
+    Then each host made at most 60 calls meanwhile
+
+  Scenario: A small edit travels as a small patch and arrives exactly
+    # Guards against patches that lose nulls, reorder a text or resend all of it.
+    Then any record patched to any other equals it
+    And the patch for one changed weight of a 100 KB declaration is under 300 bytes
+    And the examples of RFC 7396 hold
--- /dev/null
+++ b/features/steps/memory_fleet.py
@@ -0,0 +1,245 @@
+"""A fleet of hosts on the in-memory network: members, peer streams and record sync."""
+
+import asyncio
+import contextvars
+import json
+import random
+
+from balsamrail.configuration.record_sync import RecordSync
+from balsamrail.environment import Environment
+from balsamrail.errors import StoreUnavailableError
+from balsamrail.logs import Log
+from balsamrail.membership import FailureDetector, HeartbeatStatus, Members, PeerNetwork
+from balsamrail.membership.updates import make_update
+from balsamrail.settings import Settings, StoreSettings
+from balsamrail.store import ListedHost, StoredObject
+from features.steps.memory_network import CURRENT_GATE, Gate, MemoryNetwork, make_task
+
+
+class MemoryStore:
+    """One record and the host list; ``down`` refuses calls and ``hung`` never answers."""
+
+    def __init__(self):
+        self.stored = None
+        self.changed = asyncio.Event()
+        self.down = False
+        self.hung = False
+        self.list_down = False
+        self.calls = 0
+        self.listed_by_host = {}
+
+    def put(self, value):
+        version = self.stored.version + 1 if self.stored else 1
+        self.stored = StoredObject(name='record', version=version, value=value)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _enter(self):
+        self.calls += 1
+        if self.hung:
+            await asyncio.sleep(1e6)
+        await asyncio.sleep(0.01)
+        if self.down:
+            raise StoreUnavailableError('the store is down')
+
+    async def read(self, name):
+        await self._enter()
+        return self.stored
+
+    async def watch(self, name, *, version):
+        await self._enter()
+        if self.stored is None or self.stored.version == version:
+            try:
+                await asyncio.wait_for(self.changed.wait(), 30)
+            except TimeoutError:
+                return None
+        if self.down:
+            raise StoreUnavailableError('the store is down')
+        return self.stored
+
+    async def list_hosts(self):
+        await self._enter()
+        if self.list_down:
+            raise StoreUnavailableError('the list is down')
+        return list(self.listed_by_host.values())
+
+
+class MemoryTracker:
+    """Keeps the highest number, and every number in the order in which it came."""
+
+    def __init__(self):
+        self.record = None
+        self.numbers = [0]
+        self.changed = []
+
+    @property
+    def number(self):
+        return self.numbers[-1]
+
+    def offer(self, value, *, version):
+        if value['number'] <= self.number:
+            return False
+        self.record = value
+        self.numbers.append(value['number'])
+        for changed in self.changed:
+            changed()
+        return True
+
+    def subscribe(self, changed):
+        self.changed.append(changed)
+
+
+class Lines:
+    def __init__(self):
+        self.lines = []
+
+    def write(self, text):
+        self.lines.append(text)
+
+
+class MemoryHost:
+    """One host; ``options`` turns protective mechanisms off."""
+
+    def __init__(self, *, fleet, name, number, options=None):
+        options = options or {}
+        self.name = name
+        self.fleet = fleet
+        self.address = f'10.{number // 65536}.{number // 256 % 256}.{number % 256}:7000'
+        zone = fleet.zone_of(number)
+        self.log = Lines()
+        settings = Settings(
+            deployment='test',
+            host=name,
+            region=zone.rsplit('-', 1)[0],
+            availability_zone=zone,
+            caller_address=self.address.replace(':7000', ':80'),
+            peer_address=self.address,
+            operator_address=self.address.replace(':7000', ':81'),
+            store=StoreSettings(address='10.255.255.255:1'),
+            seeds=list(options.get('seeds', [])),
+        )
+        log = Log(host=name, output=self.log)
+        self.environment = Environment.create(settings=settings, log=log)
+        self.members = Members(environment=self.environment, **options.get('members', {}))
+        self.gate = Gate()
+        self.tracker = MemoryTracker()
+        detector = FailureDetector(
+            environment=self.environment,
+            members=self.members,
+            detect_pauses=options.get('detect_pauses', True),
+        )
+        self.network = PeerNetwork(
+            environment=self.environment,
+            members=self.members,
+            store=fleet.store,
+            transport=fleet.network.transport(self.address),
+            detector=detector,
+            replace_silent=options.get('replace_silent', True),
+        )
+        if options.get('heartbeat_number', True):
+            self.network.status = lambda: HeartbeatStatus(record_number=self.tracker.number)
+        self.sync = RecordSync(
+            environment=self.environment,
+            tracker=self.tracker,
+            store=fleet.store,
+            network=self.network,
+            members=self.members,
+        )
+        self.tasks = []
+
+    def start(self):
+        context = contextvars.copy_context()
+        context.run(self._start)
+
+    def _start(self):
+        CURRENT_GATE.set(self.gate)
+        self.fleet.network.listen(self.address, self.network.accept)
+        self.tasks = [
+            asyncio.create_task(self.network.run()),
+            asyncio.create_task(self.sync.run()),
+        ]
+
+    def kill(self):
+        for task in self.tasks:
+            task.cancel()
+        self.fleet.network.kill(self.address)
+
+    def pause(self):
+        self.gate.open.clear()
+
+    def resume(self):
+        self.gate.open.set()
+
+    def state_of(self, name):
+        member = self.members.get(name)
+        return member.state if member else 'unknown'
+
+
+class MemoryFleet:
+    """Hosts in three regions of two availability zones, all known to each other at the start."""
+
+    def __init__(self, *, size, loss=0.0, seed=1, options=None, introduce=True, **network):
+        random.seed(seed)
+        asyncio.get_running_loop().set_task_factory(make_task)
+        self.network = MemoryNetwork(loss=loss, seed=seed, **network)
+        self.store = MemoryStore()
+        self.zones = [f'region{index // 2}-{"ab"[index % 2]}' for index in range(6)]
+        self.options = options
+        self.hosts = [
+            MemoryHost(fleet=self, name=f'host-{index}', number=index, options=options)
+            for index in range(size)
+        ]
+        for host in self.hosts:
+            self.list_host(host)
+        if introduce:
+            for host in self.hosts:
+                self.introduce(host)
+
+    def zone_of(self, number):
+        return self.zones[number % len(self.zones)]
+
+    def list_host(self, host, state='live'):
+        entry = ListedHost(host=host.name, address=host.address, state=state)
+        self.store.listed_by_host[host.name] = entry
+
+    def introduce(self, host):
+        for other in self.hosts:
+            host.members.apply(make_update(other.members.own(), observer=other.name))
+
+    def start(self):
+        for host in self.hosts:
+            host.start()
+
+    def stop(self):
+        for host in self.hosts:
+            host.resume()
+            host.kill()
+
+    def restart(self, index, options=None):
+        old = self.hosts[index]
+        old.kill()
+        new = MemoryHost(fleet=self, name=old.name, number=index, options=options)
+        self.hosts[index] = new
+        new.start()
+        return new
+
+
+def make_record(number):
+    return {
+        'number': number,
+        'accepted': {'revision': number, 'text': json.dumps({'n': number})},
+        'candidate': None,
+        'stopped': None,
+        'mark': f'mark-{number}',
+    }
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def wait_until(condition, limit_s):
+    deadline = asyncio.get_running_loop().time() + limit_s
+    while not condition():
+        assert asyncio.get_running_loop().time() < deadline, f'not within {limit_s} s'
+        await asyncio.sleep(0.1)
--- a/src/balsamrail/membership/members.py
+++ b/src/balsamrail/membership/members.py
@@ -211,7 +211,10 @@
                 update = make_update(entry.member, observer=self._own.host, state='gone')
                 self.apply(update)
                 self.publish(update)
+        # The panic rule holds lost members from one judgement to the next, so it is applied here
+        # even if no lookup asks.
         self._nameable = None
+        self.nameable()
 
     def resume(self, paused_s: float) -> None:
         """Leave out the time in which this host did not run from all suspicions."""
