--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -19,6 +19,8 @@
 from balsamrail.messages.share_sealed import ShareSealed
 from balsamrail.messages.target_leaving import TargetLeaving
 from balsamrail.messages.trial_counters import TrialCounters
+from balsamrail.messages.weights_given import WeightsGiven
+from balsamrail.messages.weights_request import WeightsRequest
 
 __all__ = (
     'MESSAGE_KINDS',
@@ -41,5 +43,7 @@
     'ShareSealed',
     'TargetLeaving',
     'TrialCounters',
+    'WeightsGiven',
+    'WeightsRequest',
     'encode_message',
 )
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -17,6 +17,8 @@
 from balsamrail.messages.share_sealed import ShareSealed
 from balsamrail.messages.target_leaving import TargetLeaving
 from balsamrail.messages.trial_counters import TrialCounters
+from balsamrail.messages.weights_given import WeightsGiven
+from balsamrail.messages.weights_request import WeightsRequest
 
 Message = (
     Hello
@@ -36,6 +38,8 @@
     | ClaimRequest
     | ClaimAnswer
     | TrialCounters
+    | WeightsRequest
+    | WeightsGiven
 )
 
 # The position in this tuple is the tag on the wire: append only, never reorder.
@@ -57,4 +61,6 @@
     ClaimRequest,
     ClaimAnswer,
     TrialCounters,
+    WeightsRequest,
+    WeightsGiven,
 )
--- /dev/null
+++ b/src/balsamrail/messages/weights_given.py
@@ -0,0 +1,10 @@
+"""The weights given message."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WeightsGiven:
+    """The sender's effective weights in millionths, by ``service/region``."""
+
+    ppm_by_place: dict[str, int]
--- /dev/null
+++ b/src/balsamrail/steering/router.py
@@ -0,0 +1,267 @@
+"""Admission of requests and choice of region and target."""
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+
+from balsamrail.configuration import Declaration, Route
+from balsamrail.environment import Environment
+from balsamrail.errors import NoTargetError, NotReadyError, OverloadedError, UnknownServiceError
+from balsamrail.membership.network import Network
+from balsamrail.steering.admission import Admission
+from balsamrail.steering.attempt import Attempt
+from balsamrail.steering.attempt_result import AttemptResult
+from balsamrail.steering.collaborators import DeclarationSource, MemberView
+from balsamrail.steering.pickers import Pickers
+from balsamrail.steering.plan import Plan
+from balsamrail.steering.region_choice import RegionChoice
+from balsamrail.steering.region_watch import RegionWatch
+from balsamrail.steering.service_weights import ServiceWeights
+from balsamrail.steering.share_epochs import ShareEpochs
+from balsamrail.steering.share_gate import ShareGate
+from balsamrail.steering.share_lending import ShareLending
+from balsamrail.steering.shed_meter import ShedMeter
+from balsamrail.steering.spill_limiter import SpillLimiter
+from balsamrail.steering.target_prober import TargetProber
+from balsamrail.store import Store
+
+_TICK_S = 0.5
+_KEPT_PLANS = 4
+_NO_ADDRESS: frozenset[str] = frozenset()
+
+
+class Router:
+    """Admits a request if shares cover it and picks its target.
+
+    There is no queue: a request that no region can take now is shed at once::
+
+        admission = router.admit(service='diary', declaration=declaration, route=route)
+    """
+
+    __slots__ = (
+        '_choice',
+        '_environment',
+        '_gate',
+        '_members',
+        '_meter_by_service',
+        '_pickers',
+        '_plans',
+        '_prober',
+        '_random',
+        '_spill_by_service',
+        '_tracker',
+        '_watch',
+        '_weights',
+        'epochs',
+        'lending',
+    )
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        tracker: DeclarationSource,
+        members: MemberView,
+        network: Network,
+        store: Store,
+        random: Random | None = None,
+    ) -> None:
+        self._environment = environment
+        self._tracker = tracker
+        self._members = members
+        self._random = random or Random()
+        self._gate = ShareGate(environment=environment)
+        self.lending = ShareLending(
+            environment=environment,
+            members=members,
+            network=network,
+            ledger_by_region=self._gate.ledger_by_region,
+            random=self._random,
+        )
+        self.epochs = ShareEpochs(
+            environment=environment,
+            tracker=tracker,
+            members=members,
+            network=network,
+            store=store,
+            ledger_by_region=self._gate.ledger_by_region,
+            random=self._random,
+        )
+        self._weights = ServiceWeights(environment=environment, members=members, network=network)
+        self._pickers = Pickers(environment=environment, members=members, random=self._random)
+        self._prober = TargetProber(
+            environment=environment, members=members, network=network, states=self._pickers.states
+        )
+        self._watch = RegionWatch(members=members, pickers=self._pickers)
+        self._choice = RegionChoice(weights=self._weights, random=self._random)
+        self._plans: list[Plan] = []
+        self._meter_by_service: dict[str, ShedMeter] = {}
+        self._spill_by_service: dict[str, SpillLimiter] = {}
+        tracker.subscribe(self._on_change)
+        self._on_change()
+
+    def admit(
+        self,
+        *,
+        service: str,
+        declaration: Declaration,
+        route: Route | None,
+        tried: frozenset[str] = _NO_ADDRESS,
+        only: frozenset[str] | None = None,
+    ) -> Admission:
+        """Return the admission of one attempt.
+
+        :param tried: addresses that must not be picked again.
+        :param only: addresses that may be picked, all if ``None``.
+        :raises OverloadedError: if no region's held share covers the request.
+        :raises NoTargetError: if shares cover it but no target takes work.
+        """
+        if service not in declaration.services:
+            raise UnknownServiceError(detail=f'there is no service {service}')
+        attempt = Attempt(
+            plan=self._plan(declaration),
+            service=service,
+            route=route,
+            tried=tried,
+            only=only,
+            now=self._environment.clock.monotonic(),
+        )
+        meter = self._meter_by_service.setdefault(service, ShedMeter(now=attempt.now))
+        admission, is_short = self._try_regions(attempt)
+        if admission is not None:
+            meter.admit(now=attempt.now)
+            return admission
+        retry_after_s = meter.shed(now=attempt.now)
+        self._environment.metrics.count('requests_shed')
+        if is_short:
+            raise OverloadedError(
+                detail=f'no share left for {service}', retry_after_s=retry_after_s
+            )
+        raise NoTargetError(
+            detail=f'no target of {service} takes work', retry_after_s=retry_after_s
+        )
+
+    def region_order(self, *, service: str, declaration: Declaration, nearest: str) -> list[str]:
+        """Return the regions that a caller should use, the best first.
+
+        :param nearest: the region nearest to the caller.
+        """
+        return self._choice.for_caller(
+            plan=self._plan(declaration), service=service, nearest=nearest
+        )
+
+    async def run(self) -> None:
+        """Run epochs, lending, probes and weights until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.epochs.run())
+            tasks.create_task(self.lending.run())
+            tasks.create_task(self._prober.run())
+            tasks.create_task(self._weights.take_over())
+            while True:
+                self.step()
+                await asyncio.sleep(_TICK_S)
+
+    def step(self) -> None:
+        """Judge the regions and move the weights once."""
+        self._pickers.refresh_members()
+        try:
+            plan = self._plan(self._tracker.accepted())
+        except NotReadyError:
+            return
+        failed = self._watch.step(plan=plan, now=self._environment.clock.monotonic())
+        self._weights.step(plan=plan, failed_by_service=failed)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as plain data."""
+        return {
+            'shares': self.epochs.dump(),
+            'lending': self.lending.dump(),
+            'weights': self._weights.dump(),
+            'failed': self._watch.dump(),
+            'targets': {
+                f'{service} {state.address}': {
+                    'in_flight': state.in_flight,
+                    'ready': state.ready,
+                    'leaving': state.leaving,
+                }
+                for service, state in self._pickers.states()
+            },
+        }
+
+    def _on_change(self) -> None:
+        try:
+            self._pickers.update(self._plan(self._tracker.accepted()))
+        except NotReadyError:
+            return
+
+    def _plan(self, declaration: Declaration) -> Plan:
+        known = next((plan for plan in self._plans if plan.declaration is declaration), None)
+        if known is None:
+            known = Plan(declaration=declaration)
+            self._plans = [known, *self._plans][:_KEPT_PLANS]
+        return known
+
+    def _try_regions(self, attempt: Attempt) -> tuple[Admission | None, bool]:
+        """Return the admission if a region gives one, and whether share was short."""
+        spill = self._spill_by_service.setdefault(attempt.service, SpillLimiter())
+        if not attempt.tried:
+            spill.count(now=attempt.now, cap=attempt.cap)
+        is_short = False
+        for region, is_spill in self._choice.for_request(
+            plan=attempt.plan, service=attempt.service, own=self._environment.settings.region
+        ):
+            # A further try of a request that already spilled over is not counted again.
+            counts = is_spill and not attempt.tried
+            if counts and not spill.allows(now=attempt.now, cap=attempt.cap):
+                return None, True
+            shortage = self._gate.shortage(attempt, region=region)
+            if shortage:
+                is_short = True
+                self._request(shortage)
+                continue
+            admission = self._try_targets(attempt, region=region)
+            if admission is not None:
+                if counts:
+                    spill.spill(now=attempt.now, cap=attempt.cap)
+                return admission, False
+        return None, is_short
+
+    def _try_targets(self, attempt: Attempt, *, region: str) -> Admission | None:
+        picker = self._pickers.get(service=attempt.service, region=region)
+        candidates = self._pickers.candidates(
+            plan=attempt.plan, service=attempt.service, region=region
+        )
+        addresses = [address for address in candidates if attempt.allows(address)]
+        target = picker.pick(addresses, now=attempt.now)
+        if target is None:
+            return None
+        cost = self._gate.take(attempt, region=region)
+        self._request(self._gate.low_water(cost, region=region))
+        release = partial(
+            self._release,
+            finish=partial(picker.finish, picker.start(target.address)),
+            cost=cost,
+            region=region,
+        )
+        return Admission(target=target, region=region, release=release)
+
+    def _request(self, shortage: dict[str, dict[str, int]]) -> None:
+        for region, missing in shortage.items():
+            self.lending.request(region, missing)
+
+    def _release(
+        self,
+        result: AttemptResult,
+        latency_s: float,
+        *,
+        finish: Callable[..., bool],
+        cost: dict[str, int],
+        region: str,
+    ) -> None:
+        self._gate.give_back(cost, region=region)
+        self._environment.metrics.record('attempt', latency_s)
+        if finish(result, now=self._environment.clock.monotonic()):
+            self._environment.metrics.count('ejections')
+            self._environment.log.event('target_ejected', region=region)
--- /dev/null
+++ b/src/balsamrail/steering/share_epochs.py
@@ -0,0 +1,114 @@
+"""The share epochs of all regions, as one host follows them."""
+
+import asyncio
+from random import Random
+from typing import Any
+
+from balsamrail.environment import Environment
+from balsamrail.errors import NotReadyError
+from balsamrail.membership.network import Network
+from balsamrail.messages import Heartbeat, ShareEpochAnnounce, ShareSealed
+from balsamrail.steering.collaborators import DeclarationSource, MemberView
+from balsamrail.steering.region_epochs import RegionEpochs
+from balsamrail.steering.share_ledger import ShareLedger
+from balsamrail.store import Store
+
+_LOOK_S = 0.5
+
+
+class ShareEpochs:
+    """Runs one task for each region of the declaration.
+
+    :param ledger_by_region: the ledgers of this host; one is added for each new region.
+    """
+
+    __slots__ = (
+        '_environment',
+        '_epochs_by_region',
+        '_ledger_by_region',
+        '_members',
+        '_network',
+        '_random',
+        '_store',
+        '_tracker',
+    )
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        tracker: DeclarationSource,
+        members: MemberView,
+        network: Network,
+        store: Store,
+        ledger_by_region: dict[str, ShareLedger],
+        random: Random,
+    ) -> None:
+        self._environment = environment
+        self._tracker = tracker
+        self._members = members
+        self._network = network
+        self._store = store
+        self._ledger_by_region = ledger_by_region
+        self._random = random
+        self._epochs_by_region: dict[str, RegionEpochs] = {}
+        network.subscribe(ShareEpochAnnounce, self._on_announce)
+        network.subscribe(ShareSealed, self._on_sealed)
+        network.subscribe(Heartbeat, self._on_heartbeat)
+
+    async def run(self) -> None:
+        """Follow each region until cancelled; a region that the declaration drops stays."""
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                known = self._epochs_by_region.keys()
+                added = [name for name in self._declared_regions() if name not in known]
+                for region in added:
+                    tasks.create_task(self._add(region).run())
+                await asyncio.sleep(_LOOK_S)
+
+    def epoch_by_region(self) -> dict[str, int]:
+        """Return the epochs of this host for its heartbeats."""
+        return {region: ledger.epoch for region, ledger in self._ledger_by_region.items()}
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as plain data."""
+        return {region: ledger.dump() for region, ledger in self._ledger_by_region.items()}
+
+    def _declared_regions(self) -> list[str]:
+        try:
+            return list(self._tracker.accepted().regions)
+        except NotReadyError:
+            return []
+
+    def _add(self, region: str) -> RegionEpochs:
+        ledger = self._ledger_by_region.get(region)
+        if ledger is None:
+            ledger = ShareLedger(region=region, holder=self._environment.holder)
+            self._ledger_by_region[region] = ledger
+        epochs = RegionEpochs(
+            environment=self._environment,
+            tracker=self._tracker,
+            members=self._members,
+            network=self._network,
+            store=self._store,
+            ledger=ledger,
+            random=self._random,
+        )
+        self._epochs_by_region[region] = epochs
+        return epochs
+
+    def _on_announce(self, host: str, message: ShareEpochAnnounce) -> None:
+        epochs = self._epochs_by_region.get(message.region)
+        if epochs is not None:
+            epochs.hear(message.epoch, sealing=message.sealing)
+
+    def _on_sealed(self, host: str, message: ShareSealed) -> None:
+        epochs = self._epochs_by_region.get(message.region)
+        if epochs is not None:
+            epochs.collect(message)
+
+    def _on_heartbeat(self, host: str, message: Heartbeat) -> None:
+        for region, epoch in message.epoch_by_region.items():
+            epochs = self._epochs_by_region.get(region)
+            if epochs is not None:
+                epochs.hear(epoch)
--- /dev/null
+++ b/src/balsamrail/steering/share_lending.py
@@ -0,0 +1,212 @@
+"""Lending of shares between hosts."""
+
+import asyncio
+from collections import deque
+from collections.abc import Mapping
+from heapq import nlargest
+from random import Random
+from typing import Any
+
+from balsamrail.environment import Environment
+from balsamrail.membership.network import Network
+from balsamrail.messages import Heartbeat, Message, ShareGiven, ShareRequest
+from balsamrail.steering.collaborators import MemberView
+from balsamrail.steering.resources import THOUSANDTHS
+from balsamrail.steering.share_ledger import ShareLedger
+
+_ROUND_S = 0.1
+_LONGEST_PAUSE_S = 2.0
+_LENDERS = 2
+_MOST_REPLIES = 1_000
+_MOST_REQUESTS_COUNTED = 16
+# A heartbeat names only a few resources, in turn, so that its size doesn't grow with the
+# declaration.
+_REPORTED_RESOURCES = 4
+
+
+class ShareLending:
+    """Asks peers for share that is short here, and gives half of the spare to those that ask.
+
+    Each round asks at most two peers for each region, so the cost does not grow with the fleet.
+
+    :param ledger_by_region: the ledgers of this host, shared with the share epochs.
+    """
+
+    __slots__ = (
+        '_environment',
+        '_ledger_by_region',
+        '_members',
+        '_needed',
+        '_network',
+        '_pause_by_region',
+        '_random',
+        '_replies',
+        '_report_from',
+        '_shortage_by_region',
+        '_spare_by_host',
+        'enabled',
+    )
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        members: MemberView,
+        network: Network,
+        ledger_by_region: dict[str, ShareLedger],
+        random: Random,
+    ) -> None:
+        self._environment = environment
+        self._members = members
+        self._network = network
+        self._ledger_by_region = ledger_by_region
+        self._random = random
+        self._needed = asyncio.Event()
+        self._replies: deque[tuple[str, Message]] = deque(maxlen=_MOST_REPLIES)
+        self._shortage_by_region: dict[str, dict[str, int]] = {}
+        self._pause_by_region: dict[str, tuple[float, float]] = {}
+        self._spare_by_host: dict[str, dict[str, int]] = {}
+        self._report_from = 0
+        self.enabled = True
+        network.subscribe(ShareRequest, self._on_request)
+        network.subscribe(ShareGiven, self._on_given)
+        network.subscribe(Heartbeat, self._on_heartbeat)
+
+    def request(self, region: str, shortage: Mapping[str, int]) -> None:
+        """Note that ``shortage`` is missing for one request."""
+        noted = self._shortage_by_region.setdefault(region, {})
+        for resource, amount in shortage.items():
+            noted[resource] = min(noted.get(resource, 0) + amount, amount * _MOST_REQUESTS_COUNTED)
+        self._needed.set()
+
+    def spare_by_resource(self) -> dict[str, int]:
+        """Return spare share for the next heartbeat, a few resources at a time."""
+        spare = [
+            (resource, ledger.spare(resource))
+            for _, ledger in sorted(self._ledger_by_region.items())
+            if not ledger.sealed
+            for resource in sorted(ledger.all_held())
+            if ledger.spare(resource) > 0
+        ]
+        if not spare:
+            return {}
+        first = self._report_from % len(spare)
+        self._report_from = first + _REPORTED_RESOURCES
+        return dict((spare[first:] + spare[:first])[:_REPORTED_RESOURCES])
+
+    async def run(self) -> None:
+        """Send requests and replies until cancelled."""
+        while True:
+            await self._needed.wait()
+            self._needed.clear()
+            while self._replies:
+                host, message = self._replies.popleft()
+                await self._network.send(host, message)
+            for region in list(self._shortage_by_region):
+                await self._ask(region)
+            if self._shortage_by_region:
+                self._needed.set()
+            await asyncio.sleep(_ROUND_S)
+
+    async def hand_over(self) -> None:
+        """Give all spare share to members that stay; what is in use is given on a later call."""
+        for region, ledger in self._ledger_by_region.items():
+            spare = {name: ledger.spare(name) for name in ledger.all_held()}
+            others = self._others()
+            if not others or not any(spare.values()):
+                continue
+            local = [member for member in others if member.region == region]
+            borrower = self._random.choice(local or others)
+            await self._network.send(
+                borrower.host, self._given(ledger, borrower=borrower.holder, amounts=spare)
+            )
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as plain data."""
+        return {'spare_by_host': self._spare_by_host, 'short': self._shortage_by_region}
+
+    async def _ask(self, region: str) -> None:
+        ledger = self._ledger_by_region[region]
+        now = self._environment.clock.monotonic()
+        not_before, pause_s = self._pause_by_region.get(region, (0, _ROUND_S))
+        if not self.enabled or ledger.sealed or not ledger.listed:
+            self._shortage_by_region.pop(region)
+            return
+        if now < not_before:
+            return
+        shortage = self._shortage_by_region.pop(region)
+        # The pause grows with each round and is reset when share arrives.
+        self._pause_by_region[region] = (now + pause_s, min(_LONGEST_PAUSE_S, 2 * pause_s))
+        for host in self._lenders(shortage):
+            self._environment.metrics.count('share_requests')
+            await self._network.send(
+                host,
+                ShareRequest(
+                    region=region,
+                    epoch=ledger.epoch,
+                    borrower=ledger.holder,
+                    amount_by_resource=shortage,
+                ),
+            )
+
+    def _lenders(self, shortage: Mapping[str, int]) -> list[str]:
+        others = {member.host for member in self._others()}
+        offer_by_host: dict[str, int] = {}
+        for peer, spare in self._spare_by_host.items():
+            offer = sum(min(spare.get(name, 0), short) for name, short in shortage.items())
+            if offer > 0 and peer in others:
+                offer_by_host[peer] = offer
+        chosen = nlargest(_LENDERS, offer_by_host, key=offer_by_host.__getitem__)
+        for lender in chosen:
+            for resource in shortage:
+                self._spare_by_host[lender].pop(resource, None)
+        rest = sorted(others - set(chosen))
+        return chosen + self._random.sample(rest, min(_LENDERS - len(chosen), len(rest)))
+
+    def _others(self) -> list[Any]:
+        own = self._members.own().host
+        return [member for member in self._members.alive() if member.host != own]
+
+    def _given(
+        self, ledger: ShareLedger, *, borrower: str, amounts: Mapping[str, int]
+    ) -> ShareGiven:
+        return ShareGiven(
+            region=ledger.region,
+            epoch=ledger.epoch,
+            lender=ledger.holder,
+            borrower=borrower,
+            total_by_resource=ledger.give(borrower=borrower, amounts=amounts),
+        )
+
+    def _on_request(self, host: str, message: ShareRequest) -> None:
+        ledger = self._ledger_by_region.get(message.region)
+        if ledger is None or ledger.epoch != message.epoch or not self.enabled:
+            return
+        amounts = {
+            resource: min(asked, _lendable(resource, ledger.spare(resource)))
+            for resource, asked in message.amount_by_resource.items()
+        }
+        given = self._given(ledger, borrower=message.borrower, amounts=amounts)
+        self._replies.append((host, given))
+        self._needed.set()
+
+    def _on_given(self, host: str, message: ShareGiven) -> None:
+        ledger = self._ledger_by_region.get(message.region)
+        if ledger is None or message.borrower != ledger.holder:
+            return
+        before = ledger.all_held()
+        accepted = ledger.receive(
+            lender=message.lender, epoch=message.epoch, totals=message.total_by_resource
+        )
+        if accepted and ledger.all_held() != before:
+            self._pause_by_region.pop(message.region, None)
+
+    def _on_heartbeat(self, host: str, message: Heartbeat) -> None:
+        noted = self._spare_by_host.setdefault(host, {})
+        noted.update(message.spare_by_resource)
+
+
+def _lendable(resource: str, spare: int) -> int:
+    # Half a slot runs no request, so the last whole slot is given as a whole.
+    least = THOUSANDTHS if resource.startswith('slots/') else 0
+    return max(spare // 2, min(spare, least))
