Deal the slots of targets by share epoch

Hosts that only know their own requests meet at full targets while load reports lag. Every host now works out the same deal of target slots from an epoch and uses its own slots first.

--- /dev/null
+++ b/features/steps/steering_fakes.py
@@ -0,0 +1,210 @@
+"""Stand-ins for the parts around steering: store, network, members and tracker."""
+
+import asyncio
+import io
+import json
+from dataclasses import dataclass, field
+
+from balsamrail.configuration import load_declaration
+from balsamrail.environment import Environment
+from balsamrail.errors import (
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from balsamrail.logs import Log
+from balsamrail.membership.member import Member
+from balsamrail.settings import Settings, StoreSettings
+from balsamrail.store import StoredObject
+
+REGIONS = ('attiki', 'makedonia', 'peloponnisos')
+
+
+def declaration_of(*, slots=4, targets=4, regions=REGIONS, **service):
+    """One service 'diary' with ``targets`` targets of ``slots`` slots in each region."""
+    places = [(number, index) for number in range(len(regions)) for index in range(targets)]
+    document = {
+        'deployment': 'selokosmos',
+        'regions': {name: {'availability_zones': [f'{name}-a']} for name in regions},
+        'links': [
+            {'between': [one, two], 'capacity_mbit_s': 280, 'delay_ms': 12}
+            for one in regions
+            for two in regions
+            if one < two
+        ],
+        'services': {
+            'diary': {
+                'targets': [
+                    {
+                        'address': f'10.0.{number}.{index + 1}:80',
+                        'availability_zone': f'{regions[number]}-a',
+                        'slots': slots,
+                    }
+                    for number, index in places
+                ],
+                **service,
+            },
+        },
+    }
+    return load_declaration(json.dumps(document))
+
+
+def environment_of(host, *, region):
+    address = '10.1.0.1:1'
+    settings = Settings(
+        deployment='selokosmos',
+        host=host,
+        region=region,
+        availability_zone=f'{region}-a',
+        caller_address=address,
+        peer_address=address,
+        operator_address=address,
+        store=StoreSettings(address=address),
+    )
+    return Environment.create(settings=settings, log=Log(host=host, output=io.StringIO()))
+
+
+class FakeTracker:
+    def __init__(self, declaration):
+        self.declaration = declaration
+        self._changed = []
+
+    def accepted(self):
+        return self.declaration
+
+    def subscribe(self, changed):
+        self._changed.append(changed)
+
+    def change(self, declaration):
+        self.declaration = declaration
+        for changed in self._changed:
+            changed()
+
+
+@dataclass
+class Fleet:
+    """What all hosts see alike; ``gone`` hosts are proved gone, ``cut`` ones only silent."""
+
+    members: dict[str, Member] = field(default_factory=dict)
+    gone: set[str] = field(default_factory=set)
+    cut: set[str] = field(default_factory=set)
+    leaving_addresses: set[str] = field(default_factory=set)
+
+    def add(self, environment):
+        settings = environment.settings
+        self.members[settings.host] = Member(
+            host=settings.host,
+            incarnation=environment.incarnation,
+            refutation=0,
+            state='alive',
+            peer_address='10.1.0.1:1',
+            caller_address='10.1.0.1:1',
+            region=settings.region,
+            availability_zone=settings.availability_zone,
+        )
+
+
+class FakeMembers:
+    def __init__(self, fleet, host):
+        self._fleet = fleet
+        self._host = host
+
+    def alive(self):
+        away = self._fleet.gone | self._fleet.cut
+        return [member for member in self._fleet.members.values() if member.host not in away]
+
+    def own(self):
+        return self._fleet.members[self._host]
+
+    def proved_gone(self, holder):
+        return holder.split('@')[0] in self._fleet.gone
+
+    def listed_leaving(self, address):
+        return address in self._fleet.leaving_addresses
+
+
+class FakeNetwork:
+    """Keeps messages until they are delivered; a delivered one may be delivered again."""
+
+    def __init__(self, hub, host):
+        self._hub = hub
+        self._host = host
+        self.receivers = {}
+        hub.networks[host] = self
+
+    async def send(self, host, message):
+        self._hub.post(self._host, host, message)
+        return True
+
+    def flood(self, message, *, topic, version):
+        for host in self._hub.networks:
+            if host != self._host:
+                self._hub.post(self._host, host, message)
+
+    def subscribe(self, kind, receive):
+        self.receivers.setdefault(kind, []).append(receive)
+
+
+class Hub:
+    """All networks. With ``delay_s`` messages arrive by themselves."""
+
+    def __init__(self, *, delay_s=None):
+        self.networks = {}
+        self.posted = []
+        self.delay_s = delay_s
+        self.lost = lambda sender, receiver, message: False
+        self.count = 0
+
+    def post(self, sender, receiver, message):
+        self.count += 1
+        if self.delay_s is None:
+            self.posted.append((sender, receiver, message))
+        elif not self.lost(sender, receiver, message):
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.delay_s, self.deliver, sender, receiver, message)
+
+    def deliver(self, sender, receiver, message):
+        for receive in self.networks[receiver].receivers.get(type(message), []):
+            receive(sender, message)
+
+
+class FakeStore:
+    """Conditional writes with outages, lost answers and writers that are paused midway."""
+
+    def __init__(self):
+        self.objects = {}
+        self.down = False
+        self.lose_answers = 0
+        self.resume = {}
+
+    async def read(self, name):
+        if self.down:
+            raise StoreUnavailableError('down')
+        version, value = self.objects.get(name, (0, None))
+        return StoredObject(name=name, version=version, value=value) if version else None
+
+    async def write(self, name, *, value, version, writer=''):
+        if writer in self.resume:
+            await self.resume[writer].wait()
+        if self.down:
+            raise StoreUnavailableError('down')
+        current = self.objects.get(name, (0, None))[0]
+        if current != version:
+            raise StoreConflictError(name=name, version=current)
+        self.objects[name] = (version + 1, json.loads(json.dumps(value)))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknownError('answer lost')
+        return version + 1
+
+
+class WriterStore:
+    """The store as one host calls it."""
+
+    def __init__(self, store, host):
+        self._store = store
+        self._host = host
+        self.read = store.read
+
+    async def write(self, name, *, value, version):
+        return await self._store.write(name, value=value, version=version, writer=self._host)
--- a/src/balsamrail/steering/pickers.py
+++ b/src/balsamrail/steering/pickers.py
@@ -6,6 +6,9 @@
 from balsamrail.environment import Environment
 from balsamrail.steering.collaborators import MemberView
 from balsamrail.steering.plan import Plan
+from balsamrail.steering.resources import slots_resource
+from balsamrail.steering.share_epoch import ShareEpoch
+from balsamrail.steering.slot_deal import deal_slots
 from balsamrail.steering.target_picker import TargetPicker
 from balsamrail.steering.target_state import TargetState
 from balsamrail.steering.target_subset import subset_of
@@ -17,6 +20,7 @@
     """One :class:`TargetPicker` for each service and region, with the host's subsets."""
 
     __slots__ = (
+        '_accepted',
         '_environment',
         '_hosts',
         '_members',
@@ -29,12 +33,14 @@
         self._environment = environment
         self._members = members
         self._random = random
+        self._accepted: Plan | None = None
         self._hosts: list[str] = []
         self._picker_by_place: dict[Place, TargetPicker] = {}
         self._subset_by_place: dict[tuple[Plan, Place], list[str]] = {}
 
     def update(self, plan: Plan) -> None:
         """Take over the accepted declaration."""
+        self._accepted = plan
         now = self._environment.clock.monotonic()
         places = {
             (service, region)
@@ -51,6 +57,24 @@
             )
         self._subset_by_place.clear()
 
+    def deal(self, region: str, epoch: ShareEpoch) -> None:
+        """Deal the slots of a region as a share epoch gives them out."""
+        plan = self._accepted
+        if plan is None:
+            return
+        for service in plan.declaration.services:
+            resource = slots_resource(service=service, region=region)
+            dealt = deal_slots(
+                plan.targets(service=service, region=region),
+                share_by_holder={
+                    holder: base[resource]
+                    for holder, base in epoch.base.items()
+                    if resource in base
+                },
+                holder=self._environment.holder,
+            )
+            self.get(service=service, region=region).deal(dealt)
+
     def refresh_members(self) -> None:
         """Work the subsets out again if other hosts are alive than before."""
         hosts = sorted(member.host for member in self._members.alive())
--- a/src/balsamrail/steering/region_epochs.py
+++ b/src/balsamrail/steering/region_epochs.py
@@ -1,6 +1,7 @@
 """One host's part in the share epochs of one region."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
@@ -36,13 +37,16 @@
     that was paused loses. A write whose answer was lost is settled by the next read.
 
     :param ledger: what this host holds of the region.
+    :param adopted: called with the region and each epoch that the ledger adopts.
     """
 
     __slots__ = (
+        '_adopted',
         '_announced',
         '_changed_at',
         '_environment',
         '_gone_since_by_holder',
+        '_is_sealing',
         '_ledger',
         '_members',
         '_network',
@@ -68,6 +72,7 @@
         store: Store,
         ledger: ShareLedger,
         random: Random,
+        adopted: Callable[[str, ShareEpoch], None],
     ) -> None:
         self._environment = environment
         self._tracker = tracker
@@ -76,6 +81,7 @@
         self._store = store
         self._ledger = ledger
         self._random = random
+        self._adopted = adopted
         self._started = environment.clock.monotonic()
         self._read_at = self._started
         self._announced = 0
@@ -83,6 +89,7 @@
         self._seen: ShareEpoch | None = None
         self._version = 0
         self._settled = False
+        self._is_sealing = False
         self._changed_at = self._started
         self._report_by_holder: dict[str, tuple[int, dict[str, int]]] = {}
         self._gone_since_by_holder: dict[str, float] = {}
@@ -124,6 +131,10 @@
         is_steward = self._steward() == self._members.own().host
         if self._should_read(is_steward=is_steward):
             await self._read()
+        if not is_steward:
+            # The shares of a large fleet fill megabytes; only the steward needs all of them.
+            self._seen = None
+            self._settled = False
         if self._ledger.sealed:
             await self._report()
         # After a failed call the object is read first, since a write may have taken effect.
@@ -154,13 +165,13 @@
             self._see(decode_epoch(stored.value), version=stored.version)
 
     def _see(self, epoch: ShareEpoch, *, version: int) -> None:
-        if version <= self._version:
+        if version < self._version or (version == self._version and self._seen is not None):
             return
-        newly_sealing = self._seen is None or not self._seen.sealing
+        if version > self._version and not self._is_sealing:
+            self._changed_at = self._now()
+        self._is_sealing = epoch.sealing
         self._seen = epoch
         self._version = version
-        if newly_sealing:
-            self._changed_at = self._now()
         holder = self._ledger.holder
         if self._ledger.adopt(
             epoch.epoch,
@@ -168,6 +179,7 @@
             unsealed=holder in epoch.unsealed,
             joined=epoch.joined.get(holder, 0),
         ):
+            self._adopted(self._ledger.region, epoch)
             self._environment.log.event(
                 'share_epoch_adopted', region=self._ledger.region, epoch=epoch.epoch
             )
--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -38,24 +38,27 @@
     There is no queue: a request that no region can take now is shed at once::
 
         admission = router.admit(service='diary', declaration=declaration, route=route)
+
+    :param random: source of randomness, seeded in tests.
+    :param fetch: reads the health report of an address, by HTTP if not given.
     """
 
     __slots__ = (
         '_choice',
         '_environment',
-        '_gate',
         '_members',
         '_meter_by_service',
-        '_pickers',
         '_plans',
         '_prober',
         '_random',
         '_spill_by_service',
         '_tracker',
         '_watch',
-        '_weights',
         'epochs',
+        'gate',
         'lending',
+        'pickers',
+        'weights',
     )
 
     def __init__(
@@ -67,35 +70,41 @@
         network: Network,
         store: Store,
         random: Random | None = None,
+        fetch: Callable[[str], Any] | None = None,
     ) -> None:
         self._environment = environment
         self._tracker = tracker
         self._members = members
         self._random = random or Random()
-        self._gate = ShareGate(environment=environment)
+        self.gate = ShareGate(environment=environment)
         self.lending = ShareLending(
             environment=environment,
             members=members,
             network=network,
-            ledger_by_region=self._gate.ledger_by_region,
+            ledger_by_region=self.gate.ledger_by_region,
             random=self._random,
         )
+        self.pickers = Pickers(environment=environment, members=members, random=self._random)
         self.epochs = ShareEpochs(
             environment=environment,
             tracker=tracker,
             members=members,
             network=network,
             store=store,
-            ledger_by_region=self._gate.ledger_by_region,
+            ledger_by_region=self.gate.ledger_by_region,
             random=self._random,
+            adopted=self.pickers.deal,
         )
-        self._weights = ServiceWeights(environment=environment, members=members, network=network)
-        self._pickers = Pickers(environment=environment, members=members, random=self._random)
+        self.weights = ServiceWeights(environment=environment, members=members, network=network)
         self._prober = TargetProber(
-            environment=environment, members=members, network=network, states=self._pickers.states
+            environment=environment,
+            members=members,
+            network=network,
+            states=self.pickers.states,
+            fetch=fetch,
         )
-        self._watch = RegionWatch(members=members, pickers=self._pickers)
-        self._choice = RegionChoice(weights=self._weights, random=self._random)
+        self._watch = RegionWatch(members=members, pickers=self.pickers)
+        self._choice = RegionChoice(weights=self.weights, random=self._random)
         self._plans: list[Plan] = []
         self._meter_by_service: dict[str, ShedMeter] = {}
         self._spill_by_service: dict[str, SpillLimiter] = {}
@@ -158,27 +167,27 @@
             tasks.create_task(self.epochs.run())
             tasks.create_task(self.lending.run())
             tasks.create_task(self._prober.run())
-            tasks.create_task(self._weights.take_over())
+            tasks.create_task(self.weights.take_over())
             while True:
                 self.step()
                 await asyncio.sleep(_TICK_S)
 
     def step(self) -> None:
         """Judge the regions and move the weights once."""
-        self._pickers.refresh_members()
+        self.pickers.refresh_members()
         try:
             plan = self._plan(self._tracker.accepted())
         except NotReadyError:
             return
         failed = self._watch.step(plan=plan, now=self._environment.clock.monotonic())
-        self._weights.step(plan=plan, failed_by_service=failed)
+        self.weights.step(plan=plan, failed_by_service=failed)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
         return {
             'shares': self.epochs.dump(),
             'lending': self.lending.dump(),
-            'weights': self._weights.dump(),
+            'weights': self.weights.dump(),
             'failed': self._watch.dump(),
             'targets': {
                 f'{service} {state.address}': {
@@ -186,13 +195,13 @@
                     'ready': state.ready,
                     'leaving': state.leaving,
                 }
-                for service, state in self._pickers.states()
+                for service, state in self.pickers.states()
             },
         }
 
     def _on_change(self) -> None:
         try:
-            self._pickers.update(self._plan(self._tracker.accepted()))
+            self.pickers.update(self._plan(self._tracker.accepted()))
         except NotReadyError:
             return
 
@@ -216,7 +225,7 @@
             counts = is_spill and not attempt.tried
             if counts and not spill.allows(now=attempt.now, cap=attempt.cap):
                 return None, True
-            shortage = self._gate.shortage(attempt, region=region)
+            shortage = self.gate.shortage(attempt, region=region)
             if shortage:
                 is_short = True
                 self._request(shortage)
@@ -229,16 +238,16 @@
         return None, is_short
 
     def _try_targets(self, attempt: Attempt, *, region: str) -> Admission | None:
-        picker = self._pickers.get(service=attempt.service, region=region)
-        candidates = self._pickers.candidates(
+        picker = self.pickers.get(service=attempt.service, region=region)
+        candidates = self.pickers.candidates(
             plan=attempt.plan, service=attempt.service, region=region
         )
         addresses = [address for address in candidates if attempt.allows(address)]
         target = picker.pick(addresses, now=attempt.now)
         if target is None:
             return None
-        cost = self._gate.take(attempt, region=region)
-        self._request(self._gate.low_water(cost, region=region))
+        cost = self.gate.take(attempt, region=region)
+        self._request(self.gate.low_water(cost, region=region))
         release = partial(
             self._release,
             finish=partial(picker.finish, picker.start(target.address)),
@@ -260,7 +269,7 @@
         cost: dict[str, int],
         region: str,
     ) -> None:
-        self._gate.give_back(cost, region=region)
+        self.gate.give_back(cost, region=region)
         self._environment.metrics.record('attempt', latency_s)
         if finish(result, now=self._environment.clock.monotonic()):
             self._environment.metrics.count('ejections')
--- a/src/balsamrail/steering/share_epochs.py
+++ b/src/balsamrail/steering/share_epochs.py
@@ -1,6 +1,7 @@
 """The share epochs of all regions, as one host follows them."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -10,6 +11,7 @@
 from balsamrail.messages import Heartbeat, ShareEpochAnnounce, ShareSealed
 from balsamrail.steering.collaborators import DeclarationSource, MemberView
 from balsamrail.steering.region_epochs import RegionEpochs
+from balsamrail.steering.share_epoch import ShareEpoch
 from balsamrail.steering.share_ledger import ShareLedger
 from balsamrail.store import Store
 
@@ -20,9 +22,11 @@
     """Runs one task for each region of the declaration.
 
     :param ledger_by_region: the ledgers of this host; one is added for each new region.
+    :param adopted: called with the region and each epoch that this host adopts.
     """
 
     __slots__ = (
+        '_adopted',
         '_environment',
         '_epochs_by_region',
         '_ledger_by_region',
@@ -43,6 +47,7 @@
         store: Store,
         ledger_by_region: dict[str, ShareLedger],
         random: Random,
+        adopted: Callable[[str, ShareEpoch], None],
     ) -> None:
         self._environment = environment
         self._tracker = tracker
@@ -51,6 +56,7 @@
         self._store = store
         self._ledger_by_region = ledger_by_region
         self._random = random
+        self._adopted = adopted
         self._epochs_by_region: dict[str, RegionEpochs] = {}
         network.subscribe(ShareEpochAnnounce, self._on_announce)
         network.subscribe(ShareSealed, self._on_sealed)
@@ -93,6 +99,7 @@
             store=self._store,
             ledger=ledger,
             random=self._random,
+            adopted=self._adopted,
         )
         self._epochs_by_region[region] = epochs
         return epochs
