--- a/features/shares.feature
+++ b/features/shares.feature
@@ -28,6 +28,12 @@
     When the steward pauses in its write and another host moves the epoch on
     Then the paused write is refused and all hosts hold what the other wrote
 
+  Scenario: A sealed host gives and takes nothing
+    This guards against share that a host reports as its own and then gives to a silent host.
+
+    Given a host that sealed its epoch
+    Then a peer that asks it gets nothing and a late loan is ignored
+
   Scenario: The cost of lending does not grow with the fleet
     This guards against a host that asks every other one when the fleet is large.
 
--- a/features/steps/share_model.py
+++ b/features/steps/share_model.py
@@ -155,7 +155,7 @@
                 await self.move_on(host, random=Random(amount))
             case 'totals':
                 self.slots = 1 + amount % 6
-                self.declare()
+                await self.move_on(host, random=Random(amount))
         self.check()
 
     async def borrow(self, host, lender, amount):
@@ -169,7 +169,7 @@
         )
         # The request arrives; what it is answered with may be lost, late or doubled.
         self.hub.deliver(host.name, lender.name, request)
-        await lender.lending.step()
+        await lender.lending.reply()
 
     async def move_on(self, silent, *, random):
         """Move to a new epoch with one host silent, while others still borrow."""
@@ -196,7 +196,7 @@
     async def hand(self, sender, receiver, message):
         if receiver not in self.fleet.gone:
             self.hub.deliver(sender, receiver, message)
-            await self.hosts[receiver].lending.step()
+            await self.hosts[receiver].lending.reply()
 
     async def step(self, host, *, patience):
         if host.name in self.fleet.gone:
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -186,3 +186,19 @@
 @then('it sends at most {count:d} messages')
 def step_few(context, count):
     assert 0 < context.count <= count, context.count
+
+
+@given('a host that sealed its epoch')
+def step_sealed(context):
+    context.ledger = ShareLedger(region=REGION, holder='a1@1')
+    context.ledger.adopt(1, base={SLOTS: 3000}, unsealed=False)
+    assert context.ledger.give(borrower='b@1', amounts={SLOTS: 1000}) == {SLOTS: 1000}
+    context.ledger.seal(1)
+
+
+@then('a peer that asks it gets nothing and a late loan is ignored')
+def step_sealed_keeps(context):
+    ledger = context.ledger
+    assert ledger.give(borrower='b@1', amounts={SLOTS: 1000}) == {SLOTS: 1000}
+    assert not ledger.receive(lender='c@1', epoch=1, totals={SLOTS: 500})
+    assert ledger.held(SLOTS) == 2000
--- a/src/balsamrail/steering/share_ledger.py
+++ b/src/balsamrail/steering/share_ledger.py
@@ -19,10 +19,12 @@
 
     __slots__ = (
         '_base',
+        '_earlier_peak',
         '_given_by_borrower',
         '_held',
         '_in_use',
         '_received_by_lender',
+        '_recent_peak',
         'epoch',
         'holder',
         'listed',
@@ -39,6 +41,8 @@
         self._base: Amounts = {}
         self._held: Amounts = {}
         self._in_use: Amounts = {}
+        self._recent_peak: Amounts = {}
+        self._earlier_peak: Amounts = {}
         self._received_by_lender: dict[str, Amounts] = {}
         self._given_by_borrower: dict[str, Amounts] = {}
 
@@ -54,6 +58,15 @@
         """Return how much is held and not in use, 0 if more is in use than held."""
         return max(0, self.held(resource) - self.in_use(resource))
 
+    def lendable(self, resource: str) -> int:
+        """Return how much stayed free for one to two seconds, as :meth:`roll` is called."""
+        return max(0, self.held(resource) - max(self.in_use(resource), self._peak(resource)))
+
+    def roll(self) -> None:
+        """Begin a new period of measuring the use; call it once a second."""
+        self._earlier_peak = self._recent_peak
+        self._recent_peak = dict(self._in_use)
+
     def all_held(self) -> Amounts:
         """Return a copy of all that is held."""
         return dict(self._held)
@@ -70,7 +83,9 @@
     def take(self, cost: Mapping[str, int]) -> None:
         """Count ``cost`` as in use; call :meth:`shortage` first."""
         for resource, amount in cost.items():
-            self._in_use[resource] = self.in_use(resource) + amount
+            in_use = self.in_use(resource) + amount
+            self._in_use[resource] = in_use
+            self._recent_peak[resource] = max(in_use, self._recent_peak.get(resource, 0))
 
     def give_back(self, cost: Mapping[str, int]) -> None:
         """Count ``cost`` as no longer in use."""
@@ -154,3 +169,6 @@
             'held': self.all_held(),
             'in_use': dict(self._in_use),
         }
+
+    def _peak(self, resource: str) -> int:
+        return max(self._recent_peak.get(resource, 0), self._earlier_peak.get(resource, 0))
--- a/src/balsamrail/steering/share_lending.py
+++ b/src/balsamrail/steering/share_lending.py
@@ -1,6 +1,8 @@
 """Lending of shares between hosts."""
 
 import asyncio
+import contextlib
+import math
 from collections import deque
 from collections.abc import Mapping
 from heapq import nlargest
@@ -16,6 +18,7 @@
 
 _ROUND_S = 0.1
 _LONGEST_PAUSE_S = 2.0
+_PEAK_S = 1.0
 _LENDERS = 2
 _MOST_REPLIES = 1_000
 _MOST_REQUESTS_COUNTED = 16
@@ -77,16 +80,15 @@
         noted = self._shortage_by_region.setdefault(region, {})
         for resource, amount in shortage.items():
             noted[resource] = min(noted.get(resource, 0) + amount, amount * _MOST_REQUESTS_COUNTED)
-        self._needed.set()
 
     def spare_by_resource(self) -> dict[str, int]:
         """Return spare share for the next heartbeat, a few resources at a time."""
         spare = [
-            (resource, ledger.spare(resource))
+            (resource, ledger.lendable(resource))
             for _, ledger in sorted(self._ledger_by_region.items())
             if not ledger.sealed
             for resource in sorted(ledger.all_held())
-            if ledger.spare(resource) > 0
+            if ledger.lendable(resource) > 0
         ]
         if not spare:
             return {}
@@ -96,19 +98,30 @@
 
     async def run(self) -> None:
         """Send requests and replies until cancelled."""
+        asked_at = rolled_at = -math.inf
         while True:
-            await self._needed.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_ROUND_S):
+                    await self._needed.wait()
             self._needed.clear()
-            await self.step()
-            if self._shortage_by_region:
-                self._needed.set()
-            await asyncio.sleep(_ROUND_S)
-
-    async def step(self) -> None:
-        """Send the replies that wait and ask for what is short."""
+            await self.reply()
+            now = self._environment.clock.monotonic()
+            if now - asked_at >= _ROUND_S:
+                asked_at = now
+                await self.ask()
+            if now - rolled_at >= _PEAK_S:
+                rolled_at = now
+                for ledger in self._ledger_by_region.values():
+                    ledger.roll()
+
+    async def reply(self) -> None:
+        """Send the replies that wait. What they carry is of no use to anybody until then."""
         while self._replies:
             host, message = self._replies.popleft()
             await self._network.send(host, message)
+
+    async def ask(self) -> None:
+        """Ask for what is short in each region."""
         for region in list(self._shortage_by_region):
             await self._ask(region)
 
@@ -187,7 +200,7 @@
         if ledger is None or ledger.epoch != message.epoch or not self.enabled:
             return
         amounts = {
-            resource: min(asked, _lendable(resource, ledger.spare(resource)))
+            resource: _whole(resource, asked=asked, free=ledger.lendable(resource))
             for resource, asked in message.amount_by_resource.items()
         }
         given = self._given(ledger, borrower=message.borrower, amounts=amounts)
@@ -210,7 +223,13 @@
         noted.update(message.spare_by_resource)
 
 
-def _lendable(resource: str, spare: int) -> int:
-    # Half a slot runs no request, so the last whole slot is given as a whole.
-    least = THOUSANDTHS if resource.startswith('slots/') else 0
-    return max(spare // 2, min(spare, least))
+def _whole(resource: str, *, asked: int, free: int) -> int:
+    """Return what to give of ``free``: half of it, in whole slots, and the last one as a whole.
+
+    A part of a slot runs no request, so parts would only be lost for both hosts.
+    """
+    if not resource.startswith('slots/'):
+        return min(asked, free // 2)
+    wanted = math.ceil(asked / THOUSANDTHS) * THOUSANDTHS
+    half = max(THOUSANDTHS, free // 2 // THOUSANDTHS * THOUSANDTHS)
+    return min(wanted, half) if free >= THOUSANDTHS else min(asked, free // 2)
