--- a/features/steps/share_model.py
+++ b/features/steps/share_model.py
@@ -45,7 +45,7 @@
             tracker=model.tracker,
             store=WriterStore(model.store, name),
             ledger=self.ledger,
-            adopted=lambda region, epoch: None,
+            deal=lambda region, epoch: {},
             **parts,
         )
         network = parts['network']
--- a/src/balsamrail/steering/pickers.py
+++ b/src/balsamrail/steering/pickers.py
@@ -6,7 +6,7 @@
 from balsamrail.environment import Environment
 from balsamrail.steering.collaborators import MemberView
 from balsamrail.steering.plan import Plan
-from balsamrail.steering.resources import slots_resource
+from balsamrail.steering.resources import slots_resource, target_resource
 from balsamrail.steering.share_epoch import ShareEpoch
 from balsamrail.steering.slot_deal import deal_slots
 from balsamrail.steering.target_picker import TargetPicker
@@ -57,15 +57,14 @@
             )
         self._subset_by_place.clear()
 
-    def deal(self, region: str, epoch: ShareEpoch) -> None:
-        """Deal the slots of a region as a share epoch gives them out."""
+    def deal(self, region: str, epoch: ShareEpoch) -> dict[str, int]:
+        """Return the target slots of a region that a share epoch deals to this host."""
         plan = self._accepted
-        if plan is None:
-            return
-        for service in plan.declaration.services:
+        dealt: dict[str, int] = {}
+        for service in plan.declaration.services if plan else ():
             resource = slots_resource(service=service, region=region)
-            dealt = deal_slots(
-                plan.targets(service=service, region=region),
+            slots_by_address = deal_slots(
+                plan.targets(service=service, region=region) if plan else [],
                 share_by_holder={
                     holder: base[resource]
                     for holder, base in epoch.base.items()
@@ -73,7 +72,9 @@
                 },
                 holder=self._environment.holder,
             )
-            self.get(service=service, region=region).deal(dealt)
+            for address, count in slots_by_address.items():
+                dealt[target_resource(service=service, address=address)] = count
+        return dealt
 
     def refresh_members(self) -> None:
         """Work the subsets out again if other hosts are alive than before."""
--- a/src/balsamrail/steering/region_epochs.py
+++ b/src/balsamrail/steering/region_epochs.py
@@ -37,13 +37,13 @@
     that was paused loses. A write whose answer was lost is settled by the next read.
 
     :param ledger: what this host holds of the region.
-    :param adopted: called with the region and each epoch that the ledger adopts.
+    :param deal: gives the target slots that an epoch of a region deals to this host.
     """
 
     __slots__ = (
-        '_adopted',
         '_announced',
         '_changed_at',
+        '_deal',
         '_environment',
         '_gone_since_by_holder',
         '_is_sealing',
@@ -72,7 +72,7 @@
         store: Store,
         ledger: ShareLedger,
         random: Random,
-        adopted: Callable[[str, ShareEpoch], None],
+        deal: Callable[[str, ShareEpoch], dict[str, int]],
     ) -> None:
         self._environment = environment
         self._tracker = tracker
@@ -81,7 +81,7 @@
         self._store = store
         self._ledger = ledger
         self._random = random
-        self._adopted = adopted
+        self._deal = deal
         self._started = environment.clock.monotonic()
         self._read_at = self._started
         self._announced = 0
@@ -177,13 +177,15 @@
         self._seen = epoch
         self._version = version
         holder = self._ledger.holder
+        base = epoch.base.get(holder)
+        if base is not None and epoch.epoch >= self._ledger.epoch:
+            base = {**base, **self._deal(self._ledger.region, epoch)}
         if self._ledger.adopt(
             epoch.epoch,
-            base=epoch.base.get(holder),
+            base=base,
             unsealed=holder in epoch.unsealed,
             joined=epoch.joined.get(holder, 0),
         ):
-            self._adopted(self._ledger.region, epoch)
             self._environment.log.event(
                 'share_epoch_adopted', region=self._ledger.region, epoch=epoch.epoch
             )
--- a/src/balsamrail/steering/resources.py
+++ b/src/balsamrail/steering/resources.py
@@ -14,6 +14,11 @@
     return f'slots/{service}/{region}'
 
 
+def target_resource(*, service: str, address: str) -> str:
+    """Return the name of the slots of one target, which are dealt out with each share epoch."""
+    return f'target/{service}/{address}'
+
+
 def link_resource(*, source: str, destination: str) -> str:
     """Return the name of the link that requests of ``source`` take, counted in kbit/s."""
     return f'link/{source}/{destination}'
--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -93,7 +93,7 @@
             store=store,
             ledger_by_region=self.gate.ledger_by_region,
             random=self._random,
-            adopted=self.pickers.deal,
+            deal=self.pickers.deal,
         )
         self.weights = ServiceWeights(environment=environment, members=members, network=network)
         self._prober = TargetProber(
@@ -243,10 +243,12 @@
             plan=attempt.plan, service=attempt.service, region=region
         )
         addresses = [address for address in candidates if attempt.allows(address)]
-        target = picker.pick(addresses, now=attempt.now)
+        # Slots that no other host uses come first, however old the reports of load are.
+        dealt = self.gate.dealt(addresses, service=attempt.service, region=region)
+        target = picker.pick(dealt, now=attempt.now) or picker.pick(addresses, now=attempt.now)
         if target is None:
             return None
-        cost = self.gate.take(attempt, region=region)
+        cost = self.gate.take(attempt, region=region, address=target.address)
         self._request(self.gate.low_water(cost, region=region))
         release = partial(
             self._release,
--- a/src/balsamrail/steering/share_epochs.py
+++ b/src/balsamrail/steering/share_epochs.py
@@ -22,11 +22,11 @@
     """Runs one task for each region of the declaration.
 
     :param ledger_by_region: the ledgers of this host; one is added for each new region.
-    :param adopted: called with the region and each epoch that this host adopts.
+    :param deal: gives the target slots that an epoch of a region deals to this host.
     """
 
     __slots__ = (
-        '_adopted',
+        '_deal',
         '_environment',
         '_epochs_by_region',
         '_ledger_by_region',
@@ -47,7 +47,7 @@
         store: Store,
         ledger_by_region: dict[str, ShareLedger],
         random: Random,
-        adopted: Callable[[str, ShareEpoch], None],
+        deal: Callable[[str, ShareEpoch], dict[str, int]],
     ) -> None:
         self._environment = environment
         self._tracker = tracker
@@ -56,7 +56,7 @@
         self._store = store
         self._ledger_by_region = ledger_by_region
         self._random = random
-        self._adopted = adopted
+        self._deal = deal
         self._epochs_by_region: dict[str, RegionEpochs] = {}
         network.subscribe(ShareEpochAnnounce, self._on_announce)
         network.subscribe(ShareSealed, self._on_sealed)
@@ -99,7 +99,7 @@
             store=self._store,
             ledger=ledger,
             random=self._random,
-            adopted=self._adopted,
+            deal=self._deal,
         )
         self._epochs_by_region[region] = epochs
         return epochs
--- a/src/balsamrail/steering/share_gate.py
+++ b/src/balsamrail/steering/share_gate.py
@@ -4,7 +4,7 @@
 from balsamrail.environment import Environment
 from balsamrail.steering.attempt import Attempt
 from balsamrail.steering.link_bucket import LinkBucket
-from balsamrail.steering.resources import link_resource
+from balsamrail.steering.resources import link_resource, target_resource
 from balsamrail.steering.share_ledger import ShareLedger
 
 _STEP_BY_PRIORITY = 0.1
@@ -47,9 +47,21 @@
                 missing[self._environment.settings.region] = {link: kbit}
         return missing
 
-    def take(self, attempt: Attempt, *, region: str) -> dict[str, int]:
-        """Take the cost of a request and return it."""
-        cost = attempt.plan.cost(service=attempt.service, region=region)
+    def dealt(self, addresses: list[str], *, service: str, region: str) -> list[str]:
+        """Return the targets at which a slot that is dealt to this host is free."""
+        ledger = self.ledger_by_region.get(region)
+        if ledger is None:
+            return []
+        return [
+            address
+            for address in addresses
+            if ledger.spare(target_resource(service=service, address=address)) > 0
+        ]
+
+    def take(self, attempt: Attempt, *, region: str, address: str) -> dict[str, int]:
+        """Take the cost of a request at a target and return it."""
+        slots = attempt.plan.cost(service=attempt.service, region=region)
+        cost = {**slots, target_resource(service=attempt.service, address=address): 1}
         ledger = self.ledger_by_region.get(region)
         if ledger is not None:
             ledger.take(cost)
@@ -72,7 +84,8 @@
         low = {
             resource: amount
             for resource, amount in cost.items()
-            if ledger.spare(resource) < max(amount, ledger.held(resource) * _LOW_WATER)
+            if resource.startswith('slots/')
+            and ledger.spare(resource) < max(amount, ledger.held(resource) * _LOW_WATER)
         }
         return {region: low} if low else {}
 
--- a/src/balsamrail/steering/share_lending.py
+++ b/src/balsamrail/steering/share_lending.py
@@ -88,7 +88,7 @@
             for _, ledger in sorted(self._ledger_by_region.items())
             if not ledger.sealed
             for resource in sorted(ledger.all_held())
-            if ledger.lendable(resource) > 0
+            if ledger.lendable(resource) > 0 and not resource.startswith('target/')
         ]
         if not spare:
             return {}
@@ -203,6 +203,8 @@
             resource: _whole(resource, asked=asked, free=ledger.lendable(resource))
             for resource, asked in message.amount_by_resource.items()
         }
+        for resource, slots in list(amounts.items()):
+            amounts.update(_target_slots(ledger, resource, count=slots // THOUSANDTHS))
         given = self._given(ledger, borrower=message.borrower, amounts=amounts)
         self._replies.append((host, given))
         self._needed.set()
@@ -233,3 +235,19 @@
     wanted = math.ceil(asked / THOUSANDTHS) * THOUSANDTHS
     half = max(THOUSANDTHS, free // 2 // THOUSANDTHS * THOUSANDTHS)
     return min(wanted, half) if free >= THOUSANDTHS else min(asked, free // 2)
+
+
+def _target_slots(ledger: ShareLedger, resource: str, *, count: int) -> dict[str, int]:
+    """Return target slots that go with ``count`` slots of a service, free ones first."""
+    kind, _, place = resource.partition('/')
+    if kind != 'slots':
+        return {}
+    service = place.partition('/')[0]
+    prefix = f'target/{service}/'
+    given: dict[str, int] = {}
+    for name in ledger.all_held():
+        most = min(count, ledger.spare(name)) if name.startswith(prefix) else 0
+        if most > 0:
+            given[name] = most
+            count -= most
+    return given
--- a/src/balsamrail/steering/target_picker.py
+++ b/src/balsamrail/steering/target_picker.py
@@ -23,7 +23,6 @@
 
     __slots__ = (
         '_aged',
-        '_dealt_by_address',
         '_random',
         '_slow_start_s',
         '_target_by_address',
@@ -42,7 +41,6 @@
         self._random = random
         self._slow_start_s = slow_start_s
         self._aged = aged
-        self._dealt_by_address: dict[str, int] = {}
         self._target_by_address: dict[str, Target] = {}
         self.ejector = ejector or OutlierEjector()
         self.state_by_address: dict[str, TargetState] = {}
@@ -81,16 +79,10 @@
         usable = [address for address in addresses if self.takes_work(address, now=now)]
         if not usable:
             return None
-        # Slots that no other host uses come first.
-        usable = [address for address in usable if self._has_dealt_slot(address)] or usable
         pair = usable if len(usable) == 1 else self._random.sample(usable, 2)
         best = min(pair, key=lambda address: self.relative_load(address, now=now))
         return self._target_by_address[best]
 
-    def deal(self, slots_by_address: dict[str, int]) -> None:
-        """Take over the slots that the share epoch deals to this host."""
-        self._dealt_by_address = slots_by_address
-
     def takes_work(self, address: str, *, now: float) -> bool:
         """Return whether the target may get a request of this host now."""
         state = self.state_by_address.get(address)
@@ -135,10 +127,6 @@
             state.since = max(state.since, self.ejector.ejected_until(state.address))
         return ejected
 
-    def _has_dealt_slot(self, address: str) -> bool:
-        dealt = self._dealt_by_address.get(address, 0)
-        return self.state_by_address[address].in_flight < dealt
-
     def _is_usable(self, state: TargetState, *, now: float) -> bool:
         return (
             state.ready
