--- /dev/null
+++ b/benchmarks/steering.py
@@ -0,0 +1,197 @@
+"""Figures for the choice of targets and for lending, one JSON line each.
+
+Run it with ``python -m benchmarks.steering``. All of it runs under simulated time.
+"""
+
+import asyncio
+import heapq
+import json
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import async_solipsism
+
+from balsamrail.configuration import Target
+from balsamrail.errors import NotRunError
+from balsamrail.steering.attempt_result import AttemptResult
+from balsamrail.steering.slot_deal import deal_slots
+from balsamrail.steering.target_picker import TargetPicker
+
+# The fleet under virtual time is the one of the scenarios.
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'features' / 'steps'))
+
+HOSTS = 9
+TARGETS = 16
+SLOTS = 4
+LAG_S = 3.0
+REPORT_S = 2.0
+WORK_S = 0.1
+UTILISATION = 0.75
+DURATION_S = 120.0
+POOL = 8
+PROBES = 3
+
+
+class Bench:
+    """Hosts that send to targets with a queue, as a loop over events."""
+
+    def __init__(self, choice: str) -> None:
+        self.choice = choice
+        self.random = Random(7)
+        self.targets = [
+            Target(address=f'10.0.0.{number + 1}:80', availability_zone='a', slots=SLOTS)
+            for number in range(TARGETS)
+        ]
+        self.addresses = [target.address for target in self.targets]
+        self.load = dict.fromkeys(self.addresses, 0)
+        self.waiting: dict[str, list[tuple[float, int]]] = {name: [] for name in self.addresses}
+        self.waits: list[float] = []
+        self.highest = 0
+        self.pools: list[list[tuple[int, float, str]]] = [[] for _ in range(HOSTS)]
+        self.pickers = [TargetPicker(random=self.random, slow_start_s=0) for _ in range(HOSTS)]
+        # The own limit of each host is left out, so that only the choice is compared.
+        free = [Target(address=name, availability_zone='a', slots=1000) for name in self.addresses]
+        for picker in self.pickers:
+            picker.update(free, now=0, slow_start_s=0)
+        share = {f'h{host}': TARGETS * SLOTS * 900 // HOSTS for host in range(HOSTS)}
+        self.dealt = [
+            deal_slots(self.targets, share_by_holder=share, holder=f'h{host}')
+            for host in range(HOSTS)
+        ]
+
+    def pick(self, host: int, now: float) -> str:
+        picker = self.pickers[host]
+        own = picker.state_by_address
+        match self.choice:
+            case 'random':
+                return self.random.choice(self.addresses)
+            case 'least_own':
+                least = min(own[name].in_flight for name in self.addresses)
+                return self.random.choice(
+                    [name for name in self.addresses if own[name].in_flight == least]
+                )
+            case 'pooled_probes':
+                return self.pick_pooled(host, now)
+            case 'dealt_then_two_choices_aged':
+                free = [name for name, n in self.dealt[host].items() if own[name].in_flight < n]
+                target = picker.pick(free, now=now) or picker.pick(self.addresses, now=now)
+            case _:
+                target = picker.pick(self.addresses, now=now)
+        assert target is not None
+        return target.address
+
+    def pick_pooled(self, host: int, now: float) -> str:
+        pool = [entry for entry in self.pools[host] if entry[1] > now - 1]
+        chosen = min(pool)[2] if pool else self.random.choice(self.addresses)
+        rest = [entry for entry in pool if entry[2] != chosen]
+        probed = self.random.sample(self.addresses, PROBES)
+        self.pools[host] = [*rest, *((self.load[name], now, name) for name in probed)][-POOL:]
+        return chosen
+
+    def run(self) -> None:
+        rate = TARGETS * SLOTS * UTILISATION / WORK_S
+        events: list[tuple[float, int, str, int, str]] = [(0.0, 0, 'arrive', 0, '')]
+        if self.choice in {'two_choices_aged', 'dealt_then_two_choices_aged'}:
+            events.append((0.0, 1, 'report', 0, ''))
+        count = 2
+        while events:
+            now, _, kind, host, address = heapq.heappop(events)
+            count += 1
+            if kind == 'arrive' and now < DURATION_S:
+                heapq.heappush(
+                    events, (now + self.random.expovariate(rate), count, 'arrive', 0, '')
+                )
+                host = self.random.randrange(HOSTS)
+                address = self.pick(host, now)
+                self.pickers[host].start(address)
+                self.load[address] += 1
+                self.highest = max(self.highest, self.load[address] - SLOTS)
+                if self.load[address] > SLOTS:
+                    self.waiting[address].append((now, host))
+                    continue
+                self.waits.append(0)
+                self.serve(events, now, count, host, address)
+            elif kind == 'finish':
+                picker = self.pickers[host]
+                picker.finish(picker.state_by_address[address], AttemptResult.ok, now=now)
+                self.load[address] -= 1
+                if self.waiting[address]:
+                    since, waiter = self.waiting[address].pop(0)
+                    self.waits.append(now - since)
+                    self.serve(events, now, count, waiter, address)
+            elif kind == 'report' and now < DURATION_S:
+                heapq.heappush(events, (now + REPORT_S, count, 'report', 0, ''))
+                heapq.heappush(
+                    events, (now + LAG_S, count + 1, 'lagged', 0, json.dumps(self.load))
+                )
+                count += 1
+            elif kind == 'lagged':
+                for picker in self.pickers:
+                    for name, load in json.loads(address).items():
+                        picker.state_by_address[name].report(in_flight=load, now=now)
+
+    def serve(self, events: list, now: float, count: int, host: int, address: str) -> None:
+        end = now + self.random.expovariate(1 / WORK_S)
+        heapq.heappush(events, (end, count, 'finish', host, address))
+
+
+def emit(name: str, value: float, unit: str, bound: str, ok: bool | None) -> None:
+    line = {'name': name, 'value': round(value, 4), 'unit': unit, 'bound': bound, 'ok': ok}
+    print(json.dumps(line), flush=True)
+
+
+def compare_choices() -> None:
+    choices = ('random', 'least_own', 'two_choices_own', 'two_choices_aged', 'pooled_probes')
+    for choice in (*choices, 'dealt_then_two_choices_aged'):
+        bench = Bench(choice)
+        bench.run()
+        waits = sorted(bench.waits)
+        is_used = choice.startswith('dealt')
+        p99 = waits[int(len(waits) * 0.99)]
+        emit(f'choice_{choice}_wait_p50', waits[len(waits) // 2] * 1000, 'ms', '', None)
+        bound = '<= 150' if is_used else ''
+        emit(f'choice_{choice}_wait_p99', p99 * 1000, 'ms', bound, p99 <= 0.15 or not is_used)
+        emit(f'choice_{choice}_above_slots', bench.highest, 'requests', '', None)
+
+
+async def usable_fraction(*, lending: bool, chosen: Callable[[str], bool]) -> float:
+    from fleet_model import FleetModel
+    from steering_fakes import declaration_of
+
+    declaration = declaration_of(weights={'attiki': 1})
+    model = FleetModel(declaration, lending=lending)
+    await model.start()
+    hosts = [host for host in model.routers if chosen(host)]
+    admissions = []
+    try:
+        while len(admissions) < 1000:
+            router = model.routers[hosts[len(admissions) % len(hosts)]]
+            admissions.append(router.admit(service='diary', declaration=declaration, route=None))
+            await asyncio.sleep(0.5)
+    except NotRunError:
+        pass
+    await model.stop()
+    return len(admissions) / (TARGETS * 0.9)
+
+
+def measure_lending() -> None:
+    demand: dict[str, Callable[[str], bool]] = {
+        'all_hosts': lambda host: True,
+        'region_hosts': lambda host: host.startswith('attiki'),
+        'one_host': lambda host: host == 'attiki-0',
+    }
+    for name, chosen in demand.items():
+        for lending in (True, False):
+            loop = async_solipsism.EventLoop()
+            used = loop.run_until_complete(usable_fraction(lending=lending, chosen=chosen))
+            loop.close()
+            label = 'lending' if lending else 'no_lending'
+            bound = '>= 0.9' if lending else ''
+            emit(f'usable_{name}_{label}', used, 'fraction', bound, used >= 0.9 or not lending)
+
+
+if __name__ == '__main__':
+    compare_choices()
+    measure_lending()
