Borrow in advance and smooth load reports

A host without a whole slot shed its first request. Hosts now borrow when half of their share is in use, and idle ones top up to one slot.

--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -182,6 +182,8 @@
             return
         failed = self._watch.step(plan=plan, now=self._environment.clock.monotonic())
         self.weights.step(plan=plan, failed_by_service=failed)
+        for service in plan.declaration.services:
+            self._top_up(plan, service=service)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
@@ -269,6 +271,17 @@
         )
         return Admission(target=target, region=region, release=release)
 
+    def _top_up(self, plan: Plan, *, service: str) -> None:
+        """Borrow in advance for the region of the next request and for those in use."""
+        own = self._environment.settings.region
+        order = self._choice.for_request(
+            plan=plan, service=service, own=own, is_failing=lambda region: False
+        )
+        for region, is_spill in order:
+            if not is_spill or self.gate.is_used(service=service, region=region):
+                cost = plan.cost(service=service, region=region)
+                self._request(self.gate.low_water(cost, region=region))
+
     def _request(self, shortage: dict[str, dict[str, int]]) -> None:
         for region, missing in shortage.items():
             self.lending.request(region, missing)
--- a/src/balsamrail/steering/share_gate.py
+++ b/src/balsamrail/steering/share_gate.py
@@ -4,13 +4,20 @@
 from balsamrail.environment import Environment
 from balsamrail.steering.attempt import Attempt
 from balsamrail.steering.link_bucket import LinkBucket
-from balsamrail.steering.resources import link_resource, target_resource
+from balsamrail.steering.resources import (
+    THOUSANDTHS,
+    link_resource,
+    slots_resource,
+    target_resource,
+)
 from balsamrail.steering.share_ledger import ShareLedger
 
 _STEP_BY_PRIORITY = 0.1
 _DEFAULT_KBIT = 64
 # More is borrowed before the share runs out, since a request that finds none is shed.
-_LOW_WATER = 0.25
+_LOW_WATER = 0.5
+# Less than a whole slot tells the lender that the borrower is idle.
+_IN_ADVANCE = THOUSANDTHS - 1
 
 
 class ShareGate:
@@ -82,13 +89,19 @@
         if ledger is None:
             return {}
         low = {
-            resource: amount
+            resource: amount if ledger.in_use(resource) else min(amount, _IN_ADVANCE)
             for resource, amount in cost.items()
             if resource.startswith('slots/')
             and ledger.spare(resource) < max(amount, ledger.held(resource) * _LOW_WATER)
         }
         return {region: low} if low else {}
 
+    def is_used(self, *, service: str, region: str) -> bool:
+        """Return whether requests of a service are in flight in a region."""
+        ledger = self.ledger_by_region.get(region)
+        resource = slots_resource(service=service, region=region)
+        return ledger is not None and ledger.in_use(resource) > 0
+
     def _link(self, attempt: Attempt, *, region: str) -> str:
         """Return the link that the request takes, empty if it takes none that is limited."""
         own = self._environment.settings.region
--- a/src/balsamrail/steering/share_lending.py
+++ b/src/balsamrail/steering/share_lending.py
@@ -200,7 +200,12 @@
         if ledger is None or ledger.epoch != message.epoch or not self.enabled:
             return
         amounts = {
-            resource: _whole(resource, asked=asked, free=ledger.lendable(resource))
+            resource: _whole(
+                resource,
+                asked=asked,
+                free=ledger.lendable(resource),
+                is_idle=ledger.lendable(resource) == ledger.held(resource),
+            )
             for resource, asked in message.amount_by_resource.items()
         }
         for resource, slots in list(amounts.items()):
@@ -225,16 +230,20 @@
         noted.update(message.spare_by_resource)
 
 
-def _whole(resource: str, *, asked: int, free: int) -> int:
-    """Return what to give of ``free``: half of it, in whole slots, and the last one as a whole.
+def _whole(resource: str, *, asked: int, free: int, is_idle: bool) -> int:
+    """Return what to give of ``free``: half of it, in whole slots.
 
-    A part of a slot runs no request, so parts would only be lost for both hosts.
+    A part of a slot runs no request, so parts would only be lost for both hosts. The last free
+    slot is given only by an idle host and to one that is not: idle hosts, which ask for less than a
+    whole slot, would otherwise pass it back and forth.
     """
     if not resource.startswith('slots/'):
         return min(asked, free // 2)
     wanted = math.ceil(asked / THOUSANDTHS) * THOUSANDTHS
-    half = max(THOUSANDTHS, free // 2 // THOUSANDTHS * THOUSANDTHS)
-    return min(wanted, half) if free >= THOUSANDTHS else min(asked, free // 2)
+    half = free // 2 // THOUSANDTHS * THOUSANDTHS
+    if half == 0 and is_idle and asked >= THOUSANDTHS and free >= THOUSANDTHS:
+        half = THOUSANDTHS
+    return min(wanted, half)
 
 
 def _target_slots(ledger: ShareLedger, resource: str, *, count: int) -> dict[str, int]:
--- a/src/balsamrail/steering/target_state.py
+++ b/src/balsamrail/steering/target_state.py
@@ -5,6 +5,7 @@
 
 # Reports of load are weighed down by half for each second of age, since they lag as it is.
 _HALF_LIFE_S = 1.0
+_SMOOTHING = 0.03
 
 
 @dataclass(slots=True, kw_only=True)
@@ -37,7 +38,10 @@
 
     def report(self, *, in_flight: int, now: float) -> None:
         """Take a report of all requests in flight at the target; the own part is known better."""
-        self.others = float(max(0, in_flight - self.in_flight))
+        # Hosts that follow lagging reports at once all move to the same targets, so a report only
+        # shifts a mean, and only in part.
+        others = float(max(0, in_flight - self.in_flight))
+        self.others += _SMOOTHING * (others - self.others)
         self.reported_at = now
 
     def is_leaving(self, *, now: float) -> bool:
