Split the router and check weights from the start

The trace of weights did not hold the state before the first step, so a host that starts with a peer's weights and moves at once went unnoticed; that scenario now fails without the pause after a takeover.

--- a/features/steps/weights_steps.py
+++ b/features/steps/weights_steps.py
@@ -29,8 +29,7 @@
         self.declared = dict.fromkeys(REGIONS, 1 / 3)
         self.failed = set()
         self.weights = Weights(effective=self.declared, now=0)
-        self.trace = []
-        self.fleet_trace = []
+        self.trace = [(0.0, dict(self.weights.effective))]
         self.failed_at = []
 
     def run(self, ticks):
--- a/src/balsamrail/steering/pickers.py
+++ b/src/balsamrail/steering/pickers.py
@@ -1,6 +1,7 @@
 """The target pickers of all services and regions on one host."""
 
 from random import Random
+from typing import Any
 
 from balsamrail.configuration import Target
 from balsamrail.environment import Environment
@@ -114,6 +115,17 @@
             for _, state in sorted(picker.state_by_address.items())
         ]
 
+    def dump(self) -> dict[str, Any]:
+        """Return the state of each target as plain data."""
+        return {
+            f'{service} {state.address}': {
+                'in_flight': state.in_flight,
+                'ready': state.ready,
+                'leaving': state.leaving,
+            }
+            for service, state in self.states()
+        }
+
     def _add_missing(self, targets: list[Target], *, picker: TargetPicker) -> None:
         for target in targets:
             picker.add(target, now=self._environment.clock.monotonic())
--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -15,7 +15,7 @@
 from balsamrail.steering.attempt_result import AttemptResult
 from balsamrail.steering.collaborators import DeclarationSource, MemberView
 from balsamrail.steering.pickers import Pickers
-from balsamrail.steering.plan import Plan
+from balsamrail.steering.plans import Plans
 from balsamrail.steering.region_choice import RegionChoice
 from balsamrail.steering.region_watch import RegionWatch
 from balsamrail.steering.service_weights import ServiceWeights
@@ -28,7 +28,6 @@
 from balsamrail.store import Store
 
 _TICK_S = 0.5
-_KEPT_PLANS = 4
 _FAILING_BELOW = 0.5
 _NO_ADDRESS: frozenset[str] = frozenset()
 
@@ -106,7 +105,7 @@
         )
         self._watch = RegionWatch(members=members, pickers=self.pickers)
         self._choice = RegionChoice(weights=self.weights, random=self._random)
-        self._plans: list[Plan] = []
+        self._plans = Plans()
         self._meter_by_service: dict[str, ShedMeter] = {}
         self._spill_by_service: dict[str, SpillLimiter] = {}
         tracker.subscribe(self._on_change)
@@ -131,7 +130,7 @@
         if service not in declaration.services:
             raise UnknownServiceError(detail=f'there is no service {service}')
         attempt = Attempt(
-            plan=self._plan(declaration),
+            plan=self._plans.get(declaration),
             service=service,
             route=route,
             tried=tried,
@@ -159,7 +158,7 @@
         :param nearest: the region nearest to the caller.
         """
         return self._choice.for_caller(
-            plan=self._plan(declaration), service=service, nearest=nearest
+            plan=self._plans.get(declaration), service=service, nearest=nearest
         )
 
     async def run(self) -> None:
@@ -177,13 +176,13 @@
         """Judge the regions and move the weights once."""
         self.pickers.refresh_members()
         try:
-            plan = self._plan(self._tracker.accepted())
+            plan = self._plans.get(self._tracker.accepted())
         except NotReadyError:
             return
         failed = self._watch.step(plan=plan, now=self._environment.clock.monotonic())
         self.weights.step(plan=plan, failed_by_service=failed)
         for service in plan.declaration.services:
-            self._top_up(plan, service=service)
+            self._top_up(plan.declaration, service=service)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
@@ -192,29 +191,15 @@
             'lending': self.lending.dump(),
             'weights': self.weights.dump(),
             'failed': self._watch.dump(),
-            'targets': {
-                f'{service} {state.address}': {
-                    'in_flight': state.in_flight,
-                    'ready': state.ready,
-                    'leaving': state.leaving,
-                }
-                for service, state in self.pickers.states()
-            },
+            'targets': self.pickers.dump(),
         }
 
     def _on_change(self) -> None:
         try:
-            self.pickers.update(self._plan(self._tracker.accepted()))
+            self.pickers.update(self._plans.get(self._tracker.accepted()))
         except NotReadyError:
             return
 
-    def _plan(self, declaration: Declaration) -> Plan:
-        known = next((plan for plan in self._plans if plan.declaration is declaration), None)
-        if known is None:
-            known = Plan(declaration=declaration)
-            self._plans = [known, *self._plans][:_KEPT_PLANS]
-        return known
-
     def _try_regions(self, attempt: Attempt) -> tuple[Admission | None, bool]:
         """Return the admission if a region gives one, and whether share was short."""
         spill = self._spill_by_service.setdefault(attempt.service, SpillLimiter())
@@ -271,8 +256,9 @@
         )
         return Admission(target=target, region=region, release=release)
 
-    def _top_up(self, plan: Plan, *, service: str) -> None:
+    def _top_up(self, declaration: Declaration, *, service: str) -> None:
         """Borrow in advance for the region of the next request and for those in use."""
+        plan = self._plans.get(declaration)
         own = self._environment.settings.region
         order = self._choice.for_request(
             plan=plan, service=service, own=own, is_failing=lambda region: False
