Run a host's parts and stop it as planned

Cause: a restart must not cut off requests, and a fault in one part must not stop a host. Change: Node listens for callers, peers and operators and supervises the parts. A request counts from its headers to the last byte of its answer; the stop announces leaving, serves for the look-up time to live, closes connections after their answers and waits for the count to reach 0.

--- /dev/null
+++ b/src/balsamrail/host/application.py
@@ -0,0 +1,125 @@
+"""The callers' listener."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+from tornado import httputil
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from balsamrail.errors import NotReadyError
+from balsamrail.forwarding import problem_answer
+
+
+class CallerApplication(Application):
+    """Refuses requests until ``ready`` and counts those that have no complete answer yet.
+
+    A planned stop waits for the count to reach 0.
+
+    A request counts from its headers until the last byte of its answer is written. If the caller
+    goes away it counts until its handler ends, since a booking continues without its caller.
+    """
+
+    def __init__(self, *, rules: list[tuple[Any, ...]], ready: Callable[[], bool]) -> None:
+        super().__init__(
+            [_counted(rule, application=self) for rule in rules], log_function=_log_nothing
+        )
+        self.ready = ready
+        self.in_flight = 0
+        self.leaving = False
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return the delegate of one request, counted while it is read."""
+        delegate = super().start_request(server_conn, request_conn)
+        return _ReadingDelegate(delegate=delegate, application=self)
+
+
+class _ReadingDelegate(httputil.HTTPMessageDelegate):
+    def __init__(
+        self, *, delegate: httputil.HTTPMessageDelegate, application: CallerApplication
+    ) -> None:
+        self._delegate = delegate
+        self._application = application
+        self._reading = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Any:
+        self._reading = True
+        self._application.in_flight += 1
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Any:
+        return self._delegate.data_received(chunk)
+
+    def finish(self) -> None:
+        self._delegate.finish()
+        # The handler's task is scheduled by now and counts itself before this call runs.
+        asyncio.get_running_loop().call_soon(self._end_reading)
+
+    def on_connection_close(self) -> None:
+        self._end_reading()
+        self._delegate.on_connection_close()
+
+    def _end_reading(self) -> None:
+        if self._reading:
+            self._reading = False
+            self._application.in_flight -= 1
+
+
+def _counted(rule: tuple[Any, ...], *, application: CallerApplication) -> tuple[Any, ...]:
+    pattern, handler, *options = rule
+    base: Any = handler
+
+    class CountedHandler(base):  # type: ignore[misc]
+        """The handler with its execution and the writing of its answer counted."""
+
+        _written: asyncio.Future[None] | None = None
+        _is_last = False
+
+        def prepare(self) -> Any:
+            if application.ready():
+                return super().prepare()
+            error = NotReadyError(detail='the host has not learnt the declaration in force yet')
+            problem = problem_answer(error)
+            self.set_status(problem.status)
+            for name, value in problem.headers.get_all():
+                self.set_header(name, value)
+            return self.finish(problem.body)
+
+        def finish(self, chunk: Any = None) -> Any:
+            if application.leaving:
+                # tornado writes this header but keeps the connection unless the caller sent it.
+                self.set_header('Connection', 'close')
+                self._is_last = True
+            self._written = super().finish(chunk)
+            return self._written
+
+        async def _execute(self, *arguments: Any, **options: Any) -> None:
+            application.in_flight += 1
+            try:
+                await super()._execute(*arguments, **options)
+                await _until_written(self._written)
+                if self._is_last:
+                    self.request.connection.close()
+            finally:
+                application.in_flight -= 1
+
+    CountedHandler.__name__ = base.__name__
+    return (pattern, CountedHandler, *options)
+
+
+def _log_nothing(handler: RequestHandler) -> None:
+    """Take the place of tornado's log, since a line for each request is too much."""
+
+
+async def _until_written(written: asyncio.Future[None] | None) -> None:
+    if written is not None:
+        with contextlib.suppress(StreamClosedError):
+            await written
--- /dev/null
+++ b/src/balsamrail/host/assembly.py
@@ -0,0 +1,104 @@
+"""Builds the parts of a host."""
+
+from typing import Any
+
+from balsamrail.configuration import Declaration
+from balsamrail.configuration.record_sync import RecordSync
+from balsamrail.configuration.tracker import Tracker
+from balsamrail.configuration.trial_judge import TrialJudge
+from balsamrail.environment import Environment
+from balsamrail.errors import NotReadyError
+from balsamrail.forwarding import Forwarder, ForwardHandler
+from balsamrail.forwarding.claim_desk import ClaimDesk
+from balsamrail.host.announcer import Announcer
+from balsamrail.host.parts import Parts
+from balsamrail.lookup import BlockSync, LookupHandler, LookupTable
+from balsamrail.membership import HeartbeatStatus, Members, PeerNetwork
+from balsamrail.steering import Router
+from balsamrail.store import HttpStore
+
+_MS_IN_S = 1_000
+
+
+def assemble(*, environment: Environment) -> Parts:
+    """Make all parts of a host and connect them; none of them runs yet."""
+    tracker = Tracker(environment=environment)
+    store = HttpStore(environment=environment)
+    members = Members(environment=environment)
+    network = PeerNetwork(environment=environment, members=members, store=store)
+    common: dict[str, Any] = {
+        'environment': environment,
+        'tracker': tracker,
+        'store': store,
+        'network': network,
+        'members': members,
+    }
+    judge = TrialJudge(**common)
+    router = Router(**common)
+    claims = ClaimDesk(environment=environment, store=store, network=network, members=members)
+    common.pop('store')
+    forwarder = Forwarder(**common, router=router, judge=judge, claims=claims)
+    blocks = BlockSync(environment=environment, store=store)
+    _connect(tracker=tracker, members=members, network=network, router=router)
+    return Parts(
+        store=store,
+        tracker=tracker,
+        members=members,
+        network=network,
+        record_sync=RecordSync(**common, store=store),
+        router=router,
+        forwarder=forwarder,
+        judge=judge,
+        claims=claims,
+        blocks=blocks,
+        announcer=Announcer(environment=environment, members=members, store=store),
+        caller_rules=_caller_rules(
+            environment=environment,
+            forwarder=forwarder,
+            table=LookupTable(
+                environment=environment,
+                tracker=tracker,
+                members=members,
+                router=router,
+                blocks=blocks,
+            ),
+        ),
+        give_shares_away=router.lending.hand_over,
+    )
+
+
+def _caller_rules(
+    *, environment: Environment, forwarder: Forwarder, table: LookupTable
+) -> list[tuple[Any, ...]]:
+    lookup_options = {'environment': environment, 'table': table}
+    forward_options = {'environment': environment, 'forwarder': forwarder}
+    return [
+        ('/lookup/([^/]+)', LookupHandler, lookup_options),
+        (ForwardHandler.pattern, ForwardHandler, forward_options),
+    ]
+
+
+def _connect(*, tracker: Tracker, members: Members, network: PeerNetwork, router: Router) -> None:
+    network.status = lambda: HeartbeatStatus(
+        record_number=tracker.number,
+        epoch_by_region=router.epochs.epoch_by_region(),
+        spare_by_resource=router.lending.spare_by_resource(),
+    )
+    tracker.subscribe(lambda: _follow(tracker, members, network))
+
+
+def _follow(tracker: Tracker, members: Members, network: PeerNetwork) -> None:
+    """Take over what a new declaration says about deadlines and targets."""
+    try:
+        declaration = tracker.accepted()
+    except NotReadyError:
+        return
+    longest_ms = max(service.deadline_ms for service in declaration.services.values())
+    members.grace_s = max(members.grace_s, longest_ms / _MS_IN_S)
+    network.excluded = _target_addresses(declaration).__contains__
+
+
+def _target_addresses(declaration: Declaration) -> frozenset[str]:
+    return frozenset(
+        target.address for service in declaration.services.values() for target in service.targets
+    )
--- /dev/null
+++ b/src/balsamrail/node.py
@@ -0,0 +1,149 @@
+"""One host: builds its parts, listens, and stops as planned."""
+
+import asyncio
+import signal
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.tcpserver import TCPServer
+from tornado.web import Application
+
+from balsamrail.environment import Environment
+from balsamrail.errors import NotReadyError
+from balsamrail.host import CallerApplication, Parts, PlannedStop, Supervisor, operator_routes
+from balsamrail.membership import PeerServer
+from balsamrail.settings.address import split_address
+
+_LISTEN_BACKLOG = 1_024
+
+
+class Node:
+    """Runs the parts of one host.
+
+    A node serves callers, peers and operators until :meth:`stop` or SIGTERM and then drains::
+
+        node = Node(environment=environment, parts=parts)
+        node.stop_on_signal()
+        await node.run()
+    """
+
+    __slots__ = (
+        '_callers',
+        '_environment',
+        '_parts',
+        '_servers',
+        '_state',
+        '_stopping',
+        '_supervisor',
+    )
+
+    def __init__(self, *, environment: Environment, parts: Parts) -> None:
+        self._environment = environment
+        self._parts = parts
+        self._callers = CallerApplication(rules=parts.caller_rules, ready=parts.record_sync.ready)
+        self._servers: list[TCPServer] = []
+        self._supervisor = Supervisor(environment=environment)
+        self._stopping = asyncio.Event()
+        self._state = 'starting'
+
+    def stop(self) -> None:
+        """Begin the planned stop; a second call changes nothing."""
+        self._stopping.set()
+
+    def stop_on_signal(self) -> None:
+        """Begin the planned stop at SIGTERM or SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+
+    async def run(self) -> int:
+        """Serve until stopped and return how many requests the stop cut off, normally 0.
+
+        :raises OSError: if an address cannot be listened on.
+        """
+        settings = self._environment.settings
+        try:
+            self._listen(self._http_server(self._operators()), settings.operator_address)
+            peers = PeerServer(environment=self._environment, accept=self._parts.network.accept)
+            self._listen(peers, settings.peer_address)
+            self._listen(self._http_server(self._callers), settings.caller_address)
+            for name, part in self._parts.named():
+                if hasattr(part, 'run'):
+                    self._supervisor.start(name, part.run)
+            self._state = 'serving'
+            self._environment.log.event('node_started', incarnation=self._environment.incarnation)
+            await self._stopping.wait()
+            self._state = 'leaving'
+            self._callers.leaving = True
+            return await self._drain()
+        finally:
+            await self._close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of every part as plain data."""
+        parts = {name: part.dump() for name, part in self._parts.named() if hasattr(part, 'dump')}
+        own = {
+            'state': self._state,
+            'in_flight': self._in_flight(),
+            'tasks': self._supervisor.dump(),
+            'incarnation': self._environment.incarnation,
+            'host': self._environment.settings.host,
+        }
+        return {'node': own, 'metrics': self._environment.metrics.dump(), **parts}
+
+    def status(self) -> dict[str, Any]:
+        """Return the few facts that ``balsamrail status`` shows."""
+        try:
+            services = sorted(self._parts.tracker.accepted().services)
+        except NotReadyError:
+            services = []
+        return {
+            'host': self._environment.settings.host,
+            'availability_zone': self._environment.settings.availability_zone,
+            'state': self._state,
+            'ready': self._parts.record_sync.ready(),
+            'record_number': self._parts.tracker.number,
+            'services': services,
+            'in_flight': self._in_flight(),
+        }
+
+    async def _drain(self) -> int:
+        stop = PlannedStop(
+            environment=self._environment,
+            parts=self._parts,
+            in_flight=self._in_flight,
+        )
+        return await stop.run()
+
+    def _in_flight(self) -> int:
+        return max(self._callers.in_flight, self._parts.forwarder.in_flight())
+
+    def _operators(self) -> Application:
+        routes = operator_routes(
+            dump=self.dump, status=self.status, metrics=self._environment.metrics.page
+        )
+        return Application(routes)
+
+    def _http_server(self, application: Application) -> HTTPServer:
+        limits = self._environment.settings.limits
+        return HTTPServer(
+            application,
+            # The handlers answer larger headers as a problem; tornado only closes the connection.
+            max_header_size=2 * limits.header_bytes,
+            max_body_size=limits.body_bytes,
+            idle_connection_timeout=limits.connection_age_s,
+        )
+
+    def _listen(self, server: TCPServer, address: str) -> None:
+        number, port = split_address(address)
+        server.listen(port, address=number, backlog=_LISTEN_BACKLOG)
+        self._servers.append(server)
+
+    async def _close(self) -> None:
+        for server in self._servers:
+            server.stop()
+        await self._supervisor.stop()
+        for server in self._servers:
+            if isinstance(server, HTTPServer):
+                await server.close_all_connections()
+        self._environment.log.event('node_stopped')
