--- /dev/null
+++ b/features/command_line.feature
@@ -0,0 +1,53 @@
+Feature: The command line tells scripts and people what went wrong
+
+  Scenario Outline: A command fails
+    Guards against scripts that cannot tell one failure from another.
+    Given the files of an operator
+    When "balsamrail <command>" is run
+    Then the exit code is <code> and the output has "<text>"
+
+    Examples:
+      | command                                         | code | text                                                                  |
+      | check good.json                                 | 0    | selokosmos                                                            |
+      | check settings.json --format json               | 0    | "faults": []                                                          |
+      | check no-such-file.json                         | 2    | no-such-file.json: No such file or directory                          |
+      | check no-json.json                              | 2    | neither settings nor a declaration                                    |
+      | check bad-settings.json                         | 3    | bad-settings.json: $.store.address: 'localhost:7000' is not an IP number |
+      | check bad.json                                  | 4    | bad.json: $.services.diary.targets[0].slots: less than 1 (minimum)    |
+      | check bad.json --format json                    | 4    | "$.services.diary.targets[0].slots: less than 1 (minimum)"            |
+      | node --settings bad-settings.json               | 3    | settings_invalid: $.store.address                                     |
+      | submit bad.json --settings settings.json        | 4    | document_invalid: $.services.diary                                    |
+      | submit good.json --settings settings.json       | 6    | store_unavailable                                                     |
+      | status 127.0.0.1:1                              | 7    | host_unreachable: host 127.0.0.1:1                                    |
+      | dump 127.0.0.1:1                                | 7    | host_unreachable: host 127.0.0.1:1                                    |
+      | lookup diary localhost:1                        | 2    | 'localhost:1' is not an IP number with a port                         |
+      | nonsense                                        | 2    | nonsense                                                              |
+      | --help                                          | 0    | 5 conflict with another                                               |
+      | submit --help                                   | 0    | Example: balsamrail submit                                            |
+
+  Scenario: Two operators submit declarations that were edited from the same revision
+    Guards against the second silently undoing the change of the first.
+    Given the files of an operator
+    And a store that the settings name
+    When "balsamrail submit good.json --settings settings.json --author ana" is run
+    Then the exit code is 0 and the output has "revision 1"
+    When "balsamrail submit other.json --settings settings.json --author eva --base-revision 0" is run
+    Then the exit code is 5 and the output has "paths $.services.diary.priority"
+    When "balsamrail submit other.json --settings settings.json --author eva --base-revision 1" is run
+    Then the exit code is 0 and the output has "revision 2"
+
+  Scenario: The demo is run
+    Guards against a deployment whose processes cannot find or serve each other.
+    When the demo of "selokosmos" is run once
+    Then it prints a look-up and a booking that were answered with 200
+    And all its processes have ended with exit code 0
+
+  Scenario: A wait takes longer than a second
+    Guards against an operator who cannot tell a slow store from a hung command.
+    When something is waited for during 0.5 s and 1.2 s
+    Then standard error names it only for the longer wait
+
+  Scenario: Any value is logged
+    Guards against log lines that a logfmt reader splits in the wrong places.
+    When events with random values are written as lines
+    Then a logfmt reader takes back the same values from one line each
--- a/src/balsamrail/logs.py
+++ b/src/balsamrail/logs.py
@@ -11,6 +11,7 @@
 _ESCAPES = str.maketrans(
     {'\\': r'\\', '"': r'\"', '\n': r'\n', '\r': r'\r', '\t': r'\t'},
 )
+_LAST_OF_FOUR_DIGITS = 0xFFFF
 _DROPPED_KEYS = frozenset(('task_uuid', 'task_level', 'timestamp', 'message_type'))
 
 
@@ -76,6 +77,11 @@
         return text
     escaped = text.translate(_ESCAPES)
     printable = ''.join(
-        letter if letter.isprintable() else rf'\u{ord(letter):04x}' for letter in escaped
+        letter if letter.isprintable() else _escape(ord(letter)) for letter in escaped
     )
     return f'"{printable}"'
+
+
+def _escape(code: int) -> str:
+    # Five digits after \u would be read as four and a letter.
+    return rf'\u{code:04x}' if code <= _LAST_OF_FOUR_DIGITS else rf'\U{code:08x}'
