Keep the test's own output out of the check of open files

Cause: the scenario failed when behave wrote to a file, since the host inherited that file as its standard output. Change: the host gets /dev/null. The check itself is unchanged.

--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -44,7 +44,13 @@
     context.temporary.mkdir()
     command = [PYTHON, '-I', '-S', context.executable, 'node', '--settings', context.settings]
     context.process = subprocess.Popen(
-        command, env={'TMPDIR': str(context.temporary)}, stderr=subprocess.PIPE, cwd='/'
+        command,
+        env={'TMPDIR': str(context.temporary)},
+        stdin=subprocess.DEVNULL,
+        # Inherited, the output of a run that writes to a file would count as opened by the host.
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        cwd='/',
     )
     context.stoppers.append(context.process.stderr.close)
     context.stoppers.append(lambda: end_process(context.process))
