Keep a leaving host from borrowing back

A host that handed over its share topped itself up again: it held 2000 of its 4000 a second later. It now borrows no more; the new scenario holds 0 there and all 14400 at the others.

--- a/features/shares.feature
+++ b/features/shares.feature
@@ -34,6 +34,13 @@
     Given a host that sealed its epoch
     Then a peer that asks it gets nothing and a late loan is ignored
 
+  Scenario: A leaving host gives its share away
+    This guards against share that is out of use until an epoch reclaims it, and against a leaving
+    host that borrows it back.
+
+    When one of nine hosts hands over its share
+    Then it holds none a few seconds later and the others hold all
+
   Scenario: The cost of lending does not grow with the fleet
     This guards against a host that asks every other one when the fleet is large.
 
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from behave import given, then, when
+from fleet_model import FleetModel
 from hypothesis import Phase, settings
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -156,6 +157,27 @@
     assert {host.ledger.epoch for host in model.hosts.values()} == {model.stored().epoch}
 
 
+@when('one of nine hosts hands over its share')
+def step_hand_over(context):
+    async def main():
+        model = FleetModel(declaration_of())
+        await model.start()
+        await model.routers['attiki-0'].lending.hand_over()
+        await asyncio.sleep(5)
+        context.held = {
+            host: router.gate.ledger_by_region[REGION].held(SLOTS)
+            for host, router in model.routers.items()
+        }
+        await model.stop()
+
+    run_virtual(main())
+
+
+@then('it holds none a few seconds later and the others hold all')
+def step_handed_over(context):
+    assert context.held['attiki-0'] == 0 and sum(context.held.values()) == 14_400, context.held
+
+
 @when('a host of a fleet of {count:d} is short for 10 seconds')
 def step_large(context, count):
     async def main():
--- a/src/balsamrail/steering/share_lending.py
+++ b/src/balsamrail/steering/share_lending.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         '_environment',
+        '_is_leaving',
         '_ledger_by_region',
         '_members',
         '_needed',
@@ -70,6 +71,7 @@
         self._pause_by_region: dict[str, tuple[float, float]] = {}
         self._spare_by_host: dict[str, dict[str, int]] = {}
         self._report_from = 0
+        self._is_leaving = False
         self.enabled = True
         network.subscribe(ShareRequest, self._on_request)
         network.subscribe(ShareGiven, self._on_given)
@@ -126,7 +128,11 @@
             await self._ask(region)
 
     async def hand_over(self) -> None:
-        """Give all spare share to members that stay; what is in use is given on a later call."""
+        """Give all spare share to members that stay, and borrow no more.
+
+        What is in use is given on a later call.
+        """
+        self._is_leaving = True
         for region, ledger in self._ledger_by_region.items():
             spare = {name: ledger.spare(name) for name in ledger.all_held()}
             others = self._others()
@@ -146,7 +152,7 @@
         ledger = self._ledger_by_region[region]
         now = self._environment.clock.monotonic()
         not_before, pause_s = self._pause_by_region.get(region, (0, _ROUND_S))
-        if not self.enabled or ledger.sealed or not ledger.listed:
+        if not self.enabled or self._is_leaving or ledger.sealed or not ledger.listed:
             self._shortage_by_region.pop(region)
             return
         if now < not_before:
