--- /dev/null
+++ b/src/balsamrail/steering/router.py
@@ -0,0 +1,288 @@
+"""Admission of requests and choice of region and target."""
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+
+from balsamrail.configuration import Declaration, Route
+from balsamrail.environment import Environment
+from balsamrail.errors import NoTargetError, NotReadyError, OverloadedError, UnknownServiceError
+from balsamrail.membership.network import Network
+from balsamrail.steering.admission import Admission
+from balsamrail.steering.attempt import Attempt
+from balsamrail.steering.attempt_result import AttemptResult
+from balsamrail.steering.collaborators import DeclarationSource, MemberView
+from balsamrail.steering.pickers import Pickers
+from balsamrail.steering.plans import Plans
+from balsamrail.steering.region_choice import RegionChoice
+from balsamrail.steering.region_watch import RegionWatch
+from balsamrail.steering.service_weights import ServiceWeights
+from balsamrail.steering.share_epochs import ShareEpochs
+from balsamrail.steering.share_gate import ShareGate
+from balsamrail.steering.share_lending import ShareLending
+from balsamrail.steering.shed_meter import ShedMeter
+from balsamrail.steering.spill_limiter import SpillLimiter
+from balsamrail.steering.target_prober import TargetProber
+from balsamrail.store import Store
+
+_TICK_S = 0.5
+_FAILING_BELOW = 0.5
+_NO_ADDRESS: frozenset[str] = frozenset()
+
+
+class Router:
+    """Admits a request if shares cover it and picks its target.
+
+    There is no queue: a request that no region can take now is shed at once::
+
+        admission = router.admit(service='diary', declaration=declaration, route=route)
+
+    :param random: source of randomness, seeded in tests.
+    :param fetch: reads the health report of an address, by HTTP if not given.
+    """
+
+    __slots__ = (
+        '_choice',
+        '_environment',
+        '_members',
+        '_meter_by_service',
+        '_plans',
+        '_prober',
+        '_random',
+        '_spill_by_service',
+        '_tracker',
+        '_watch',
+        'epochs',
+        'gate',
+        'lending',
+        'pickers',
+        'weights',
+    )
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        tracker: DeclarationSource,
+        members: MemberView,
+        network: Network,
+        store: Store,
+        random: Random | None = None,
+        fetch: Callable[[str], Any] | None = None,
+    ) -> None:
+        self._environment = environment
+        self._tracker = tracker
+        self._members = members
+        self._random = random or Random()
+        self.gate = ShareGate(environment=environment)
+        self.lending = ShareLending(
+            environment=environment,
+            members=members,
+            network=network,
+            ledger_by_region=self.gate.ledger_by_region,
+            random=self._random,
+        )
+        self.pickers = Pickers(environment=environment, members=members, random=self._random)
+        self.epochs = ShareEpochs(
+            environment=environment,
+            tracker=tracker,
+            members=members,
+            network=network,
+            store=store,
+            ledger_by_region=self.gate.ledger_by_region,
+            random=self._random,
+            deal=self.pickers.deal,
+        )
+        self.weights = ServiceWeights(environment=environment, members=members, network=network)
+        self._prober = TargetProber(
+            environment=environment,
+            members=members,
+            network=network,
+            states=self.pickers.states,
+            fetch=fetch,
+        )
+        self._watch = RegionWatch(members=members, pickers=self.pickers)
+        self._choice = RegionChoice(weights=self.weights, random=self._random)
+        self._plans = Plans()
+        self._meter_by_service: dict[str, ShedMeter] = {}
+        self._spill_by_service: dict[str, SpillLimiter] = {}
+        tracker.subscribe(self._on_change)
+        self._on_change()
+
+    def admit(
+        self,
+        *,
+        service: str,
+        declaration: Declaration,
+        route: Route | None,
+        tried: frozenset[str] = _NO_ADDRESS,
+        only: frozenset[str] | None = None,
+    ) -> Admission:
+        """Return the admission of one attempt.
+
+        :param tried: addresses that must not be picked again.
+        :param only: addresses that may be picked, all if ``None``.
+        :raises OverloadedError: if no region's held share covers the request.
+        :raises NoTargetError: if shares cover it but no target takes work.
+        """
+        if service not in declaration.services:
+            raise UnknownServiceError(detail=f'there is no service {service}')
+        attempt = Attempt(
+            plan=self._plans.get(declaration),
+            service=service,
+            route=route,
+            tried=tried,
+            only=only,
+            now=self._environment.clock.monotonic(),
+        )
+        meter = self._meter_by_service.setdefault(service, ShedMeter(now=attempt.now))
+        admission, is_short = self._try_regions(attempt)
+        if admission is not None:
+            meter.admit(now=attempt.now)
+            return admission
+        retry_after_s = meter.shed(now=attempt.now)
+        self._environment.metrics.count('requests_shed')
+        if is_short:
+            raise OverloadedError(
+                detail=f'no share left for {service}', retry_after_s=retry_after_s
+            )
+        raise NoTargetError(
+            detail=f'no target of {service} takes work', retry_after_s=retry_after_s
+        )
+
+    def region_order(self, *, service: str, declaration: Declaration, nearest: str) -> list[str]:
+        """Return the regions that a caller should use, the best first.
+
+        :param nearest: the region nearest to the caller.
+        """
+        return self._choice.for_caller(
+            plan=self._plans.get(declaration), service=service, nearest=nearest
+        )
+
+    async def run(self) -> None:
+        """Run epochs, lending, probes and weights until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.epochs.run())
+            tasks.create_task(self.lending.run())
+            tasks.create_task(self._prober.run())
+            tasks.create_task(self.weights.take_over())
+            while True:
+                self.step()
+                await asyncio.sleep(_TICK_S)
+
+    def step(self) -> None:
+        """Judge the regions and move the weights once."""
+        self.pickers.refresh_members()
+        try:
+            plan = self._plans.get(self._tracker.accepted())
+        except NotReadyError:
+            return
+        failed = self._watch.step(plan=plan, now=self._environment.clock.monotonic())
+        self.weights.step(plan=plan, failed_by_service=failed)
+        for service in plan.declaration.services:
+            self._top_up(plan.declaration, service=service)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as plain data."""
+        return {
+            'shares': self.epochs.dump(),
+            'lending': self.lending.dump(),
+            'weights': self.weights.dump(),
+            'failed': self._watch.dump(),
+            'targets': self.pickers.dump(),
+        }
+
+    def _on_change(self) -> None:
+        try:
+            self.pickers.update(self._plans.get(self._tracker.accepted()))
+        except NotReadyError:
+            return
+
+    def _try_regions(self, attempt: Attempt) -> tuple[Admission | None, bool]:
+        """Return the admission if a region gives one, and whether share was short."""
+        spill = self._spill_by_service.setdefault(attempt.service, SpillLimiter())
+        if not attempt.tried:
+            spill.count(now=attempt.now, cap=attempt.cap)
+        is_short = False
+        for region, is_spill in self._choice.for_request(
+            plan=attempt.plan,
+            service=attempt.service,
+            own=self._environment.settings.region,
+            is_failing=partial(self._is_failing, attempt),
+        ):
+            # A further try of a request that already spilled over is not counted again.
+            counts = is_spill and not attempt.tried
+            if counts and not spill.allows(now=attempt.now, cap=attempt.cap):
+                is_short = True
+                continue
+            shortage = self.gate.shortage(attempt, region=region)
+            if shortage:
+                is_short = True
+                self._request(shortage)
+                continue
+            admission = self._try_targets(attempt, region=region)
+            if admission is not None:
+                if counts:
+                    spill.spill(now=attempt.now, cap=attempt.cap)
+                return admission, False
+        return None, is_short
+
+    def _is_failing(self, attempt: Attempt, region: str) -> bool:
+        """Return whether most targets fail, of which only half are ejected."""
+        targets = attempt.plan.targets(service=attempt.service, region=region)
+        picker = self.pickers.get(service=attempt.service, region=region)
+        return picker.usable_fraction(targets, now=attempt.now) < _FAILING_BELOW
+
+    def _try_targets(self, attempt: Attempt, *, region: str) -> Admission | None:
+        picker = self.pickers.get(service=attempt.service, region=region)
+        candidates = self.pickers.candidates(
+            plan=attempt.plan, service=attempt.service, region=region
+        )
+        addresses = [address for address in candidates if attempt.allows(address)]
+        # Slots that no other host uses come first, however old the reports of load are.
+        dealt = self.gate.dealt(addresses, service=attempt.service, region=region)
+        target = picker.pick(dealt, now=attempt.now) or picker.pick(addresses, now=attempt.now)
+        if target is None:
+            return None
+        cost = self.gate.take(attempt, region=region, address=target.address)
+        self._request(self.gate.low_water(cost, region=region))
+        release = partial(
+            self._release,
+            finish=partial(picker.finish, picker.start(target.address)),
+            cost=cost,
+            region=region,
+        )
+        return Admission(target=target, region=region, release=release)
+
+    def _top_up(self, declaration: Declaration, *, service: str) -> None:
+        """Borrow in advance for the region of the next request and for those in use."""
+        plan = self._plans.get(declaration)
+        own = self._environment.settings.region
+        order = self._choice.for_request(
+            plan=plan, service=service, own=own, is_failing=lambda region: False
+        )
+        for region, is_spill in order:
+            if not is_spill or self.gate.is_used(service=service, region=region):
+                cost = plan.cost(service=service, region=region)
+                self._request(self.gate.low_water(cost, region=region))
+
+    def _request(self, shortage: dict[str, dict[str, int]]) -> None:
+        for region, missing in shortage.items():
+            self.lending.request(region, missing)
+
+    def _release(
+        self,
+        result: AttemptResult,
+        latency_s: float,
+        *,
+        finish: Callable[..., bool],
+        cost: dict[str, int],
+        region: str,
+    ) -> None:
+        self.gate.give_back(cost, region=region)
+        self._environment.metrics.record('attempt', latency_s)
+        if finish(result, now=self._environment.clock.monotonic()):
+            self._environment.metrics.count('ejections')
+            self._environment.log.event('target_ejected', region=region)
