Make runs of the in-memory fleet repeatable from the seed

Cause: incarnations came from `secrets` and the system clock, and the in-memory stream delivered messages of one instant in any order, because the loop's timer heap is not stable. So a Hello could arrive after the first update, which no TCP stream does, and the stream was dropped. Change: the fleet makes incarnations from its seed and a fixed wall time, and the in-memory stream keeps the order of its messages.

--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -5,6 +5,7 @@
 import json
 import random
 
+from balsamrail.clock import Clock
 from balsamrail.configuration.record_sync import RecordSync
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreUnavailableError
@@ -15,6 +16,8 @@
 from balsamrail.store import ListedHost, StoredObject
 from features.steps.memory_network import CURRENT_GATE, Gate, MemoryNetwork, make_task
 
+START_WALL_S = 1_700_000_000
+
 
 class MemoryStore:
     """One record and the host list; ``down`` refuses calls and ``hung`` never answers."""
@@ -119,7 +122,7 @@
             seeds=list(options.get('seeds', [])),
         )
         log = Log(host=name, output=self.log)
-        self.environment = Environment.create(settings=settings, log=log)
+        self.environment = fleet.make_environment(settings, log)
         self.members = Members(environment=self.environment, **options.get('members', {}))
         self.gate = Gate()
         self.tracker = MemoryTracker()
@@ -180,6 +183,7 @@
 
     def __init__(self, *, size, loss=0.0, seed=1, options=None, introduce=True, **network):
         random.seed(seed)
+        self.random = random.Random(seed)
         asyncio.get_running_loop().set_task_factory(make_task)
         self.network = MemoryNetwork(loss=loss, seed=seed, **network)
         self.store = MemoryStore()
@@ -195,6 +199,12 @@
             for host in self.hosts:
                 self.introduce(host)
 
+    def make_environment(self, settings, log):
+        """Make an environment that is the same in each run with the same seed."""
+        clock = Clock(wall=START_WALL_S + asyncio.get_running_loop().time())
+        started = f'{int(clock.wall() * 1_000):012x}{self.random.getrandbits(32):08x}'
+        return Environment(settings=settings, clock=clock, log=log, incarnation=started)
+
     def zone_of(self, number):
         return self.zones[number % len(self.zones)]
 
--- a/features/steps/memory_network.py
+++ b/features/steps/memory_network.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextvars
 import random
-from collections import Counter
+from collections import Counter, deque
 
 from balsamrail.errors import PeerError
 from balsamrail.messages import encode_message
@@ -131,6 +131,7 @@
         self.silent = False
         self.closed = False
         self.arrived = []
+        self.on_the_way = deque()
         self.ready = asyncio.Event()
 
     async def read(self):
@@ -150,11 +151,13 @@
             network.bytes_by_kind[kind] += len(encode_message(message))
         lost = self.silent or kind in network.lost_kinds or network.random.random() < network.loss
         if not lost and network.connected(self.own, self.peer.own):
-            asyncio.get_running_loop().call_later(network.delay_s, self.peer.put, message)
+            # The loop runs timers of the same instant in any order, but a stream keeps its order.
+            self.peer.on_the_way.append(message)
+            asyncio.get_running_loop().call_later(network.delay_s, self.peer.put)
         return True
 
-    def put(self, message):
-        self.arrived.append(message)
+    def put(self):
+        self.arrived.append(self.on_the_way.popleft())
         self.ready.set()
 
     def close(self):
