Look up leaving addresses in a set

HostList.is_leaving searched the whole list of the platform for each target, in each tick of the router and for each request. At 920 hosts and 100 targets a tick took 12.5 ms, twice a second, which is 2.5% of a core where all control may use 1.6%. The addresses that leave are now a set that is made when the list is read. Measured by benchmarks/capacity_steering.py: a tick at 920 hosts and 100 targets takes 1.47 ms, and an admission at 920 listed hosts and 400 targets 116 us after 202 us.

--- a/src/balsamrail/membership/host_list.py
+++ b/src/balsamrail/membership/host_list.py
@@ -24,12 +24,22 @@
     :param fleet_size: the number of members, which sets the polling interval.
     """
 
-    __slots__ = ('_environment', '_first_at', '_fleet_size', '_host_by_name', '_last_at', '_seen')
+    __slots__ = (
+        '_environment',
+        '_first_at',
+        '_fleet_size',
+        '_host_by_name',
+        '_last_at',
+        '_leaving',
+        '_seen',
+    )
 
     def __init__(self, *, environment: Environment, fleet_size: Callable[[], int]) -> None:
         self._environment = environment
         self._fleet_size = fleet_size
         self._host_by_name: dict[str, ListedHost] = {}
+        # Asked for each target by each request, so the list is not searched then.
+        self._leaving: frozenset[str] = frozenset()
         self._seen: dict[str, float] = {}
         self._first_at: float | None = None
         self._last_at = environment.clock.monotonic()
@@ -43,6 +53,9 @@
         for name in self._host_by_name:
             self._seen[name] = self._last_at
         self._host_by_name = {listed.host: listed for listed in hosts}
+        self._leaving = frozenset(
+            listed.address for listed in self._host_by_name.values() if listed.state == 'leaving'
+        )
 
     def misses(self, host: str) -> bool:
         """Tell whether a list was read and does not hold ``host``."""
@@ -56,10 +69,7 @@
 
     def is_leaving(self, address: str) -> bool:
         """Tell whether the platform lists a host or target at ``address`` as leaving."""
-        return any(
-            listed.address == address and listed.state == 'leaving'
-            for listed in self._host_by_name.values()
-        )
+        return address in self._leaving
 
     def forget(self, host: str) -> None:
         """Drop what is known of a host that the member table no longer holds."""
