Make patches of records whose text is a document

The store holds the text of a declaration as a JSON document, but apply_record_patch took each document for an opened text and refused it. Such a text now gets a layout of its own. The scenario on small patches covers both forms; it fails without the change.

--- a/features/steps/record_sync_steps.py
+++ b/features/steps/record_sync_steps.py
@@ -145,6 +145,7 @@
     DOCUMENTS,
     strategies.sampled_from([None, 2, 3]),
 ) | strategies.text(max_size=5)
+TEXTS |= strategies.dictionaries(strategies.sampled_from(['a', 'layout']), DOCUMENTS, max_size=2)
 PARTS = strategies.none() | strategies.fixed_dictionaries({'revision': SIMPLE, 'text': TEXTS})
 RECORDS = strategies.fixed_dictionaries(
     {
@@ -173,13 +174,16 @@
 @then('the patch for one changed weight of a 100 KB declaration is under {most:d} bytes')
 def step_small(context, most):
     services = {f'service-{n}': {'weights': {'a': n}, 'notes': 'x' * 80} for n in range(1000)}
-    old = make_record(1)
-    old['accepted']['text'] = json.dumps({'services': services}, indent=2)
-    services['service-7']['weights']['a'] = 99
-    new = make_record(2)
-    new['accepted']['text'] = json.dumps({'services': services}, indent=2)
-    assert len(old['accepted']['text']) > 100_000
-    assert len(make_record_patch(old, new)) < most
+    older = {'services': {**services, 'service-7': {'weights': {'a': 99}, 'notes': 'x' * 80}}}
+    # The store holds the text as a document; older records hold it as a string.
+    for write in (dict, lambda document: json.dumps(document, indent=2)):
+        old, new = make_record(1), make_record(2)
+        old['accepted']['text'] = write(older)
+        new['accepted']['text'] = write({'services': services})
+        assert len(json.dumps(old)) > 100_000
+        patch = make_record_patch(old, new)
+        assert patch is not None, 'the whole record would be sent'
+        assert len(patch) < most
 
 
 @then('the examples of RFC 7396 hold')
--- a/src/balsamrail/configuration/record_delta.py
+++ b/src/balsamrail/configuration/record_delta.py
@@ -7,6 +7,8 @@
 
 _NULLABLE = ('candidate', 'stopped')
 _WITH_TEXT = ('accepted', 'candidate')
+# A text that is kept as a document, which is how a record is written.
+_AS_DOCUMENT = -1
 # The usual ways to write JSON: compact, Python's default, and indented.
 _LAYOUTS: tuple[dict[str, Any], ...] = (
     {'separators': (',', ':')},
@@ -54,12 +56,14 @@
     opened = dict(value)
     for name in _WITH_TEXT:
         part = opened.get(name)
-        if isinstance(part, dict) and isinstance(part.get('text'), str):
+        if isinstance(part, dict) and isinstance(part.get('text'), str | dict):
             opened[name] = {**part, 'text': _open_text(part['text'])}
     return opened
 
 
-def _open_text(text: str) -> Any:
+def _open_text(text: str | dict[str, Any]) -> Any:
+    if isinstance(text, dict):
+        return {'layout': _AS_DOCUMENT, 'document': text}
     try:
         document = json.loads(text)
     except ValueError:
@@ -78,8 +82,10 @@
     return value
 
 
-def _close_text(opened: dict[str, Any]) -> str:
+def _close_text(opened: dict[str, Any]) -> Any:
     layout = opened.get('layout')
+    if layout == _AS_DOCUMENT:
+        return opened.get('document')
     if type(layout) is not int or not 0 <= layout < len(_LAYOUTS):
         raise ValueError('unknown text layout')
     return json.dumps(opened.get('document'), **_LAYOUTS[layout])
