--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import sys
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -15,6 +16,7 @@
 from balsamrail.forwarding.claim_desk import ClaimDesk
 from balsamrail.metrics import Metrics
 from benchmarks.figure import Figure
+from benchmarks.report import report
 from standins.memory_store import MemoryStore
 
 _HOSTS = [f'host-{number}' for number in range(9)]
@@ -114,5 +116,4 @@
 
 
 if __name__ == '__main__':
-    for figure in run():
-        print(figure.line())
+    sys.exit(report(run()))
--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
-import json
 import sys
+from collections.abc import Iterator
 
+from benchmarks.figure import Figure
+from benchmarks.report import report
 from features.steps.memory_fleet import MemoryFleet, make_record, wait_until
 from features.steps.virtual_time import run_virtual
 
@@ -71,7 +73,7 @@
     record = make_record(number)
     services = {f'service-{n}': {'weight': 1} for n in range(declaration_bytes // 28)}
     services['service-0']['weight'] = number
-    record['accepted']['text'] = json.dumps({'services': services})
+    record['accepted']['text'] = {'services': services}
     return record
 
 
@@ -149,23 +151,17 @@
     return {**measure_change(size), **measure_idle(size), **measure_detection(size)}
 
 
-def main() -> int:
-    failed = False
+def run() -> Iterator[Figure]:
+    """Return the figures of each size."""
     for size in SIZES:
         for name, value in measure(size).items():
-            bound = BOUND_BY_FIGURE.get(name)
-            ok = bound is None or value <= bound
-            failed = failed or not ok
-            line = {
-                'name': f'dissemination.{name}.{size}_hosts',
-                'value': round(value, 3),
-                'unit': _unit(name),
-                'bound': bound,
-                'ok': ok,
-            }
-            print(json.dumps(line), flush=True)
-    return 1 if failed else 0
+            yield Figure(
+                name=f'dissemination.{name}.{size}_hosts',
+                value=value,
+                unit=_unit(name),
+                bound=BOUND_BY_FIGURE.get(name),
+            )
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(report(run()))
--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -21,6 +21,7 @@
 from balsamrail.logs import Log
 from balsamrail.settings import StoreSettings
 from benchmarks.figure import Figure
+from benchmarks.report import report
 
 _ROUNDS = 7
 _CALLERS = 8
@@ -154,14 +155,11 @@
     bare = statistics.median(bare - direct for direct, bare, _ in costs)
     forward = statistics.median(forward - direct for direct, _, forward in costs)
     return [
-        Figure(name='bare_forwarding', value=bare, unit='us of processor time per request'),
-        Figure(name='forwarding', value=forward, unit='us of processor time per request'),
-        Figure(name='forwarding_ratio', value=forward / bare, unit='times', bound=_BOUND),
+        Figure(name='forwarding.bare_us', value=bare, unit='us/request'),
+        Figure(name='forwarding.processor_us', value=forward, unit='us/request'),
+        Figure(name='forwarding.ratio', value=forward / bare, unit='times', bound=_BOUND),
     ]
 
 
 if __name__ == '__main__':
-    for figure in run():
-        print(f'{figure.name} {figure.value:.3f} {figure.unit} bound={figure.bound}')
-        if not figure.ok:
-            sys.exit(1)
+    sys.exit(report(run()))
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,14 @@
+"""Runs one benchmark module from the command line."""
+
+from collections.abc import Iterable
+
+from benchmarks.figure import Figure
+
+
+def report(figures: Iterable[Figure]) -> int:
+    """Print each figure as it comes and return the exit code, 1 if a bound is broken."""
+    all_ok = True
+    for figure in figures:
+        print(figure.line(), flush=True)
+        all_ok = all_ok and figure.ok
+    return 0 if all_ok else 1
--- a/benchmarks/slope.py
+++ b/benchmarks/slope.py
@@ -1,6 +1,7 @@
 """A straight line through measured points."""
 
-from collections.abc import Sequence
+import json
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import numpy as np
@@ -26,6 +27,19 @@
         """Return the value that the line gives for ``size``."""
         return self.intercept + self.slope * size
 
+    def line(self) -> str:
+        """Return the fit as one JSON line."""
+        return json.dumps(
+            {
+                'name': self.name,
+                'unit': self.unit,
+                'measured': dict(zip(self.sizes, self.measured, strict=True)),
+                'slope': self.slope,
+                'intercept': self.intercept,
+                'residual': round(self.residual, 4),
+            }
+        )
+
     def row(self) -> str:
         """Return the fit as a row of a Markdown table."""
         points = ', '.join(
@@ -37,6 +51,14 @@
         )
 
 
+def measure_slope(
+    name: str, *, unit: str, sizes: Sequence[float], measure: Callable[[int], float]
+) -> Slope:
+    """Measure each size and fit a line."""
+    measured = [measure(int(size)) for size in sizes]
+    return fit_slope(name=name, unit=unit, sizes=sizes, measured=measured)
+
+
 def fit_slope(*, name: str, unit: str, sizes: Sequence[float], measured: Sequence[float]) -> Slope:
     """Fit a line through at least four points.
 
--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -7,7 +7,7 @@
 import heapq
 import json
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
 
@@ -18,6 +18,8 @@
 from balsamrail.steering.attempt_result import AttemptResult
 from balsamrail.steering.slot_deal import deal_slots
 from balsamrail.steering.target_picker import TargetPicker
+from benchmarks.figure import Figure
+from benchmarks.report import report
 
 # The fleet under virtual time is the one of the scenarios.
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'features' / 'steps'))
@@ -137,12 +139,8 @@
         heapq.heappush(events, (end, count, 'finish', host, address))
 
 
-def emit(name: str, value: float, unit: str, bound: str, ok: bool | None) -> None:
-    line = {'name': name, 'value': round(value, 4), 'unit': unit, 'bound': bound, 'ok': ok}
-    print(json.dumps(line), flush=True)
-
-
-def compare_choices() -> None:
+def compare_choices() -> Iterator[Figure]:
+    """Return the waits that each choice of a target causes; the one in use has a bound."""
     choices = ('random', 'least_own', 'two_choices_own', 'two_choices_aged', 'pooled_probes')
     for choice in (*choices, 'dealt_then_two_choices_aged'):
         bench = Bench(choice)
@@ -150,12 +148,13 @@
         waits = sorted(bench.waits)
         is_used = choice.startswith('dealt')
         p99 = waits[int(len(waits) * 0.99)]
-        emit(f'choice_{choice}_wait_p50', waits[len(waits) // 2] * 1000, 'ms', '', None)
-        bound = '<= 150' if is_used else ''
-        emit(
-            f'choice_{choice}_wait_p99', p99 * 1000, 'ms', bound, p99 <= 0.15 if is_used else None
+        name = f'steering.choice_{choice}'
+        median = waits[len(waits) // 2]
+        yield Figure(name=f'{name}_wait_p50', value=median * 1_000, unit='ms')
+        yield Figure(
+            name=f'{name}_wait_p99', value=p99 * 1_000, unit='ms', bound=150 if is_used else None
         )
-        emit(f'choice_{choice}_above_slots', bench.highest, 'requests', '', None)
+        yield Figure(name=f'{name}_above_slots', value=bench.highest, unit='requests')
 
 
 async def usable_fraction(*, lending: bool, chosen: Callable[[str], bool]) -> tuple[float, float]:
@@ -184,7 +183,8 @@
     return before_shed / (TARGETS * 0.9), running / (TARGETS * 0.9)
 
 
-def measure_lending() -> None:
+def measure_lending() -> Iterator[Figure]:
+    """Return the part of the capacity that requests at some hosts can use."""
     demand: dict[str, Callable[[str], bool]] = {
         'all_hosts': lambda host: True,
         'region_hosts': lambda host: host.startswith('attiki'),
@@ -196,12 +196,23 @@
             used = loop.run_until_complete(usable_fraction(lending=lending, chosen=chosen))
             loop.close()
             label = 'lending' if lending else 'no_lending'
-            emit(f'before_any_shed_{name}_{label}', used[0], 'fraction', '', None)
-            bound = '>= 0.9' if lending else ''
-            is_ok = used[1] >= 0.9 if lending else None
-            emit(f'with_retries_{name}_{label}', used[1], 'fraction', bound, is_ok)
+            yield Figure(
+                name=f'steering.before_any_shed_{name}_{label}', value=used[0], unit='fraction'
+            )
+            yield Figure(
+                name=f'steering.with_retries_{name}_{label}',
+                value=used[1],
+                unit='fraction',
+                bound=0.9 if lending else None,
+                at_least=True,
+            )
+
+
+def run() -> Iterator[Figure]:
+    """Return all figures of steering."""
+    yield from compare_choices()
+    yield from measure_lending()
 
 
 if __name__ == '__main__':
-    compare_choices()
-    measure_lending()
+    sys.exit(report(run()))
