Bound the cost of a new answer and of a tick, and add lookup figures

Two bounds keep the faults that the slopes showed from coming back: a new answer against a bare request (at most 10 times) and a tick at 920 hosts against 115 (at most 2 times).

--- a/benchmarks/capacity_steering.py
+++ b/benchmarks/capacity_steering.py
@@ -109,7 +109,7 @@
     return kept_bytes(lambda: make_router(hosts=9, targets=targets))
 
 
-async def _tick_us(*, hosts: int, targets: int) -> float:
+async def tick_us(*, hosts: int, targets: int) -> float:
     router = make_router(hosts=hosts, targets=targets)
     return processor_us(router.step, rounds=10, repeats=5)
 
@@ -153,13 +153,13 @@
             'tick_us against targets',
             'us/target',
             TARGETS,
-            lambda size: _tick_us(hosts=9, targets=size),
+            lambda size: tick_us(hosts=9, targets=size),
         ),
         fit(
             'tick_us against hosts',
             'us/host',
             HOSTS,
-            lambda size: _tick_us(hosts=size, targets=100),
+            lambda size: tick_us(hosts=size, targets=100),
         ),
         fit('steward_choice_us against hosts', 'us/host', HOSTS, _steward_us),
         fit(
--- a/benchmarks/lookup.py
+++ b/benchmarks/lookup.py
@@ -16,7 +16,7 @@
 from benchmarks.capacity_model import environment_for
 from benchmarks.figure import Figure
 from benchmarks.forwarding import listen
-from benchmarks.measure import kept_bytes
+from benchmarks.measure import kept_bytes, processor_us
 from benchmarks.report import report
 
 _ROUNDS = 9
@@ -27,6 +27,8 @@
 # Two bytes a block and 256 KB of offsets.
 _BYTES_PER_BLOCK = 2.1
 _RATIO = 1.4
+# A new answer, as after each change of the members, against a request to the bare handler.
+_NEW_ANSWER_RATIO = 10
 
 
 class BareHandler(RequestHandler):
@@ -57,6 +59,16 @@
     return used_s * _US_IN_S / _REQUESTS
 
 
+async def _new_answer_us() -> float:
+    table = make_table(hosts=_HOSTS)
+
+    def answer_anew() -> None:
+        table._answer_by_key.clear()
+        table.answer(service='service-0', caller='10.1.2.3')
+
+    return processor_us(answer_anew, rounds=20)
+
+
 async def _costs(block_map: BlockMap) -> list[tuple[float, float]]:
     table = make_table(hosts=_HOSTS, block_map=block_map)
     body = table.answer(service='service-0', caller='127.0.0.1')
@@ -89,6 +101,13 @@
     ratio = statistics.median(lookup / bare for bare, lookup in costs)
     yield Figure(name='lookup.ratio', value=ratio, unit='times', bound=_RATIO)
 
+    yield Figure(
+        name='lookup.new_answer_ratio',
+        value=asyncio.run(_new_answer_us()) / bare,
+        unit='times',
+        bound=_NEW_ANSWER_RATIO,
+    )
+
 
 if __name__ == '__main__':
     sys.exit(report(run()))
--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -18,6 +18,7 @@
 from balsamrail.steering.attempt_result import AttemptResult
 from balsamrail.steering.slot_deal import deal_slots
 from balsamrail.steering.target_picker import TargetPicker
+from benchmarks.capacity_steering import tick_us
 from benchmarks.figure import Figure
 from benchmarks.report import report
 
@@ -34,6 +35,8 @@
 DURATION_S = 120.0
 POOL = 8
 PROBES = 3
+# A tick at 920 hosts against one at 115; it should not depend on the hosts.
+TICK_BOUND = 2
 
 
 class Bench:
@@ -212,6 +215,10 @@
     """Return all figures of steering."""
     yield from compare_choices()
     yield from measure_lending()
+    small, large = (asyncio.run(tick_us(hosts=hosts, targets=100)) for hosts in (115, 920))
+    yield Figure(
+        name='steering.tick_hosts_ratio', value=large / small, unit='times', bound=TICK_BOUND
+    )
 
 
 if __name__ == '__main__':
