Let the node lengthen the grace of the proof that a host is gone

Cause: the proof moved to a class of its own and the node still set an attribute of Members. Change: Members.extend_grace.

--- a/src/balsamrail/host/assembly.py
+++ b/src/balsamrail/host/assembly.py
@@ -94,7 +94,7 @@
     except NotReadyError:
         return
     longest_ms = max(service.deadline_ms for service in declaration.services.values())
-    members.grace_s = max(members.grace_s, longest_ms / _MS_IN_S)
+    members.extend_grace(longest_ms / _MS_IN_S)
     network.excluded = _target_addresses(declaration).__contains__
 
 
--- a/src/balsamrail/membership/gone_proof.py
+++ b/src/balsamrail/membership/gone_proof.py
@@ -28,10 +28,10 @@
     __slots__ = (
         '_agreed_at',
         '_environment',
-        '_grace_s',
         '_host_list',
         '_needs_agreement',
         '_table',
+        'grace_s',
     )
 
     def __init__(
@@ -46,7 +46,7 @@
         self._environment = environment
         self._table = table
         self._host_list = host_list
-        self._grace_s = grace_s
+        self.grace_s = grace_s
         self._needs_agreement = needs_agreement
         self._agreed_at = environment.clock.monotonic()
 
@@ -80,12 +80,12 @@
         own = self._environment.incarnation
         started_s = int(own[:_TIME_DIGITS], 16) / _MS_IN_S
         lasted_s = self._environment.clock.wall() - started_s
-        return incarnation < own and lasted_s >= self._grace_s
+        return incarnation < own and lasted_s >= self.grace_s
 
     def _is_absent(self, host: str, *, until: float) -> bool:
         if not self._needs_agreement:
             until = self._environment.clock.monotonic()
-        return self._host_list.absent_s(host, until=until) >= self._grace_s
+        return self._host_list.absent_s(host, until=until) >= self.grace_s
 
     def _has_lasted(self, since: float) -> bool:
-        return self._environment.clock.monotonic() - since >= self._grace_s
+        return self._environment.clock.monotonic() - since >= self.grace_s
--- a/src/balsamrail/membership/members.py
+++ b/src/balsamrail/membership/members.py
@@ -129,6 +129,15 @@
         member = self.get(holder.rpartition('@')[0])
         return member is not None and member.holder == holder and member.state != 'gone'
 
+    @property
+    def grace_s(self) -> float:
+        """How long evidence has to last until an incarnation is proved gone, in seconds."""
+        return self.proof.grace_s
+
+    def extend_grace(self, grace_s: float) -> None:
+        """Make the grace at least as long as the longest deadline of a request, in seconds."""
+        self.proof.grace_s = max(self.proof.grace_s, grace_s)
+
     def proved_gone(self, holder: str) -> bool:
         """Tell whether ``host@incarnation`` can hold nothing any more.
 
