Suspend shares after a pause or a loss of contact

A host that was declared gone while it was paused or cut off used its old share until it read the epoch that had reclaimed it. ShareFence closes all shares of a host after half of the grace without running or without contact, until a read of the epoch or the answers of peers confirm them. has_share tells lookups whether a host may run requests.

The gates of paused hosts in tests now also hold timeouts back.

--- a/features/steps/fleet_model.py
+++ b/features/steps/fleet_model.py
@@ -1,7 +1,9 @@
 """Nine routers with targets whose health reports lag, under virtual time."""
 
 import asyncio
+import contextvars
 from collections import Counter
+from functools import partial
 from random import Random
 
 from steering_fakes import (
@@ -16,8 +18,9 @@
 )
 
 from balsamrail.errors import NotRunError
-from balsamrail.messages import Heartbeat
+from balsamrail.messages import Heartbeat, HeartbeatAck
 from balsamrail.steering import AttemptResult, Router
+from features.steps.memory_network import CURRENT_GATE, Gate, make_task
 
 LAG_S = 3.0
 
@@ -42,6 +45,7 @@
         self.health = {}
         self.reports = {}
         self.tasks = []
+        self.gate_by_host = {}
         for region in REGIONS:
             for number in range(hosts):
                 self.region_by_host[f'{region}-{number}'] = region
@@ -50,11 +54,14 @@
             environments[host] = environment_of(host, region=region)
             self.fleet.add(environments[host])
         for host, environment in environments.items():
+            self.gate_by_host[host] = Gate()
+            network = FakeNetwork(self.hub, host)
+            network.subscribe(Heartbeat, partial(self.acknowledge, host))
             self.routers[host] = Router(
                 environment=environment,
                 tracker=self.tracker,
                 members=FakeMembers(self.fleet, host),
-                network=FakeNetwork(self.hub, host),
+                network=network,
                 store=self.store,
                 random=Random(host),
                 fetch=self.fetch,
@@ -62,11 +69,28 @@
             self.routers[host].lending.enabled = lending
 
     async def start(self, *, settle_s=15):
-        self.tasks = [asyncio.create_task(router.run()) for router in self.routers.values()]
+        asyncio.get_running_loop().set_task_factory(make_task)
+        self.tasks = [self.run_gated(host) for host in self.routers]
         self.tasks.append(asyncio.create_task(self.report()))
         self.tasks.append(asyncio.create_task(self.heartbeats()))
         await asyncio.sleep(settle_s)
 
+    def run_gated(self, host):
+        context = contextvars.copy_context()
+        context.run(CURRENT_GATE.set, self.gate_by_host[host])
+        return asyncio.create_task(self.routers[host].run(), context=context)
+
+    def freeze(self, host):
+        """Stop a host as a stopped process is; what is sent to it waits."""
+        self.gate_by_host[host].open.clear()
+        self.hub.held_by_paused[host] = []
+
+    def wake(self, host):
+        """Let a host go on, which finds first what had been sent to it."""
+        for sender, receiver, message in self.hub.held_by_paused.pop(host):
+            self.hub.deliver(sender, receiver, message)
+        self.gate_by_host[host].open.set()
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
@@ -76,6 +100,8 @@
         while True:
             await asyncio.sleep(1)
             for host, router in self.routers.items():
+                if host in self.hub.held_by_paused:
+                    continue
                 beat = Heartbeat(
                     sequence=1,
                     record_number=1,
@@ -86,6 +112,9 @@
                     if other != host:
                         self.hub.post(host, other, beat)
 
+    def acknowledge(self, host, sender, beat):
+        self.hub.post(host, sender, HeartbeatAck(sequence=beat.sequence, record_number=1))
+
     async def report(self):
         """Health endpoints show what was so some seconds ago."""
         while True:
--- a/features/steps/memory_network.py
+++ b/features/steps/memory_network.py
@@ -43,6 +43,13 @@
                     yield from self._gate.open.wait().__await__()
             except BaseException as error:
                 step, argument = self._work.throw, error
+                # A paused process notices neither a timeout nor a broken connection.
+                while not self._gate.open.is_set():
+                    try:
+                        yield from self._gate.open.wait().__await__()
+                    except BaseException as later:
+                        argument = later
+                        break
 
 
 async def _run_gated(work, gate):
--- a/features/steps/share_model.py
+++ b/features/steps/share_model.py
@@ -19,6 +19,7 @@
 from balsamrail.steering.region_epochs import RegionEpochs
 from balsamrail.steering.resources import totals_of
 from balsamrail.steering.share_epoch import decode_epoch
+from balsamrail.steering.share_fence import ShareFence
 from balsamrail.steering.share_ledger import ShareLedger
 from balsamrail.steering.share_lending import ShareLending
 
@@ -46,6 +47,9 @@
             store=WriterStore(model.store, name),
             ledger=self.ledger,
             deal=lambda region, epoch: {},
+            fence=ShareFence(
+                ledger_by_region={REGION: self.ledger}, known_epochs=dict, enabled=False, **parts
+            ),
             **parts,
         )
         network = parts['network']
--- a/features/steps/steering_fakes.py
+++ b/features/steps/steering_fakes.py
@@ -113,6 +113,8 @@
 
 
 class FakeMembers:
+    grace_s = 60
+
     def __init__(self, fleet, host):
         self._fleet = fleet
         self._host = host
@@ -162,6 +164,7 @@
         self.delay_s = delay_s
         self.lost = lambda sender, receiver, message: False
         self.count = 0
+        self.held_by_paused = {}
 
     def post(self, sender, receiver, message):
         self.count += 1
@@ -172,6 +175,9 @@
             loop.call_later(self.delay_s, self.deliver, sender, receiver, message)
 
     def deliver(self, sender, receiver, message):
+        if receiver in self.held_by_paused:
+            self.held_by_paused[receiver].append((sender, receiver, message))
+            return
         for receive in self.networks[receiver].receivers.get(type(message), []):
             receive(sender, message)
 
--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -14,6 +14,8 @@
 from balsamrail.messages.record_patch import RecordPatch
 from balsamrail.messages.record_request import RecordRequest
 from balsamrail.messages.share_epoch_announce import ShareEpochAnnounce
+from balsamrail.messages.share_epoch_answer import ShareEpochAnswer
+from balsamrail.messages.share_epoch_query import ShareEpochQuery
 from balsamrail.messages.share_given import ShareGiven
 from balsamrail.messages.share_request import ShareRequest
 from balsamrail.messages.share_sealed import ShareSealed
@@ -38,6 +40,8 @@
     'RecordPatch',
     'RecordRequest',
     'ShareEpochAnnounce',
+    'ShareEpochAnswer',
+    'ShareEpochQuery',
     'ShareGiven',
     'ShareRequest',
     'ShareSealed',
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -12,6 +12,8 @@
 from balsamrail.messages.record_patch import RecordPatch
 from balsamrail.messages.record_request import RecordRequest
 from balsamrail.messages.share_epoch_announce import ShareEpochAnnounce
+from balsamrail.messages.share_epoch_answer import ShareEpochAnswer
+from balsamrail.messages.share_epoch_query import ShareEpochQuery
 from balsamrail.messages.share_given import ShareGiven
 from balsamrail.messages.share_request import ShareRequest
 from balsamrail.messages.share_sealed import ShareSealed
@@ -40,6 +42,8 @@
     | TrialCounters
     | WeightsRequest
     | WeightsGiven
+    | ShareEpochQuery
+    | ShareEpochAnswer
 )
 
 # The position in this tuple is the tag on the wire: append only, never reorder.
@@ -63,4 +67,6 @@
     TrialCounters,
     WeightsRequest,
     WeightsGiven,
+    ShareEpochQuery,
+    ShareEpochAnswer,
 )
--- a/src/balsamrail/steering/collaborators.py
+++ b/src/balsamrail/steering/collaborators.py
@@ -18,7 +18,12 @@
 
 
 class MemberView(Protocol):
-    """Gives the members of the fleet as this host sees them."""
+    """Gives the members of the fleet as this host sees them.
+
+    Evidence that a holder is gone has to last for ``grace_s`` seconds to be a proof.
+    """
+
+    grace_s: float
 
     def alive(self) -> list[Member]:
         """Return the members that are alive or only suspected."""
--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import partial
 from random import Random
 from typing import Any
 
@@ -12,9 +11,9 @@
 from balsamrail.membership.network import Network
 from balsamrail.steering.admission import Admission
 from balsamrail.steering.attempt import Attempt
-from balsamrail.steering.attempt_result import AttemptResult
 from balsamrail.steering.collaborators import DeclarationSource, MemberView
 from balsamrail.steering.pickers import Pickers
+from balsamrail.steering.placement import Placement
 from balsamrail.steering.plans import Plans
 from balsamrail.steering.region_choice import RegionChoice
 from balsamrail.steering.region_watch import RegionWatch
@@ -23,12 +22,10 @@
 from balsamrail.steering.share_gate import ShareGate
 from balsamrail.steering.share_lending import ShareLending
 from balsamrail.steering.shed_meter import ShedMeter
-from balsamrail.steering.spill_limiter import SpillLimiter
 from balsamrail.steering.target_prober import TargetProber
 from balsamrail.store import Store
 
 _TICK_S = 0.5
-_FAILING_BELOW = 0.5
 _NO_ADDRESS: frozenset[str] = frozenset()
 
 
@@ -48,10 +45,10 @@
         '_environment',
         '_members',
         '_meter_by_service',
+        '_placement',
         '_plans',
         '_prober',
         '_random',
-        '_spill_by_service',
         '_tracker',
         '_watch',
         'epochs',
@@ -106,8 +103,15 @@
         self._watch = RegionWatch(members=members, pickers=self.pickers)
         self._choice = RegionChoice(weights=self.weights, random=self._random)
         self._plans = Plans()
+        self._placement = Placement(
+            environment=environment,
+            choice=self._choice,
+            pickers=self.pickers,
+            gate=self.gate,
+            fence=self.epochs.fence,
+            lending=self.lending,
+        )
         self._meter_by_service: dict[str, ShedMeter] = {}
-        self._spill_by_service: dict[str, SpillLimiter] = {}
         tracker.subscribe(self._on_change)
         self._on_change()
 
@@ -138,11 +142,14 @@
             now=self._environment.clock.monotonic(),
         )
         meter = self._meter_by_service.setdefault(service, ShedMeter(now=attempt.now))
-        admission, is_short = self._try_regions(attempt)
+        admission, is_short = self._placement.place(attempt)
         if admission is not None:
             meter.admit(now=attempt.now)
             return admission
         retry_after_s = meter.shed(now=attempt.now)
+        if self.epochs.fence.is_suspended():
+            # Confirmation takes seconds, whatever the demand.
+            retry_after_s = 1
         self._environment.metrics.count('requests_shed')
         if is_short:
             raise OverloadedError(
@@ -161,6 +168,22 @@
             plan=self._plans.get(declaration), service=service, nearest=nearest
         )
 
+    def has_share(self, service: str) -> bool:
+        """Return whether this host may run requests of ``service`` in any region.
+
+        A host that started while the store is down, or that waits for confirmation of its
+        epochs, may not.
+        """
+        try:
+            plan = self._plans.get(self._tracker.accepted())
+        except NotReadyError:
+            return False
+        return any(
+            self.gate.has_share(plan.cost(service=service, region=region), region=region)
+            and not self.epochs.fence.is_closed(region)
+            for region in plan.regions(service=service)
+        )
+
     async def run(self) -> None:
         """Run epochs, lending, probes and weights until cancelled."""
         async with asyncio.TaskGroup() as tasks:
@@ -188,6 +211,7 @@
         """Return the state as plain data."""
         return {
             'shares': self.epochs.dump(),
+            'fence': self.epochs.fence.dump(),
             'lending': self.lending.dump(),
             'weights': self.weights.dump(),
             'failed': self._watch.dump(),
@@ -200,62 +224,6 @@
         except NotReadyError:
             return
 
-    def _try_regions(self, attempt: Attempt) -> tuple[Admission | None, bool]:
-        """Return the admission if a region gives one, and whether share was short."""
-        spill = self._spill_by_service.setdefault(attempt.service, SpillLimiter())
-        if not attempt.tried:
-            spill.count(now=attempt.now, cap=attempt.cap)
-        is_short = False
-        for region, is_spill in self._choice.for_request(
-            plan=attempt.plan,
-            service=attempt.service,
-            own=self._environment.settings.region,
-            is_failing=partial(self._is_failing, attempt),
-        ):
-            # A further try of a request that already spilled over is not counted again.
-            counts = is_spill and not attempt.tried
-            if counts and not spill.allows(now=attempt.now, cap=attempt.cap):
-                is_short = True
-                continue
-            shortage = self.gate.shortage(attempt, region=region)
-            if shortage:
-                is_short = True
-                self._request(shortage)
-                continue
-            admission = self._try_targets(attempt, region=region)
-            if admission is not None:
-                if counts:
-                    spill.spill(now=attempt.now, cap=attempt.cap)
-                return admission, False
-        return None, is_short
-
-    def _is_failing(self, attempt: Attempt, region: str) -> bool:
-        """Return whether most targets fail, of which only half are ejected."""
-        targets = attempt.plan.targets(service=attempt.service, region=region)
-        picker = self.pickers.get(service=attempt.service, region=region)
-        return picker.usable_fraction(targets, now=attempt.now) < _FAILING_BELOW
-
-    def _try_targets(self, attempt: Attempt, *, region: str) -> Admission | None:
-        picker = self.pickers.get(service=attempt.service, region=region)
-        candidates = self.pickers.candidates(
-            plan=attempt.plan, service=attempt.service, region=region
-        )
-        addresses = [address for address in candidates if attempt.allows(address)]
-        # Slots that no other host uses come first, however old the reports of load are.
-        dealt = self.gate.dealt(addresses, service=attempt.service, region=region)
-        target = picker.pick(dealt, now=attempt.now) or picker.pick(addresses, now=attempt.now)
-        if target is None:
-            return None
-        cost = self.gate.take(attempt, region=region, address=target.address)
-        self._request(self.gate.low_water(cost, region=region))
-        release = partial(
-            self._release,
-            finish=partial(picker.finish, picker.start(target.address)),
-            cost=cost,
-            region=region,
-        )
-        return Admission(target=target, region=region, release=release)
-
     def _top_up(self, declaration: Declaration, *, service: str) -> None:
         """Borrow in advance for the region of the next request and for those in use."""
         plan = self._plans.get(declaration)
@@ -266,23 +234,5 @@
         for region, is_spill in order:
             if not is_spill or self.gate.is_used(service=service, region=region):
                 cost = plan.cost(service=service, region=region)
-                self._request(self.gate.low_water(cost, region=region))
-
-    def _request(self, shortage: dict[str, dict[str, int]]) -> None:
-        for region, missing in shortage.items():
-            self.lending.request(region, missing)
-
-    def _release(
-        self,
-        result: AttemptResult,
-        latency_s: float,
-        *,
-        finish: Callable[..., bool],
-        cost: dict[str, int],
-        region: str,
-    ) -> None:
-        self.gate.give_back(cost, region=region)
-        self._environment.metrics.record('attempt', latency_s)
-        if finish(result, now=self._environment.clock.monotonic()):
-            self._environment.metrics.count('ejections')
-            self._environment.log.event('target_ejected', region=region)
+                for place, missing in self.gate.low_water(cost, region=region).items():
+                    self.lending.request(place, missing)
--- a/src/balsamrail/steering/share_epochs.py
+++ b/src/balsamrail/steering/share_epochs.py
@@ -12,6 +12,7 @@
 from balsamrail.steering.collaborators import DeclarationSource, MemberView
 from balsamrail.steering.region_epochs import RegionEpochs
 from balsamrail.steering.share_epoch import ShareEpoch
+from balsamrail.steering.share_fence import ShareFence
 from balsamrail.steering.share_ledger import ShareLedger
 from balsamrail.store import Store
 
@@ -35,6 +36,7 @@
         '_random',
         '_store',
         '_tracker',
+        'fence',
     )
 
     def __init__(
@@ -58,6 +60,14 @@
         self._random = random
         self._deal = deal
         self._epochs_by_region: dict[str, RegionEpochs] = {}
+        self.fence = ShareFence(
+            environment=environment,
+            members=members,
+            network=network,
+            ledger_by_region=ledger_by_region,
+            random=random,
+            known_epochs=self._known_epochs,
+        )
         network.subscribe(ShareEpochAnnounce, self._on_announce)
         network.subscribe(ShareSealed, self._on_sealed)
         network.subscribe(Heartbeat, self._on_heartbeat)
@@ -65,6 +75,7 @@
     async def run(self) -> None:
         """Follow each region until cancelled; a region that the declaration drops stays."""
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.fence.run())
             while True:
                 known = self._epochs_by_region.keys()
                 added = [name for name in self._declared_regions() if name not in known]
@@ -80,6 +91,9 @@
         """Return the state as plain data."""
         return {region: ledger.dump() for region, ledger in self._ledger_by_region.items()}
 
+    def _known_epochs(self) -> dict[str, int]:
+        return {region: epochs.known_epoch() for region, epochs in self._epochs_by_region.items()}
+
     def _declared_regions(self) -> list[str]:
         try:
             return list(self._tracker.accepted().regions)
@@ -98,6 +112,7 @@
             network=self._network,
             store=self._store,
             ledger=ledger,
+            fence=self.fence,
             random=self._random,
             deal=self._deal,
         )
--- a/src/balsamrail/steering/share_gate.py
+++ b/src/balsamrail/steering/share_gate.py
@@ -96,6 +96,13 @@
         }
         return {region: low} if low else {}
 
+    def has_share(self, cost: dict[str, int], *, region: str) -> bool:
+        """Return whether the held share covers ``cost`` while no request is in flight."""
+        ledger = self.ledger_by_region.get(region)
+        return ledger is not None and all(
+            ledger.held(resource) >= amount for resource, amount in cost.items()
+        )
+
     def is_used(self, *, service: str, region: str) -> bool:
         """Return whether requests of a service are in flight in a region."""
         ledger = self.ledger_by_region.get(region)
--- a/src/balsamrail/steering/share_lending.py
+++ b/src/balsamrail/steering/share_lending.py
@@ -1,9 +1,6 @@
 """Lending of shares between hosts."""
 
-import asyncio
-import contextlib
 import math
-from collections import deque
 from collections.abc import Mapping
 from heapq import nlargest
 from random import Random
@@ -11,8 +8,9 @@
 
 from balsamrail.environment import Environment
 from balsamrail.membership.network import Network
-from balsamrail.messages import Heartbeat, Message, ShareGiven, ShareRequest
+from balsamrail.messages import Heartbeat, ShareGiven, ShareRequest
 from balsamrail.steering.collaborators import MemberView
+from balsamrail.steering.outbox import Outbox
 from balsamrail.steering.resources import THOUSANDTHS
 from balsamrail.steering.share_ledger import ShareLedger
 
@@ -20,7 +18,6 @@
 _LONGEST_PAUSE_S = 2.0
 _PEAK_S = 1.0
 _LENDERS = 2
-_MOST_REPLIES = 1_000
 _MOST_REQUESTS_COUNTED = 16
 # A heartbeat names only a few resources, in turn, so that its size doesn't grow with the
 # declaration.
@@ -40,11 +37,10 @@
         '_is_leaving',
         '_ledger_by_region',
         '_members',
-        '_needed',
         '_network',
+        '_outbox',
         '_pause_by_region',
         '_random',
-        '_replies',
         '_report_from',
         '_shortage_by_region',
         '_spare_by_host',
@@ -65,8 +61,7 @@
         self._network = network
         self._ledger_by_region = ledger_by_region
         self._random = random
-        self._needed = asyncio.Event()
-        self._replies: deque[tuple[str, Message]] = deque(maxlen=_MOST_REPLIES)
+        self._outbox = Outbox(network=network)
         self._shortage_by_region: dict[str, dict[str, int]] = {}
         self._pause_by_region: dict[str, tuple[float, float]] = {}
         self._spare_by_host: dict[str, dict[str, int]] = {}
@@ -102,10 +97,7 @@
         """Send requests and replies until cancelled."""
         asked_at = rolled_at = -math.inf
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_ROUND_S):
-                    await self._needed.wait()
-            self._needed.clear()
+            await self._outbox.wait(_ROUND_S)
             await self.reply()
             now = self._environment.clock.monotonic()
             if now - asked_at >= _ROUND_S:
@@ -118,9 +110,7 @@
 
     async def reply(self) -> None:
         """Send the replies that wait. What they carry is of no use to anybody until then."""
-        while self._replies:
-            host, message = self._replies.popleft()
-            await self._network.send(host, message)
+        await self._outbox.flush()
 
     async def ask(self) -> None:
         """Ask for what is short in each region."""
@@ -217,8 +207,7 @@
         for resource, slots in list(amounts.items()):
             amounts.update(_target_slots(ledger, resource, count=slots // THOUSANDTHS))
         given = self._given(ledger, borrower=message.borrower, amounts=amounts)
-        self._replies.append((host, given))
-        self._needed.set()
+        self._outbox.post(host, given)
 
     def _on_given(self, host: str, message: ShareGiven) -> None:
         ledger = self._ledger_by_region.get(message.region)
