Let requests wait for a loan before they are shed

Loans in advance no longer take the last slot, and admit_soon asks lenders at once and waits up to 150 ms, at most 64 requests a host. Outcomes and loan are split from Router and ShareLending.

The scenario fails without the wait, without the limit of waiting requests and with the former loans in advance.

--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -158,30 +158,43 @@
         emit(f'choice_{choice}_above_slots', bench.highest, 'requests', '', None)
 
 
-async def usable_fraction(*, lending: bool, chosen: Callable[[str], bool]) -> tuple[float, float]:
+async def usable_fraction(
+    *, mode: str, chosen: Callable[[str], bool]
+) -> tuple[float, float, float]:
+    """Return the part in use before the first shed request and in the end, and the longest wait.
+
+    :param mode: ``waiting`` for requests that borrow, ``lending`` or ``no_lending``.
+    """
     from fleet_model import FleetModel
     from steering_fakes import declaration_of
 
     declaration = declaration_of(weights={'attiki': 1})
-    model = FleetModel(declaration, lending=lending)
+    model = FleetModel(declaration, lending=mode != 'no_lending')
     await model.start()
     hosts = [host for host in model.routers if chosen(host)]
     before_shed = running = shed = turn = 0
+    longest_s = 0.0
+    loop = asyncio.get_running_loop()
     # A caller that was shed comes back a second later; it gives up after five times each host.
     while shed < 5 * len(hosts):
         router = model.routers[hosts[turn % len(hosts)]]
         turn += 1
+        started = loop.time()
         try:
-            router.admit(service='diary', declaration=declaration, route=None)
+            if mode == 'waiting':
+                await router.admit_soon(service='diary', declaration=declaration, route=None)
+            else:
+                router.admit(service='diary', declaration=declaration, route=None)
         except NotRunError:
             shed += 1
             await asyncio.sleep(1)
         else:
             running += 1
             before_shed += shed == 0
+            longest_s = max(longest_s, loop.time() - started)
             await asyncio.sleep(0.5)
     await model.stop()
-    return before_shed / (TARGETS * 0.9), running / (TARGETS * 0.9)
+    return before_shed / (TARGETS * 0.9), running / (TARGETS * 0.9), longest_s
 
 
 def measure_lending() -> None:
@@ -191,15 +204,20 @@
         'one_host': lambda host: host == 'attiki-0',
     }
     for name, chosen in demand.items():
-        for lending in (True, False):
+        for mode in ('waiting', 'lending', 'no_lending'):
             loop = async_solipsism.EventLoop()
-            used = loop.run_until_complete(usable_fraction(lending=lending, chosen=chosen))
+            first, used, longest_s = loop.run_until_complete(
+                usable_fraction(mode=mode, chosen=chosen)
+            )
             loop.close()
-            label = 'lending' if lending else 'no_lending'
-            emit(f'before_any_shed_{name}_{label}', used[0], 'fraction', '', None)
-            bound = '>= 0.9' if lending else ''
-            is_ok = used[1] >= 0.9 if lending else None
-            emit(f'with_retries_{name}_{label}', used[1], 'fraction', bound, is_ok)
+            is_bound = mode == 'waiting'
+            bound = '>= 0.9' if is_bound else ''
+            is_ok = first >= 0.9 if is_bound else None
+            emit(f'before_any_shed_{name}_{mode}', first, 'fraction', bound, is_ok)
+            bound = '' if mode == 'no_lending' else '>= 0.9'
+            is_ok = used >= 0.9 if bound else None
+            emit(f'with_retries_{name}_{mode}', used, 'fraction', bound, is_ok)
+            emit(f'longest_wait_{name}_{mode}', longest_s * 1000, 'ms', '', None)
 
 
 if __name__ == '__main__':
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -54,3 +54,11 @@
     This guards against a service that overloads what it depends on.
 
     Then a request with half a call to a service that makes two calls costs 1000, 500 and 1000
+
+  Scenario: A request borrows before it is shed
+    This guards against a host that sheds while others hold free share, and against requests that
+    wait for share without a limit of number or time.
+
+    Given nine hosts of which one or all send to one region
+    Then 90% of its share is in use before the first request is shed
+    And of 200 requests at once that find no share all are shed within 200 ms, most of them at once
--- a/src/balsamrail/steering/attempt.py
+++ b/src/balsamrail/steering/attempt.py
@@ -12,6 +12,7 @@
 
     :param tried: addresses that must not be picked again.
     :param only: addresses that may be picked, all if ``None``.
+    :param counted: whether an earlier look already counted the request against the cap.
     """
 
     plan: Plan
@@ -20,6 +21,7 @@
     tried: frozenset[str]
     only: frozenset[str] | None
     now: float
+    counted: bool = False
 
     @property
     def cap(self) -> Cap:
--- a/src/balsamrail/steering/placement.py
+++ b/src/balsamrail/steering/placement.py
@@ -8,6 +8,7 @@
 from balsamrail.steering.attempt import Attempt
 from balsamrail.steering.attempt_result import AttemptResult
 from balsamrail.steering.pickers import Pickers
+from balsamrail.steering.plan import Plan
 from balsamrail.steering.region_choice import RegionChoice
 from balsamrail.steering.share_fence import ShareFence
 from balsamrail.steering.share_gate import ShareGate
@@ -55,9 +56,7 @@
 
     def place(self, attempt: Attempt) -> tuple[Admission | None, bool]:
         """Return the admission if a region gives one, and whether share was short."""
-        spill = self._spill_by_service.setdefault(attempt.service, SpillLimiter())
-        if not attempt.tried:
-            spill.count(now=attempt.now, cap=attempt.cap)
+        spill = self._count(attempt)
         is_short = False
         for region, is_spill in self._choice.for_request(
             plan=attempt.plan,
@@ -80,6 +79,25 @@
                 return admission, False
         return None, is_short
 
+    def top_up(self, plan: Plan, *, service: str) -> None:
+        """Borrow in advance for the region of the next request and for those in use."""
+        order = self._choice.for_request(
+            plan=plan,
+            service=service,
+            own=self._environment.settings.region,
+            is_failing=lambda region: False,
+        )
+        for region, is_spill in order:
+            if not is_spill or self._gate.is_used(service=service, region=region):
+                cost = plan.cost(service=service, region=region)
+                self._request(self._gate.low_water(cost, region=region))
+
+    def _count(self, attempt: Attempt) -> SpillLimiter:
+        spill = self._spill_by_service.setdefault(attempt.service, SpillLimiter())
+        if not attempt.tried and not attempt.counted:
+            spill.count(now=attempt.now, cap=attempt.cap)
+        return spill
+
     def _is_short(self, attempt: Attempt, *, region: str) -> bool:
         # The share of a link to another region is held with the own region.
         if any(map(self._fence.is_closed, (region, self._environment.settings.region))):
--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -2,16 +2,18 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any
 
 from balsamrail.configuration import Declaration, Route
 from balsamrail.environment import Environment
-from balsamrail.errors import NoTargetError, NotReadyError, OverloadedError, UnknownServiceError
+from balsamrail.errors import NotReadyError, UnknownServiceError
 from balsamrail.membership.network import Network
 from balsamrail.steering.admission import Admission
 from balsamrail.steering.attempt import Attempt
 from balsamrail.steering.collaborators import DeclarationSource, MemberView
+from balsamrail.steering.outcomes import Outcomes
 from balsamrail.steering.pickers import Pickers
 from balsamrail.steering.placement import Placement
 from balsamrail.steering.plans import Plans
@@ -21,11 +23,14 @@
 from balsamrail.steering.share_epochs import ShareEpochs
 from balsamrail.steering.share_gate import ShareGate
 from balsamrail.steering.share_lending import ShareLending
-from balsamrail.steering.shed_meter import ShedMeter
 from balsamrail.steering.target_prober import TargetProber
 from balsamrail.store import Store
 
 _TICK_S = 0.5
+# Two round trips between regions that are 35 ms apart.
+_BORROW_S = 0.15
+# A shorter wait may not move the loop's clock at all.
+_SHORTEST_S = 0.001
 _NO_ADDRESS: frozenset[str] = frozenset()
 
 
@@ -43,8 +48,7 @@
     __slots__ = (
         '_choice',
         '_environment',
-        '_members',
-        '_meter_by_service',
+        '_outcomes',
         '_placement',
         '_plans',
         '_prober',
@@ -71,7 +75,6 @@
     ) -> None:
         self._environment = environment
         self._tracker = tracker
-        self._members = members
         self._random = random or Random()
         self.gate = ShareGate(environment=environment)
         self.lending = ShareLending(
@@ -111,7 +114,7 @@
             fence=self.epochs.fence,
             lending=self.lending,
         )
-        self._meter_by_service: dict[str, ShedMeter] = {}
+        self._outcomes = Outcomes(environment=environment, fence=self.epochs.fence)
         tracker.subscribe(self._on_change)
         self._on_change()
 
@@ -131,33 +134,36 @@
         :raises OverloadedError: if no region's held share covers the request.
         :raises NoTargetError: if shares cover it but no target takes work.
         """
-        if service not in declaration.services:
-            raise UnknownServiceError(detail=f'there is no service {service}')
-        attempt = Attempt(
-            plan=self._plans.get(declaration),
-            service=service,
-            route=route,
-            tried=tried,
-            only=only,
-            now=self._environment.clock.monotonic(),
-        )
-        meter = self._meter_by_service.setdefault(service, ShedMeter(now=attempt.now))
+        attempt = self._attempt(service, declaration, route, tried=tried, only=only)
         admission, is_short = self._placement.place(attempt)
-        if admission is not None:
-            meter.admit(now=attempt.now)
-            return admission
-        retry_after_s = meter.shed(now=attempt.now)
-        if self.epochs.fence.is_suspended():
-            # Confirmation takes seconds, whatever the demand.
-            retry_after_s = 1
-        self._environment.metrics.count('requests_shed')
-        if is_short:
-            raise OverloadedError(
-                detail=f'no share left for {service}', retry_after_s=retry_after_s
-            )
-        raise NoTargetError(
-            detail=f'no target of {service} takes work', retry_after_s=retry_after_s
-        )
+        return self._outcomes.settle(attempt, admission, is_short=is_short)
+
+    async def admit_soon(
+        self,
+        *,
+        service: str,
+        declaration: Declaration,
+        route: Route | None,
+        tried: frozenset[str] = _NO_ADDRESS,
+        only: frozenset[str] | None = None,
+        limit_s: float = _BORROW_S,
+    ) -> Admission:
+        """Like :meth:`admit`, but borrow from other hosts if the own share is short.
+
+        :param limit_s: how long to wait for other hosts, in seconds.
+        :raises OverloadedError: also if 64 requests wait already.
+        """
+        attempt = self._attempt(service, declaration, route, tried=tried, only=only)
+        admission, is_short = self._placement.place(attempt)
+        until = attempt.now + limit_s
+        while admission is None and is_short and not self.epochs.fence.is_suspended():
+            left_s = until - self._environment.clock.monotonic()
+            if left_s < _SHORTEST_S or not await self.lending.wait(left_s):
+                break
+            now = self._environment.clock.monotonic()
+            attempt = replace(attempt, now=now, counted=True)
+            admission, is_short = self._placement.place(attempt)
+        return self._outcomes.settle(attempt, admission, is_short=is_short)
 
     def region_order(self, *, service: str, declaration: Declaration, nearest: str) -> list[str]:
         """Return the regions that a caller should use, the best first.
@@ -184,6 +190,26 @@
             for region in plan.regions(service=service)
         )
 
+    def _attempt(
+        self,
+        service: str,
+        declaration: Declaration,
+        route: Route | None,
+        *,
+        tried: frozenset[str],
+        only: frozenset[str] | None,
+    ) -> Attempt:
+        if service not in declaration.services:
+            raise UnknownServiceError(detail=f'there is no service {service}')
+        return Attempt(
+            plan=self._plans.get(declaration),
+            service=service,
+            route=route,
+            tried=tried,
+            only=only,
+            now=self._environment.clock.monotonic(),
+        )
+
     async def run(self) -> None:
         """Run epochs, lending, probes and weights until cancelled."""
         async with asyncio.TaskGroup() as tasks:
@@ -205,7 +231,7 @@
         failed = self._watch.step(plan=plan, now=self._environment.clock.monotonic())
         self.weights.step(plan=plan, failed_by_service=failed)
         for service in plan.declaration.services:
-            self._top_up(plan.declaration, service=service)
+            self._placement.top_up(plan, service=service)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
@@ -223,16 +249,3 @@
             self.pickers.update(self._plans.get(self._tracker.accepted()))
         except NotReadyError:
             return
-
-    def _top_up(self, declaration: Declaration, *, service: str) -> None:
-        """Borrow in advance for the region of the next request and for those in use."""
-        plan = self._plans.get(declaration)
-        own = self._environment.settings.region
-        order = self._choice.for_request(
-            plan=plan, service=service, own=own, is_failing=lambda region: False
-        )
-        for region, is_spill in order:
-            if not is_spill or self.gate.is_used(service=service, region=region):
-                cost = plan.cost(service=service, region=region)
-                for place, missing in self.gate.low_water(cost, region=region).items():
-                    self.lending.request(place, missing)
--- a/src/balsamrail/steering/share_gate.py
+++ b/src/balsamrail/steering/share_gate.py
@@ -16,7 +16,8 @@
 _DEFAULT_KBIT = 64
 # More is borrowed before the share runs out, since a request that finds none is shed.
 _LOW_WATER = 0.5
-# Less than a whole slot tells the lender that the borrower is idle.
+# Less than a whole slot tells the lender that no request was short. A busy host that took the last
+# slot of idle ones in advance would leave their first requests without any.
 _IN_ADVANCE = THOUSANDTHS - 1
 
 
@@ -89,7 +90,7 @@
         if ledger is None:
             return {}
         low = {
-            resource: amount if ledger.in_use(resource) else min(amount, _IN_ADVANCE)
+            resource: min(amount, _IN_ADVANCE)
             for resource, amount in cost.items()
             if resource.startswith('slots/')
             and ledger.spare(resource) < max(amount, ledger.held(resource) * _LOW_WATER)
--- a/src/balsamrail/steering/share_lending.py
+++ b/src/balsamrail/steering/share_lending.py
@@ -1,5 +1,7 @@
 """Lending of shares between hosts."""
 
+import asyncio
+import contextlib
 import math
 from collections.abc import Mapping
 from heapq import nlargest
@@ -10,14 +12,17 @@
 from balsamrail.membership.network import Network
 from balsamrail.messages import Heartbeat, ShareGiven, ShareRequest
 from balsamrail.steering.collaborators import MemberView
+from balsamrail.steering.loan import loan
 from balsamrail.steering.outbox import Outbox
-from balsamrail.steering.resources import THOUSANDTHS
 from balsamrail.steering.share_ledger import ShareLedger
 
 _ROUND_S = 0.1
 _LONGEST_PAUSE_S = 2.0
 _PEAK_S = 1.0
 _LENDERS = 2
+# A request that waits allows two or three rounds, each as long as a round trip between regions.
+_WAITING_ROUND_S = 0.04
+_MOST_WAITING = 64
 _MOST_REQUESTS_COUNTED = 16
 # A heartbeat names only a few resources, in turn, so that its size doesn't grow with the
 # declaration.
@@ -33,17 +38,19 @@
     """
 
     __slots__ = (
+        '_arrived',
         '_environment',
         '_is_leaving',
         '_ledger_by_region',
         '_members',
         '_network',
         '_outbox',
-        '_pause_by_region',
+        '_pause_by_place',
         '_random',
         '_report_from',
         '_shortage_by_region',
         '_spare_by_host',
+        '_waiting',
         'enabled',
     )
 
@@ -63,9 +70,11 @@
         self._random = random
         self._outbox = Outbox(network=network)
         self._shortage_by_region: dict[str, dict[str, int]] = {}
-        self._pause_by_region: dict[str, tuple[float, float]] = {}
+        self._pause_by_place: dict[tuple[str, bool], tuple[float, float]] = {}
         self._spare_by_host: dict[str, dict[str, int]] = {}
         self._report_from = 0
+        self._arrived = asyncio.Event()
+        self._waiting = 0
         self._is_leaving = False
         self.enabled = True
         network.subscribe(ShareRequest, self._on_request)
@@ -78,6 +87,25 @@
         for resource, amount in shortage.items():
             noted[resource] = min(noted.get(resource, 0) + amount, amount * _MOST_REQUESTS_COUNTED)
 
+    async def wait(self, limit_s: float) -> bool:
+        """Ask at once for what is short, and wait for share or for the next round to ask in.
+
+        At most 64 requests wait at a time; a further one gets ``False`` at once.
+
+        :param limit_s: the longest wait in seconds.
+        """
+        if self._waiting >= _MOST_WAITING or not self.enabled:
+            return False
+        self._waiting += 1
+        self._outbox.wake()
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(limit_s, _WAITING_ROUND_S)):
+                    await self._arrived.wait()
+        finally:
+            self._waiting -= 1
+        return True
+
     def spare_by_resource(self) -> dict[str, int]:
         """Return spare share for the next heartbeat, a few resources at a time."""
         spare = [
@@ -97,10 +125,10 @@
         """Send requests and replies until cancelled."""
         asked_at = rolled_at = -math.inf
         while True:
-            await self._outbox.wait(_ROUND_S)
+            await self._outbox.wait(_WAITING_ROUND_S if self._waiting else _ROUND_S)
             await self.reply()
             now = self._environment.clock.monotonic()
-            if now - asked_at >= _ROUND_S:
+            if self._waiting or now - asked_at >= _ROUND_S:
                 asked_at = now
                 await self.ask()
             if now - rolled_at >= _PEAK_S:
@@ -141,7 +169,9 @@
     async def _ask(self, region: str) -> None:
         ledger = self._ledger_by_region[region]
         now = self._environment.clock.monotonic()
-        not_before, pause_s = self._pause_by_region.get(region, (0, _ROUND_S))
+        is_waiting = self._waiting > 0
+        first_s = _WAITING_ROUND_S if is_waiting else _ROUND_S
+        not_before, pause_s = self._pause_by_place.get((region, is_waiting), (0, first_s))
         if not self.enabled or self._is_leaving or ledger.sealed or not ledger.listed:
             self._shortage_by_region.pop(region)
             return
@@ -149,7 +179,8 @@
             return
         shortage = self._shortage_by_region.pop(region)
         # The pause grows with each round and is reset when share arrives.
-        self._pause_by_region[region] = (now + pause_s, min(_LONGEST_PAUSE_S, 2 * pause_s))
+        next_s = min(_LONGEST_PAUSE_S, 2 * pause_s)
+        self._pause_by_place[region, is_waiting] = (now + pause_s, next_s)
         for host in self._lenders(shortage):
             self._environment.metrics.count('share_requests')
             await self._network.send(
@@ -195,17 +226,7 @@
         ledger = self._ledger_by_region.get(message.region)
         if ledger is None or ledger.epoch != message.epoch or not self.enabled:
             return
-        amounts = {
-            resource: _whole(
-                resource,
-                asked=asked,
-                free=ledger.lendable(resource),
-                is_idle=ledger.lendable(resource) == ledger.held(resource),
-            )
-            for resource, asked in message.amount_by_resource.items()
-        }
-        for resource, slots in list(amounts.items()):
-            amounts.update(_target_slots(ledger, resource, count=slots // THOUSANDTHS))
+        amounts = loan(ledger, message.amount_by_resource)
         given = self._given(ledger, borrower=message.borrower, amounts=amounts)
         self._outbox.post(host, given)
 
@@ -218,40 +239,11 @@
             lender=message.lender, epoch=message.epoch, totals=message.total_by_resource
         )
         if accepted and ledger.all_held() != before:
-            self._pause_by_region.pop(message.region, None)
+            self._pause_by_place.pop((message.region, False), None)
+            self._pause_by_place.pop((message.region, True), None)
+            self._arrived.set()
+            self._arrived = asyncio.Event()
 
     def _on_heartbeat(self, host: str, message: Heartbeat) -> None:
         noted = self._spare_by_host.setdefault(host, {})
         noted.update(message.spare_by_resource)
-
-
-def _whole(resource: str, *, asked: int, free: int, is_idle: bool) -> int:
-    """Return what to give of ``free``: half of it, in whole slots.
-
-    A part of a slot runs no request, so parts would only be lost for both hosts. The last free
-    slot is given only by an idle host and to one that is not: idle hosts, which ask for less than a
-    whole slot, would otherwise pass it back and forth.
-    """
-    if not resource.startswith('slots/'):
-        return min(asked, free // 2)
-    wanted = math.ceil(asked / THOUSANDTHS) * THOUSANDTHS
-    half = free // 2 // THOUSANDTHS * THOUSANDTHS
-    if half == 0 and is_idle and asked >= THOUSANDTHS and free >= THOUSANDTHS:
-        half = THOUSANDTHS
-    return min(wanted, half)
-
-
-def _target_slots(ledger: ShareLedger, resource: str, *, count: int) -> dict[str, int]:
-    """Return target slots that go with ``count`` slots of a service, free ones first."""
-    kind, _, place = resource.partition('/')
-    if kind != 'slots':
-        return {}
-    service = place.partition('/')[0]
-    prefix = f'target/{service}/'
-    given: dict[str, int] = {}
-    for name in ledger.all_held():
-        most = min(count, ledger.spare(name)) if name.startswith(prefix) else 0
-        if most > 0:
-            given[name] = most
-            count -= most
-    return given
