Check has_share in the scenarios of the fence

Nothing tested that has_share is false at a host that started while the store is down or that waits for confirmation. The scenarios of share_fence.feature check it now, and fail if has_share leaves the fence out.

--- a/features/steps/share_fence_steps.py
+++ b/features/steps/share_fence_steps.py
@@ -66,6 +66,7 @@
         model.store.down = state == 'down'
         model.fleet.gone.clear()
         model.wake(HOST)
+        assert not model.routers[HOST].has_share('diary')
         errors = []
         for _ in range(duration_s * 10):
             try:
@@ -98,8 +99,13 @@
 @given('nine hosts with the store down')
 def step_outage(context):
     async def start():
-        model = make_model()
+        model = make_model(store_down=True)
         await model.start()
+        # Lookups don't name hosts that started while the store is down.
+        assert not any(router.has_share('diary') for router in model.routers.values())
+        model.store.down = False
+        await asyncio.sleep(15)
+        assert model.routers[HOST].has_share('diary')
         model.store.down = True
         return model
 
--- a/src/balsamrail/steering/router.py
+++ b/src/balsamrail/steering/router.py
@@ -52,7 +52,6 @@
         '_placement',
         '_plans',
         '_prober',
-        '_random',
         '_tracker',
         '_watch',
         'epochs',
@@ -75,16 +74,16 @@
     ) -> None:
         self._environment = environment
         self._tracker = tracker
-        self._random = random or Random()
+        chance = random or Random()
         self.gate = ShareGate(environment=environment)
         self.lending = ShareLending(
             environment=environment,
             members=members,
             network=network,
             ledger_by_region=self.gate.ledger_by_region,
-            random=self._random,
+            random=chance,
         )
-        self.pickers = Pickers(environment=environment, members=members, random=self._random)
+        self.pickers = Pickers(environment=environment, members=members, random=chance)
         self.epochs = ShareEpochs(
             environment=environment,
             tracker=tracker,
@@ -92,7 +91,7 @@
             network=network,
             store=store,
             ledger_by_region=self.gate.ledger_by_region,
-            random=self._random,
+            random=chance,
             deal=self.pickers.deal,
         )
         self.weights = ServiceWeights(environment=environment, members=members, network=network)
@@ -104,7 +103,7 @@
             fetch=fetch,
         )
         self._watch = RegionWatch(members=members, pickers=self.pickers)
-        self._choice = RegionChoice(weights=self.weights, random=self._random)
+        self._choice = RegionChoice(weights=self.weights, random=chance)
         self._plans = Plans()
         self._placement = Placement(
             environment=environment,
