--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -64,7 +64,7 @@
     def for_caller(self, caller):
         return 1, self.declaration
 
-    def admit(self, **choice):
+    async def admit_soon(self, **choice):
         return self
 
     def close(self, result, *, latency_s=0):
--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -160,30 +160,43 @@
         yield Figure(name=f'{name}_above_slots', value=bench.highest, unit='requests')
 
 
-async def usable_fraction(*, lending: bool, chosen: Callable[[str], bool]) -> tuple[float, float]:
+async def usable_fraction(
+    *, mode: str, chosen: Callable[[str], bool]
+) -> tuple[float, float, float]:
+    """Return the part in use before the first shed request and in the end, and the longest wait.
+
+    :param mode: ``waiting`` for requests that borrow, ``lending`` or ``no_lending``.
+    """
     from fleet_model import FleetModel
     from steering_fakes import declaration_of
 
     declaration = declaration_of(weights={'attiki': 1})
-    model = FleetModel(declaration, lending=lending)
+    model = FleetModel(declaration, lending=mode != 'no_lending')
     await model.start()
     hosts = [host for host in model.routers if chosen(host)]
     before_shed = running = shed = turn = 0
+    longest_s = 0.0
+    loop = asyncio.get_running_loop()
     # A caller that was shed comes back a second later; it gives up after five times each host.
     while shed < 5 * len(hosts):
         router = model.routers[hosts[turn % len(hosts)]]
         turn += 1
+        started = loop.time()
         try:
-            router.admit(service='diary', declaration=declaration, route=None)
+            if mode == 'waiting':
+                await router.admit_soon(service='diary', declaration=declaration, route=None)
+            else:
+                router.admit(service='diary', declaration=declaration, route=None)
         except NotRunError:
             shed += 1
             await asyncio.sleep(1)
         else:
             running += 1
             before_shed += shed == 0
+            longest_s = max(longest_s, loop.time() - started)
             await asyncio.sleep(0.5)
     await model.stop()
-    return before_shed / (TARGETS * 0.9), running / (TARGETS * 0.9)
+    return before_shed / (TARGETS * 0.9), running / (TARGETS * 0.9), longest_s
 
 
 def measure_lending() -> Iterator[Figure]:
@@ -194,21 +207,29 @@
         'one_host': lambda host: host == 'attiki-0',
     }
     for name, chosen in demand.items():
-        for lending in (True, False):
+        for mode in ('waiting', 'lending', 'no_lending'):
             loop = async_solipsism.EventLoop()
-            used = loop.run_until_complete(usable_fraction(lending=lending, chosen=chosen))
+            first, used, longest_s = loop.run_until_complete(
+                usable_fraction(mode=mode, chosen=chosen)
+            )
             loop.close()
-            label = 'lending' if lending else 'no_lending'
             yield Figure(
-                name=f'steering.before_any_shed_{name}_{label}', value=used[0], unit='fraction'
+                name=f'steering.before_any_shed_{name}_{mode}',
+                value=first,
+                unit='fraction',
+                bound=0.9 if mode == 'waiting' else None,
+                at_least=True,
             )
             yield Figure(
-                name=f'steering.with_retries_{name}_{label}',
-                value=used[1],
+                name=f'steering.with_retries_{name}_{mode}',
+                value=used,
                 unit='fraction',
-                bound=0.9 if lending else None,
+                bound=None if mode == 'no_lending' else 0.9,
                 at_least=True,
             )
+            yield Figure(
+                name=f'steering.longest_wait_{name}_{mode}', value=longest_s * 1_000, unit='ms'
+            )
 
 
 def run() -> Iterator[Figure]:
--- a/features/steps/forwarding_parts.py
+++ b/features/steps/forwarding_parts.py
@@ -62,7 +62,7 @@
         self.admissions = []
         self.refusal = None
 
-    def admit(self, *, service, declaration, route, tried=frozenset(), only=None):
+    async def admit_soon(self, *, service, declaration, route, tried=frozenset(), limit_s=0):
         if self.refusal is not None:
             raise self.refusal
         for target in declaration.services[service].targets:
--- a/src/balsamrail/forwarding/attempts.py
+++ b/src/balsamrail/forwarding/attempts.py
@@ -21,6 +21,8 @@
 
 _FIRST_PAUSE_S = 0.01
 _LONGEST_PAUSE_S = 0.2
+# Two one-way delays between regions and a lender's answer; longer waits would form a queue.
+_LONGEST_BORROWING_S = 0.15
 
 
 class Attempts:
@@ -69,7 +71,7 @@
         pause_s = _FIRST_PAUSE_S
         while True:
             try:
-                admission = self._admit(plan, progress)
+                admission = await self._admit(plan, progress)
             except NotRunError as refusal:
                 raise not_admitted(refusal, progress)
             try:
@@ -96,16 +98,18 @@
             return False
         return budget.take_retry()
 
-    def _admit(self, plan: Plan, progress: Progress) -> Admitted:
+    async def _admit(self, plan: Plan, progress: Progress) -> Admitted:
         while True:
-            if self._environment.clock.monotonic() >= plan.deadline:
+            left_s = plan.deadline - self._environment.clock.monotonic()
+            if left_s <= 0:
                 raise DeadlineExpiredError(detail='the deadline passed before a target was asked')
             self._crashes.check(plan.fingerprint, limit=plan.service.crash_limit)
-            admission = self._router.admit(
+            admission = await self._router.admit_soon(
                 service=plan.request.service,
                 declaration=plan.declaration,
                 route=plan.route,
                 tried=frozenset(progress.tried),
+                limit_s=min(left_s, _LONGEST_BORROWING_S),
             )
             address = admission.target.address
             if address in progress.tried:
--- a/src/balsamrail/forwarding/collaborators.py
+++ b/src/balsamrail/forwarding/collaborators.py
@@ -28,7 +28,7 @@
 class Admissions(Protocol):
     """The router."""
 
-    def admit(
+    async def admit_soon(
         self,
         *,
         service: str,
@@ -36,8 +36,12 @@
         route: Route,
         tried: frozenset[str] = ...,
         only: frozenset[str] | None = ...,
+        limit_s: float = ...,
     ) -> Admitted:
-        """Choose a target that is not in ``tried`` and take the shares for it."""
+        """Choose a target that is not in ``tried`` and take the shares for it.
+
+        :param limit_s: how long to wait for share from other hosts, in seconds.
+        """
 
 
 class KnownMembers(Protocol):
--- a/src/balsamrail/steering/share_gate.py
+++ b/src/balsamrail/steering/share_gate.py
@@ -16,7 +16,8 @@
 _DEFAULT_KBIT = 64
 # More is borrowed before the share runs out, since a request that finds none is shed.
 _LOW_WATER = 0.5
-# Less than a whole slot tells the lender that the borrower is idle.
+# Less than a whole slot tells the lender that no request was short. A busy host that took the last
+# slot of idle ones in advance would leave their first requests without any.
 _IN_ADVANCE = THOUSANDTHS - 1
 
 
@@ -89,13 +90,20 @@
         if ledger is None:
             return {}
         low = {
-            resource: amount if ledger.in_use(resource) else min(amount, _IN_ADVANCE)
+            resource: min(amount, _IN_ADVANCE)
             for resource, amount in cost.items()
             if resource.startswith('slots/')
             and ledger.spare(resource) < max(amount, ledger.held(resource) * _LOW_WATER)
         }
         return {region: low} if low else {}
 
+    def has_share(self, cost: dict[str, int], *, region: str) -> bool:
+        """Return whether the held share covers ``cost`` while no request is in flight."""
+        ledger = self.ledger_by_region.get(region)
+        return ledger is not None and all(
+            ledger.held(resource) >= amount for resource, amount in cost.items()
+        )
+
     def is_used(self, *, service: str, region: str) -> bool:
         """Return whether requests of a service are in flight in a region."""
         ledger = self.ledger_by_region.get(region)
