Mend the check of silent connections

Cause: the scenario told silent connections by id(writer), and Python gives the id of a closed connection to a new one, which then went silent as well. Ruled out: a product fault; the failing lookups were on new connections. Change: the set holds the writers.

--- a/features/steps/forward_handler_steps.py
+++ b/features/steps/forward_handler_steps.py
@@ -299,13 +299,14 @@
 
 
 async def silent():
+    # Holds the writers themselves: an id may be given again to a new connection.
     served = set()
     is_silent = False
 
     async def answer(number, headers, writer):
-        if is_silent and id(writer) in served:
+        if is_silent and writer in served:
             await asyncio.sleep(10)
-        served.add(id(writer))
+        served.add(writer)
         await asyncio.sleep(0.02)
         writer.write(whole())
 
