--- a/features/steps/forward_handler_steps.py
+++ b/features/steps/forward_handler_steps.py
@@ -20,7 +20,13 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from balsamrail.forwarding import Forwarder, ForwardHandler, make_key_prefix, server_arguments
+from balsamrail.forwarding import (
+    Forwarder,
+    ForwardHandler,
+    UnknownPathHandler,
+    make_key_prefix,
+    server_arguments,
+)
 from balsamrail.membership.member import Member
 
 MB = 1_048_576
@@ -39,7 +45,10 @@
             members=Members() if members is None else members,
         )
         self.collaborators = {'forwarder': self.forwarder, 'environment': self.environment}
-        application = Application([(ForwardHandler.pattern, ForwardHandler, self.collaborators)])
+        application = Application(
+            [(ForwardHandler.pattern, ForwardHandler, self.collaborators)],
+            default_handler_class=UnknownPathHandler,
+        )
         self.server = HTTPServer(application, **server_arguments(self.environment.settings.limits))
         sockets = bind_sockets(0, '127.0.0.1')
         self.server.add_sockets(sockets)
@@ -303,9 +312,10 @@
     is_silent = False
 
     async def answer(number, headers, writer):
-        if is_silent and id(writer) in served:
+        # The writers themselves, since the id of a closed one may be used again.
+        if is_silent and writer in served:
             await asyncio.sleep(10)
-        served.add(id(writer))
+        served.add(writer)
         await asyncio.sleep(0.02)
         writer.write(whole())
 
--- a/src/balsamrail/forwarding/__init__.py
+++ b/src/balsamrail/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from balsamrail.forwarding.key_table import KeyTable
 from balsamrail.forwarding.problem import problem_answer
 from balsamrail.forwarding.server_arguments import server_arguments
+from balsamrail.forwarding.unknown_path_handler import UnknownPathHandler
 
 __all__ = (
     'Answer',
@@ -22,6 +23,7 @@
     'ForwardHandler',
     'Forwarder',
     'KeyTable',
+    'UnknownPathHandler',
     'make_key_prefix',
     'problem_answer',
     'server_arguments',
--- a/src/balsamrail/forwarding/claim_part.py
+++ b/src/balsamrail/forwarding/claim_part.py
@@ -162,4 +162,7 @@
 def _decode_claims(value: Any) -> dict[str, tuple[str, float]]:
     if not isinstance(value, dict):
         raise StoreError('a claims object is not a map')
-    return {key: (str(holder), float(expiry)) for key, (holder, expiry) in value.items()}
+    try:
+        return {key: (str(holder), float(expiry)) for key, (holder, expiry) in value.items()}
+    except (TypeError, ValueError) as error:
+        raise StoreError(f'a claim has another form: {error}') from error
--- a/src/balsamrail/forwarding/forward_handler.py
+++ b/src/balsamrail/forwarding/forward_handler.py
@@ -147,7 +147,11 @@
         if size + len(self.request.uri or '') > limits.header_bytes:
             raise HeadersTooLargeError(detail=f'the headers exceed {limits.header_bytes} bytes')
         length = self.request.headers.get('Content-Length', '0')
-        if not length.isdigit() or int(length) > limits.body_bytes:
+        # Other scripts have digits too, and int() refuses a text of thousands of digits.
+        if not length.isascii() or not length.isdigit():
+            raise BadRequestError(detail='Content-Length is not a number')
+        is_long = len(length.lstrip('0')) > len(str(limits.body_bytes))
+        if is_long or int(length) > limits.body_bytes:
             raise TooLargeError(detail=f'the body exceeds {limits.body_bytes} bytes')
         deadline_ms = self.request.headers.get('Deadline-Ms')
         if deadline_ms is not None:
--- a/src/balsamrail/host/application.py
+++ b/src/balsamrail/host/application.py
@@ -10,7 +10,7 @@
 from tornado.web import Application, RequestHandler
 
 from balsamrail.errors import NotReadyError
-from balsamrail.forwarding import problem_answer
+from balsamrail.forwarding import UnknownPathHandler, problem_answer
 
 
 class CallerApplication(Application):
@@ -24,7 +24,9 @@
 
     def __init__(self, *, rules: list[tuple[Any, ...]], ready: Callable[[], bool]) -> None:
         super().__init__(
-            [_counted(rule, application=self) for rule in rules], log_function=_log_nothing
+            [_counted(rule, application=self) for rule in rules],
+            default_handler_class=UnknownPathHandler,
+            log_function=_log_nothing,
         )
         self.ready = ready
         self.in_flight = 0
--- a/src/balsamrail/node.py
+++ b/src/balsamrail/node.py
@@ -10,6 +10,7 @@
 
 from balsamrail.environment import Environment
 from balsamrail.errors import NotReadyError
+from balsamrail.forwarding import server_arguments
 from balsamrail.host import CallerApplication, Parts, PlannedStop, Supervisor, operator_routes
 from balsamrail.membership import PeerServer
 from balsamrail.settings.address import split_address
@@ -125,14 +126,7 @@
         return Application(routes)
 
     def _http_server(self, application: Application) -> HTTPServer:
-        limits = self._environment.settings.limits
-        return HTTPServer(
-            application,
-            # The handlers answer larger headers as a problem; tornado only closes the connection.
-            max_header_size=2 * limits.header_bytes,
-            max_body_size=limits.body_bytes,
-            idle_connection_timeout=limits.connection_age_s,
-        )
+        return HTTPServer(application, **server_arguments(self._environment.settings.limits))
 
     def _listen(self, server: TCPServer, address: str) -> None:
         number, port = split_address(address)
--- a/src/balsamrail/store/_answers.py
+++ b/src/balsamrail/store/_answers.py
@@ -13,7 +13,7 @@
     """
     try:
         decoded = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StoreError(f'the answer is not JSON: {error}') from error
     if not isinstance(decoded, dict):
         raise StoreError('the answer is not a JSON object')
--- a/src/balsamrail/store/http_store.py
+++ b/src/balsamrail/store/http_store.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
-from typing import Any, NoReturn
+from typing import Any, NoReturn, TypeVar
 from urllib.parse import quote, urlencode
 
 from tornado.httpclient import HTTPResponse
@@ -15,6 +15,8 @@
 from balsamrail.store.listed_host import ListedHost
 from balsamrail.store.stored_object import StoredObject
 
+ValueT = TypeVar('ValueT')
+
 
 class HttpStore:
     """The :class:`balsamrail.store.Store` over HTTP, with the timeouts of ``settings.store``.
@@ -75,14 +77,20 @@
         response = await self._connection.get(f'/objects?{query}', kind='list')
         with _checked_fields():
             objects = _expect_ok(response)['objects']
-            return {entry['name']: entry['version'] for entry in objects}
+            return {
+                _expect(entry['name'], str): _expect(entry['version'], int) for entry in objects
+            }
 
     async def list_hosts(self) -> list[ListedHost]:
         """Return the platform's host list, which lags."""
         response = await self._connection.get('/hosts', kind='hosts')
         with _checked_fields():
             return [
-                ListedHost(host=entry['host'], address=entry['address'], state=entry['state'])
+                ListedHost(
+                    host=_expect(entry['host'], str),
+                    address=_expect(entry['address'], str),
+                    state=_expect(entry['state'], str),
+                )
                 for entry in _expect_ok(response)['hosts']
             ]
 
@@ -106,6 +114,12 @@
         raise StoreError(f'the answer has another form: {error}') from error
 
 
+def _expect(value: Any, kind: type[ValueT]) -> ValueT:
+    if type(value) is not kind:
+        raise TypeError(f'{value!r} is not {kind.__name__}')
+    return value
+
+
 def _object_path(name: str) -> str:
     return f'/objects/{quote(name)}'
 
