Share one store, environment and member among the steps

Cause: two in-memory stores, five ways to make an environment and six to make a member stood in the steps and stand-ins. Change: standins/memory_store.py serves both uses, with the fates and the delays of the stricter one; claims now also race with late effects and failed reads. platform_helpers makes settings, environments and members.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -72,7 +72,8 @@
 
 
 async def _book(*, rate: int, grouped: bool) -> tuple[int, list[float]]:
-    store = MemoryStore()
+    # The delay comes before and after the effect of a call.
+    store = MemoryStore(delay_s=0.0025)
     network_by_host: dict[str, _Network] = {}
     desks = [_make_desk(store, host, network_by_host) for host in _HOSTS]
     choose = random.Random(_SEED)
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -15,7 +15,7 @@
 from standins.memory_store import MemoryStore
 
 HOSTS = ['a', 'b', 'c', 'd']
-FATES = ['ok', 'ok', 'refused', 'lost_before', 'lost_after']
+FATES = ['ok', 'ok', 'refused', 'dropped', 'lost', 'late']
 
 
 class DirectNetwork:
@@ -63,8 +63,7 @@
 
 
 async def race(views, plan, fates):
-    remaining = iter(fates)
-    store = MemoryStore(draw=lambda: next(remaining, 'ok'))
+    store = MemoryStore(script=[(0.005, fate) for fate in fates], delay_s=0.005)
     desk_by_host = make_desks(store, views)
 
     async def claim(host, number, delay_ms):
@@ -75,6 +74,7 @@
             return number, None
 
     answers = await asyncio.gather(*(claim(*step) for step in plan))
+    await store.settle()
     holders_by_number = {}
     for number, holder in answers:
         if holder:
@@ -114,7 +114,7 @@
 @when('200 keys of one part are claimed at once through its owner')
 def step_many(context):
     async def claim_all():
-        store = MemoryStore()
+        store = MemoryStore(delay_s=0.005)
         part = ClaimPart(environment=make_environment('a'), store=store, number=1)
         keys = [f'key-{number}' for number in range(200)]
         claims = (part.claim(key, holder='a@1', expiry_wall_s=2e6) for key in keys)
@@ -132,7 +132,7 @@
 @when('a key is claimed while the store is down')
 def step_down(context):
     async def claim_one():
-        store = MemoryStore()
+        store = MemoryStore(delay_s=0.005)
         store.down = True
         desk = make_desks(store, {'a': ['a']})['a']
         loop = asyncio.get_running_loop()
--- a/features/steps/forward_handler_steps.py
+++ b/features/steps/forward_handler_steps.py
@@ -16,6 +16,7 @@
     make_environment,
     whole,
 )
+from platform_helpers import make_member
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
@@ -27,7 +28,6 @@
     make_key_prefix,
     server_arguments,
 )
-from balsamrail.membership.member import Member
 
 MB = 1_048_576
 
@@ -269,15 +269,10 @@
         ]
         for host in hosts:
             settings, incarnation = host.environment.settings, host.environment.incarnation
-            members[settings.host] = Member(
-                host=settings.host,
+            members[settings.host] = make_member(
+                settings.host,
                 incarnation=incarnation,
-                refutation=0,
-                state='alive',
-                peer_address='127.0.0.1:1',
                 caller_address=f'127.0.0.1:{host.port}',
-                region='attiki',
-                availability_zone='attiki-a',
             )
         expiry_wall_s = hosts[0].environment.clock.wall() + 60
         prefix = make_key_prefix(
--- a/features/steps/forwarding_parts.py
+++ b/features/steps/forwarding_parts.py
@@ -1,28 +1,16 @@
 """Stand-ins of the parts around forwarding, and a raw upstream for malformed answers."""
 
 import asyncio
-import io
 
-from balsamrail import Environment, Settings
+import platform_helpers
+
 from balsamrail.configuration import Declaration, Region, Route, Service, Target
 from balsamrail.errors import NoTargetError
-from balsamrail.logs import Log
-from balsamrail.settings import Limits, StoreSettings
+from balsamrail.settings import Limits
 
 
 def make_environment(host='attiki-1', **limits):
-    settings = Settings(
-        deployment='selokosmos',
-        host=host,
-        region='attiki',
-        availability_zone='attiki-a',
-        caller_address='127.0.0.1:1',
-        peer_address='127.0.0.1:2',
-        operator_address='127.0.0.1:3',
-        store=StoreSettings(address='127.0.0.1:4'),
-        limits=Limits(**limits),
-    )
-    return Environment.create(settings=settings, log=Log(host=host, output=io.StringIO()))
+    return platform_helpers.make_environment(host=host, limits=Limits(**limits))
 
 
 def make_declaration(addresses, **fields):
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -15,25 +15,16 @@
 from history import History
 from hypothesis import given as given_examples
 from hypothesis import strategies
+from platform_helpers import make_member
 from tornado.httputil import HTTPHeaders
 from virtual_time import run_virtual
 
 from balsamrail.errors import CrashesTargetsError, KeyClaimError, OverloadedError, RequestError
 from balsamrail.forwarding import Answer, CallerRequest, CrashRegister, Forwarder, make_key_prefix
 from balsamrail.forwarding.attempt_error import AttemptError
-from balsamrail.membership.member import Member
 
 ADDRESSES = ['127.0.0.1:9001', '127.0.0.1:9002', '127.0.0.1:9003']
-OTHER = Member(
-    host='attiki-2',
-    incarnation='0' * 20,
-    refutation=0,
-    state='alive',
-    peer_address='127.0.0.1:7001',
-    caller_address='127.0.0.1:7002',
-    region='attiki',
-    availability_zone='attiki-a',
-)
+OTHER = make_member('attiki-2', caller_address='127.0.0.1:7002')
 
 
 class ScriptedPool:
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -8,13 +8,11 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 
-from balsamrail.environment import Environment
-from balsamrail.logs import Log
-from balsamrail.membership import Member, Members
+from balsamrail.membership import Members
 from balsamrail.membership.flood_filter import FloodFilter
 from balsamrail.membership.updates import make_update
-from balsamrail.settings import Settings, StoreSettings
-from features.steps.memory_fleet import Lines, MemoryFleet, run, wait_until
+from features.steps.memory_fleet import MemoryFleet, run, wait_until
+from features.steps.platform_helpers import make_environment, make_member
 from features.steps.virtual_time import run_virtual
 
 OPTIONS = {}
@@ -243,32 +241,8 @@
     assert proved == [verdict == 'proved'] * 2, proved
 
 
-def make_table():
-    settings = Settings(
-        deployment='test',
-        host='own',
-        region='r',
-        availability_zone='r-a',
-        caller_address='10.0.0.1:80',
-        peer_address='10.0.0.1:81',
-        operator_address='10.0.0.1:82',
-        store=StoreSettings(address='10.0.0.9:1'),
-    )
-    log = Log(host='own', output=Lines())
-    return Members(environment=Environment.create(settings=settings, log=log))
-
-
 def draw_update(host, incarnation, refutation, state):
-    member = Member(
-        host=host,
-        incarnation=incarnation * 20,
-        refutation=refutation,
-        state=state,
-        peer_address='10.0.0.2:1',
-        caller_address='10.0.0.2:2',
-        region='r',
-        availability_zone='r-a',
-    )
+    member = make_member(host, incarnation=incarnation * 20, refutation=refutation, state=state)
     return make_update(member, observer='x')
 
 
@@ -287,7 +261,7 @@
 @then('any order of any updates, some doubled, gives the same table')
 def step_merge(context):
     async def merged(updates):
-        table = make_table()
+        table = Members(environment=make_environment(host='own'))
         for update in updates:
             table.apply(update)
         return sorted(table.known(), key=lambda member: member.host)
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -6,14 +6,12 @@
 import random
 
 from balsamrail.configuration.record_sync import RecordSync
-from balsamrail.environment import Environment
 from balsamrail.errors import StoreUnavailableError
-from balsamrail.logs import Log
 from balsamrail.membership import FailureDetector, HeartbeatStatus, Members, PeerNetwork
 from balsamrail.membership.updates import make_update
-from balsamrail.settings import Settings, StoreSettings
 from balsamrail.store import ListedHost, StoredObject
 from features.steps.memory_network import CURRENT_GATE, Gate, MemoryNetwork, make_task
+from features.steps.platform_helpers import Lines, make_environment
 
 
 class MemoryStore:
@@ -89,14 +87,6 @@
         self.changed.append(changed)
 
 
-class Lines:
-    def __init__(self):
-        self.lines = []
-
-    def write(self, text):
-        self.lines.append(text)
-
-
 class MemoryHost:
     """One host; ``options`` turns protective mechanisms off."""
 
@@ -107,19 +97,16 @@
         self.address = f'10.{number // 65536}.{number // 256 % 256}.{number % 256}:7000'
         zone = fleet.zone_of(number)
         self.log = Lines()
-        settings = Settings(
-            deployment='test',
+        self.environment = make_environment(
+            log=self.log,
             host=name,
             region=zone.rsplit('-', 1)[0],
             availability_zone=zone,
             caller_address=self.address.replace(':7000', ':80'),
             peer_address=self.address,
             operator_address=self.address.replace(':7000', ':81'),
-            store=StoreSettings(address='10.255.255.255:1'),
             seeds=list(options.get('seeds', [])),
         )
-        log = Log(host=name, output=self.log)
-        self.environment = Environment.create(settings=settings, log=log)
         self.members = Members(environment=self.environment, **options.get('members', {}))
         self.gate = Gate()
         self.tracker = MemoryTracker()
--- a/features/steps/peer_streams_steps.py
+++ b/features/steps/peer_streams_steps.py
@@ -7,12 +7,10 @@
 from behave import given, then, when
 from tornado.netutil import bind_sockets
 
-from balsamrail.environment import Environment
-from balsamrail.logs import Log
 from balsamrail.membership import Members, PeerNetwork, PeerServer
 from balsamrail.messages import Hello, RecordFull, TargetLeaving, encode_message
-from balsamrail.settings import Settings, StoreSettings
-from features.steps.memory_fleet import Lines, MemoryStore, run, wait_until
+from features.steps.memory_fleet import MemoryStore, run, wait_until
+from features.steps.platform_helpers import Lines, make_environment
 
 BYTES = {
     'garbage': b'GET / HTTP/1.1\r\n\r\n\xc1\xc1',
@@ -26,20 +24,9 @@
         socket = bind_sockets(0, '127.0.0.1')[0]
         self.port = socket.getsockname()[1]
         self.address = f'127.0.0.1:{self.port}'
-        settings = Settings(
-            deployment='test',
-            host=name,
-            region='r',
-            availability_zone='r-a',
-            caller_address='127.0.0.1:1',
-            peer_address=self.address,
-            operator_address='127.0.0.1:2',
-            store=StoreSettings(address='127.0.0.1:3'),
-            seeds=list(seeds),
-        )
         self.log = Lines()
-        self.environment = Environment.create(
-            settings=settings, log=Log(host=name, output=self.log)
+        self.environment = make_environment(
+            log=self.log, host=name, peer_address=self.address, seeds=list(seeds)
         )
         self.members = Members(environment=self.environment)
         self.network = PeerNetwork(
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -237,4 +237,5 @@
         assert json.loads(page.body)['services'] == ['bookings', 'diary']
 
     context.run_node(scenario)
-    assert 'reason="a fault in this part"' in context.environment.log._logger._output.getvalue()
+    lines = context.environment.log._logger._output.lines
+    assert any('reason="a fault in this part"' in line for line in lines), lines
--- a/features/steps/platform_helpers.py
+++ b/features/steps/platform_helpers.py
@@ -5,6 +5,7 @@
 
 from balsamrail.environment import Environment
 from balsamrail.logs import Log
+from balsamrail.membership.member import Member
 from balsamrail.settings import Settings, StoreSettings
 
 
@@ -18,18 +19,38 @@
         self.lines.append(text)
 
 
-def make_environment(*, store_address='127.0.0.1:1', timeout_s=2, watch_s=30, host='attiki-a-1'):
-    settings = Settings(
-        deployment='selokosmos',
-        host=host,
-        region='attiki',
-        availability_zone='attiki-a',
-        caller_address='127.0.0.1:1',
-        peer_address='127.0.0.1:2',
-        operator_address='127.0.0.1:3',
-        store=StoreSettings(address=store_address, timeout_s=timeout_s, watch_s=watch_s),
-    )
-    return Environment.create(settings=settings, log=Log(host=host, output=Lines()))
+def make_settings(**changes):
+    fields = {
+        'deployment': 'selokosmos',
+        'host': 'attiki-a-1',
+        'region': 'attiki',
+        'availability_zone': 'attiki-a',
+        'caller_address': '127.0.0.1:1',
+        'peer_address': '127.0.0.1:2',
+        'operator_address': '127.0.0.1:3',
+        'store': StoreSettings(address='127.0.0.1:1'),
+    }
+    return Settings(**{**fields, **changes})
+
+
+def make_environment(*, store_address='127.0.0.1:1', timeout_s=2, watch_s=30, log=None, **changes):
+    store = StoreSettings(address=store_address, timeout_s=timeout_s, watch_s=watch_s)
+    settings = make_settings(**{'store': store, **changes})
+    output = Lines() if log is None else log
+    return Environment.create(settings=settings, log=Log(host=settings.host, output=output))
+
+
+def make_member(host, **changes):
+    fields = {
+        'incarnation': '0' * 20,
+        'refutation': 0,
+        'state': 'alive',
+        'peer_address': '127.0.0.1:1',
+        'caller_address': '127.0.0.1:2',
+        'region': 'attiki',
+        'availability_zone': 'attiki-a',
+    }
+    return Member(host=host, **{**fields, **changes})
 
 
 def free_address():
--- a/features/steps/product_fakes.py
+++ b/features/steps/product_fakes.py
@@ -1,54 +1,38 @@
 """Small stand-ins for the parts that look-ups and the node use."""
 
-import io
 import json
 
+import platform_helpers
 from declaration_steps import VALID
 
 from balsamrail.configuration import load_declaration
-from balsamrail.environment import Environment
-from balsamrail.logs import Log
-from balsamrail.membership.member import Member
-from balsamrail.settings import Settings, StoreSettings
+from balsamrail.settings import StoreSettings
+
+ADDRESSES = {
+    'caller_address': '127.0.0.1:19001',
+    'peer_address': '127.0.0.1:19002',
+    'operator_address': '127.0.0.1:19003',
+}
 
 
 def make_settings(**changes):
-    fields = {
-        'deployment': 'selokosmos',
-        'host': 'attiki-a-0',
-        'region': 'attiki',
-        'availability_zone': 'attiki-a',
-        'caller_address': '127.0.0.1:19001',
-        'peer_address': '127.0.0.1:19002',
-        'operator_address': '127.0.0.1:19003',
-        'store': StoreSettings(address='127.0.0.1:19000'),
-    }
-    return Settings(**{**fields, **changes})
+    store = StoreSettings(address='127.0.0.1:19000')
+    fields = {'host': 'attiki-a-0', 'store': store, **ADDRESSES, **changes}
+    return platform_helpers.make_settings(**fields)
 
 
 def make_environment(**changes):
-    settings = make_settings(**changes)
-    return Environment.create(settings=settings, log=Log(host=settings.host, output=io.StringIO()))
-
-
-def make_member(host, zone, state='alive'):
-    return Member(
-        host=host,
-        incarnation='0' * 20,
-        refutation=0,
-        state=state,
-        peer_address='127.0.0.1:19002',
-        caller_address='127.0.0.1:19001',
-        region=zone.rsplit('-', 1)[0],
-        availability_zone=zone,
-    )
+    return platform_helpers.make_environment(**{'host': 'attiki-a-0', **ADDRESSES, **changes})
 
 
 class FakeMembers:
     def __init__(self):
         zones = ('attiki-a', 'attiki-b', 'makedonia-a')
         hosts = [(f'{zone}-{number}', zone) for zone in zones for number in range(6)]
-        self.by_host = {host: make_member(host, zone) for host, zone in hosts}
+        self.by_host = {
+            host: platform_helpers.make_member(host, region=zone[:-2], availability_zone=zone)
+            for host, zone in hosts
+        }
         self.left = False
 
     def nameable(self):
--- a/features/steps/record_writes_steps.py
+++ b/features/steps/record_writes_steps.py
@@ -7,7 +7,6 @@
 from declaration_steps import VALID
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from memory_store import MemoryStore
 from platform_helpers import make_environment, run_real
 from record_values import record_value
 from virtual_time import run_virtual
@@ -15,6 +14,7 @@
 from balsamrail.configuration import RECORD_NAME, SubmitConflict, Submitted, submit_declaration
 from balsamrail.errors import StoreError, StoreOutcomeUnknownError
 from balsamrail.store import HttpStore, SettledWrite
+from standins.memory_store import MemoryStore
 from standins.store import StoreStandIn
 
 DELAYS = st.sampled_from([0, 0.001, 0.002, 0.003])
--- a/features/steps/steering_fakes.py
+++ b/features/steps/steering_fakes.py
@@ -6,6 +6,8 @@
 import zlib
 from dataclasses import dataclass, field
 
+from platform_helpers import make_member, make_settings
+
 from balsamrail.clock import Clock
 from balsamrail.configuration import load_declaration
 from balsamrail.environment import Environment
@@ -16,7 +18,6 @@
 )
 from balsamrail.logs import Log
 from balsamrail.membership.member import Member
-from balsamrail.settings import Settings, StoreSettings
 from balsamrail.store import StoredObject
 
 REGIONS = ('attiki', 'makedonia', 'peloponnisos')
@@ -52,17 +53,7 @@
 
 
 def environment_of(host, *, region):
-    address = '10.1.0.1:1'
-    settings = Settings(
-        deployment='selokosmos',
-        host=host,
-        region=region,
-        availability_zone=f'{region}-a',
-        caller_address=address,
-        peer_address=address,
-        operator_address=address,
-        store=StoreSettings(address=address),
-    )
+    settings = make_settings(host=host, region=region, availability_zone=f'{region}-a')
     # Neither the time of the run nor chance decides, so that a failure can be repeated.
     return Environment(
         settings=settings,
@@ -100,13 +91,9 @@
 
     def add(self, environment):
         settings = environment.settings
-        self.members[settings.host] = Member(
-            host=settings.host,
+        self.members[settings.host] = make_member(
+            settings.host,
             incarnation=environment.incarnation,
-            refutation=0,
-            state='alive',
-            peer_address='10.1.0.1:1',
-            caller_address='10.1.0.1:1',
             region=settings.region,
             availability_zone=settings.availability_zone,
         )
--- a/features/steps/trial_fleet.py
+++ b/features/steps/trial_fleet.py
@@ -3,12 +3,11 @@
 import asyncio
 import json
 
-from memory_store import MemoryStore
-from platform_helpers import make_environment
+from platform_helpers import make_environment, make_member
 from record_values import record_value
 
 from balsamrail.configuration import RECORD_NAME, Tracker, TrialJudge
-from balsamrail.membership.member import Member
+from standins.memory_store import MemoryStore
 
 TRIAL = {'duration_s': 60, 'min_requests': 50}
 
@@ -50,16 +49,7 @@
 
     def alive(self):
         return [
-            Member(
-                host=environment.settings.host,
-                incarnation=environment.incarnation,
-                refutation=0,
-                state='alive',
-                peer_address='127.0.0.1:1',
-                caller_address='127.0.0.1:2',
-                region='attiki',
-                availability_zone='attiki-a',
-            )
+            make_member(environment.settings.host, incarnation=environment.incarnation)
             for environment in self.environments
         ]
 
--- a/features/steps/trial_steps.py
+++ b/features/steps/trial_steps.py
@@ -166,7 +166,7 @@
         fleet = make_fleet(hosts=count, duration_s=10)
         await fleet.run(60)
         assert fleet.store.version(RECORD_NAME) == 2
-        assert fleet.store.writes == writes, fleet.store.writes
+        assert fleet.store.calls['write'] == writes, fleet.store.calls['write']
 
     run_virtual(main())
 
@@ -181,8 +181,8 @@
         fleet.store.values_by_name[RECORD_NAME].append('{"number": 2}')
         await fleet.run(duration)
         assert fleet.store.version(RECORD_NAME) == 2
-        assert 1 < fleet.store.reads <= reads, fleet.store.reads
-        assert fleet.store.writes == 0
+        assert 1 < fleet.store.calls['read'] <= reads, fleet.store.calls['read']
+        assert fleet.store.calls['write'] == 0
 
     run_virtual(main())
 
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -1,9 +1,9 @@
-"""The Store protocol in memory, with the failures that the platform's store has."""
+"""A store in memory whose calls take drawn times and lose drawn answers."""
 
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 from balsamrail.errors import (
@@ -11,82 +11,86 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from balsamrail.store import ListedHost, StoredObject
+from balsamrail.store import StoredObject
+
+_LATE_S = 3
 
 
 class MemoryStore:
-    """Shared by several hosts of one test.
+    """Reads and writes of the Store protocol, shared by several hosts of one test.
+
+    It keeps each value ever written, so that a check can count effects. ``down`` refuses calls.
 
-    ``down`` refuses calls; ``draw`` decides the fate of each write: ``ok``, ``refused``,
-    ``lost_before`` (no effect, no answer) or ``lost_after`` (took effect, no answer).
+    :param script: pairs of (delay in seconds before and after the effect, fate) taken by the
+        calls in turn, then without fault. Fates: ok, refused (no effect), lost (effect, no
+        answer), dropped (no effect, no answer), late (no answer, and the effect comes 3 s later).
+    :param delay_s: the delay after the end of the script.
     """
 
     def __init__(
-        self,
-        *,
-        delay_s: float = 0.005,
-        draw: Callable[[], str] = lambda: 'ok',
+        self, *, script: Iterable[tuple[float, str]] = (), delay_s: float = 0.001
     ) -> None:
-        self.object_by_name: dict[str, tuple[int, str]] = {}
-        self.listed_by_host: dict[str, ListedHost] = {}
-        self.calls: Counter[str] = Counter()
+        self.script = list(script)
         self.delay_s = delay_s
         self.down = False
-        self.draw = draw
-        self._changed = asyncio.Event()
-
-    async def _call(self, kind: str) -> None:
-        self.calls[kind] += 1
-        await asyncio.sleep(self.delay_s)
-        if self.down:
-            raise StoreUnavailableError('store is down')
+        self.values_by_name: dict[str, list[str]] = {}
+        self.calls: Counter[str] = Counter()
+        self._late: list[asyncio.Task[None]] = []
 
     async def read(self, name: str) -> StoredObject | None:
-        await self._call('read')
-        stored = self.object_by_name.get(name)
-        if stored is None:
+        delay, fate = self._next('read')
+        await asyncio.sleep(delay)
+        if fate != 'ok':
+            raise StoreUnavailableError(fate)
+        values = self.values_by_name.get(name)
+        if not values:
             return None
-        return StoredObject(name=name, version=stored[0], value=json.loads(stored[1]))
+        found = StoredObject(name=name, version=len(values), value=json.loads(values[-1]))
+        await asyncio.sleep(delay)
+        return found
 
     async def write(self, name: str, *, value: Any, version: int) -> int:
-        await self._call('write')
-        fate = self.draw()
-        if fate == 'refused':
-            raise StoreUnavailableError('refused')
-        if fate == 'lost_before':
-            raise StoreOutcomeUnknownError('no answer')
-        current = self.object_by_name.get(name, (0, ''))[0]
-        if current != version:
-            raise StoreConflictError(name=name, version=current)
-        self.object_by_name[name] = (version + 1, json.dumps(value))
-        self._changed.set()
-        self._changed = asyncio.Event()
-        if fate == 'lost_after':
-            raise StoreOutcomeUnknownError('no answer')
+        text = json.dumps(value)
+        delay, fate = self._next('write')
+        await asyncio.sleep(delay)
+        match fate:
+            case 'refused':
+                raise StoreUnavailableError(fate)
+            case 'dropped':
+                raise StoreOutcomeUnknownError(fate)
+            case 'late':
+                self._late.append(asyncio.create_task(self._apply_late(name, text, version)))
+                raise StoreOutcomeUnknownError(fate)
+        taken = self._apply(name, text, version)
+        await asyncio.sleep(delay)
+        if fate == 'lost':
+            raise StoreOutcomeUnknownError(fate)
+        if not taken:
+            raise StoreConflictError(name=name, version=self.version(name))
         return version + 1
 
-    async def watch(self, name: str, *, version: int) -> StoredObject | None:
-        await self._call('watch')
-        try:
-            async with asyncio.timeout(30):
-                while self.object_by_name.get(name, (0, ''))[0] == version:
-                    await self._changed.wait()
-        except TimeoutError:
-            return None
-        return await self.read(name)
-
-    async def list_names(self, *, prefix: str) -> dict[str, int]:
-        await self._call('list')
-        return {
-            name: stored[0]
-            for name, stored in self.object_by_name.items()
-            if name.startswith(prefix)
-        }
-
-    async def list_hosts(self) -> list[ListedHost]:
-        await self._call('list_hosts')
-        return list(self.listed_by_host.values())
-
-    async def announce_host(self, host: ListedHost) -> None:
-        await self._call('announce_host')
-        self.listed_by_host[host.host] = host
+    def version(self, name: str) -> int:
+        return len(self.values_by_name.get(name, ()))
+
+    def values(self, name: str) -> list[Any]:
+        return [json.loads(text) for text in self.values_by_name.get(name, ())]
+
+    async def settle(self) -> None:
+        """Wait for the effects that are still under way."""
+        await asyncio.gather(*self._late)
+
+    def _apply(self, name: str, text: str, version: int) -> bool:
+        if self.version(name) != version:
+            return False
+        self.values_by_name.setdefault(name, []).append(text)
+        return True
+
+    async def _apply_late(self, name: str, text: str, version: int) -> None:
+        await asyncio.sleep(_LATE_S)
+        self._apply(name, text, version)
+
+    def _next(self, kind: str) -> tuple[float, str]:
+        self.calls[kind] += 1
+        if self.down:
+            return self.delay_s, 'refused'
+        return self.script.pop(0) if self.script else (self.delay_s, 'ok')
