--- a/standins/execution.py
+++ b/standins/execution.py
@@ -6,7 +6,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class Execution:
-    """``state`` is ``running``, ``done``, ``cancelled``, ``expired`` or ``crashed``."""
+    """``state`` is ``running``, ``done``, ``cancelled``, ``expired`` or ``crashed``.
+
+    The times are the loop's, in seconds, which all processes of a machine share. A request counts
+    for its target from ``arrived_s`` on, also while it waits for a slot.
+    """
 
     number: int
     service: str
@@ -17,6 +21,9 @@
     idempotency_key: str
     body_digest: str
     state: str = 'running'
+    arrived_s: float = 0
+    began_s: float = 0
+    ended_s: float = 0
 
     def answer(self, *, size: int = 0) -> bytes:
         """Return the body that answers this execution, padded to ``size`` bytes.
--- a/standins/execution_log.py
+++ b/standins/execution_log.py
@@ -1,6 +1,7 @@
 """The record of all executions of an upstream's stand-in."""
 
 import json
+import time
 from dataclasses import asdict
 from pathlib import Path
 
@@ -30,6 +31,7 @@
         """Set the state of an execution, unless it has ended before."""
         if execution.state == 'running':
             execution.state = state
+            execution.ended_s = time.monotonic()
             self._append(execution)
 
     def end_all(self, *, state: str) -> None:
--- a/standins/upstream_handlers.py
+++ b/standins/upstream_handlers.py
@@ -43,9 +43,10 @@
         if stream_of(self) in state.silent_streams:
             await asyncio.Event().wait()
         state.note_arrival()
+        arrived_s = asyncio.get_running_loop().time()
         deadline_ms = self.request.headers.get('Deadline-Ms')
         wait_s = int(deadline_ms) / 1_000 if deadline_ms else None
-        deadline = None if wait_s is None else asyncio.get_running_loop().time() + wait_s
+        deadline = None if wait_s is None else arrived_s + wait_s
         if state.refuses() or not await state.queue.take(
             slots=behaviour.slots, queue=behaviour.queue, wait_s=wait_s
         ):
@@ -53,7 +54,7 @@
             return
         state.note_health()
         try:
-            execution = await self._run(deadline)
+            execution = await self._run(deadline, arrived_s)
         finally:
             state.queue.release()
             state.note_health()
@@ -63,9 +64,9 @@
         else:
             await self._answer(execution)
 
-    async def _run(self, deadline: float | None) -> Execution:
+    async def _run(self, deadline: float | None, arrived_s: float) -> Execution:
         log = self.state.log
-        execution = self.state.begin(self.request)
+        execution = self.state.begin(self.request, arrived_s=arrived_s)
         if self.state.crashes_on(self.request):
             log.end_all(state='crashed')
             self.state.crash()
--- a/standins/upstream_state.py
+++ b/standins/upstream_state.py
@@ -73,7 +73,7 @@
         marker = self.behaviour.crash_marker
         return bool(marker) and (marker in request.uri or marker.encode() in request.body)
 
-    def begin(self, request: HTTPServerRequest) -> Execution:
+    def begin(self, request: HTTPServerRequest, *, arrived_s: float) -> Execution:
         """Record an execution that begins now."""
         execution = Execution(
             number=len(self.log.executions) + 1,
@@ -84,6 +84,8 @@
             request_id=request.headers.get('Request-Id', ''),
             idempotency_key=request.headers.get('Idempotency-Key', ''),
             body_digest=blake2b(request.body, digest_size=_DIGEST_BYTES).hexdigest(),
+            arrived_s=arrived_s,
+            began_s=asyncio.get_running_loop().time(),
         )
         self.log.begin(execution)
         self.counts['executed'] += 1
--- a/tools/demo_upstreams.py
+++ b/tools/demo_upstreams.py
@@ -1,17 +1,21 @@
-"""Runs the stand-ins of all targets of one region in this process.
+"""Runs the stand-ins of all targets of one region, or of one target, in this process.
 
-Used by tools/run_demo.py: ``python -m tools.demo_upstreams --declaration FILE --region attiki``.
+Used by tools/fleet.py: ``python -m tools.demo_upstreams --declaration FILE --region attiki``.
 """
 
 import argparse
 import asyncio
 import json
+import os
+from functools import partial
 from pathlib import Path
 
 from standins.serving import serve_forever
 from standins.upstream import UpstreamStandIn
 from standins.upstream_behaviour import UpstreamBehaviour
 
+CRASH_STATUS = 70
+
 
 class RegionStandIn:
     def __init__(self, targets: list[UpstreamStandIn]) -> None:
@@ -26,27 +30,41 @@
             await target.stop()
 
 
-def make_targets(declaration: dict, region: str) -> list[UpstreamStandIn]:
-    zones = declaration['regions'][region]['availability_zones']
+def make_targets(options: argparse.Namespace) -> list[UpstreamStandIn]:
+    declaration = json.loads(options.declaration.read_text())
+    zones = declaration['regions'].get(options.region, {}).get('availability_zones', [])
+    behaviour = json.loads(options.behaviour)
     return [
         UpstreamStandIn(
             service=service,
             address=target['address'],
-            behaviour=UpstreamBehaviour(slots=target['slots']),
+            behaviour=UpstreamBehaviour(**{'slots': target['slots'], **behaviour}),
+            executions_path=executions_path(options.executions, target['address']),
+            # A lone target ends its process, those of a region only close their sockets.
+            crash=partial(os._exit, CRASH_STATUS) if options.target else None,
         )
         for service, declared in declaration['services'].items()
         for target in declared['targets']
-        if target['availability_zone'] in zones
+        if target['address'] == options.target
+        or (target['availability_zone'] in zones and service != options.without)
     ]
 
 
+def executions_path(folder: Path | None, address: str) -> Path | None:
+    return None if folder is None else folder / f'executions-{address}.jsonl'
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--declaration', type=Path, required=True)
-    parser.add_argument('--region', required=True)
+    where = parser.add_mutually_exclusive_group(required=True)
+    where.add_argument('--region')
+    where.add_argument('--target', help='address of a single target')
+    parser.add_argument('--without', help='a service whose targets run elsewhere')
+    parser.add_argument('--behaviour', default='{}', help='behaviour as a JSON object')
+    parser.add_argument('--executions', type=Path, help='a folder for the files of executions')
     options = parser.parse_args()
-    declaration = json.loads(options.declaration.read_text())
-    asyncio.run(serve_forever(RegionStandIn(make_targets(declaration, options.region))))
+    asyncio.run(serve_forever(RegionStandIn(make_targets(options))))
 
 
 if __name__ == '__main__':
