Prove that killed hosts never run a booking twice

A caller process books at a fixed rate and resends to random hosts; the stand-ins record each run, and the history checker compares the two.

--- /dev/null
+++ b/features/steps/fleet_run.py
@@ -0,0 +1,132 @@
+"""A fleet under a caller's load, and what the load's history proves."""
+
+import json
+import tempfile
+import time
+from collections import Counter, defaultdict
+from pathlib import Path
+
+from history import Call, History, Run
+
+from standins.execution import Execution
+from tools.fleet import Fleet, call
+
+NETWORK = 30
+
+
+class FleetRun:
+    def __init__(self, context, **options):
+        folder = tempfile.TemporaryDirectory(prefix='balsamrail-fleet-')
+        context.stoppers = [folder.cleanup]
+        # The stand-ins queue without limit, so that a region above its slots is seen, not refused.
+        behaviour = {'queue': 10_000, 'service_time_s': 0.05, **options.pop('behaviour', {})}
+        self.fleet = Fleet(
+            deployment='selokosmos',
+            folder=Path(folder.name),
+            network=NETWORK,
+            behaviour=behaviour,
+            **options,
+        )
+        context.stoppers.append(self.fleet.kill_all)
+        self.seed = context.seed
+        self.callers = []
+        self.started = time.monotonic()
+
+    def start(self):
+        self.fleet.start()
+        completed = self.fleet.submit()
+        assert completed.returncode == 0, completed.stderr
+        self.fleet.wait_ready()
+        for host in self.fleet.hosts:
+            self.fleet.wait_until(f'{host} has shares', lambda: self.reads(host))
+
+    def reads(self, host):
+        address = self.fleet.settings_by_host[host]['caller_address']
+        return call(address, 'GET', '/services/bookings/bookings')[0] == 200
+
+    def load(self, seconds, *, rate=80, **options):
+        """Start a caller; its answers are in the history after :meth:`end_load`."""
+        number = len(self.callers)
+        addresses = [entry['caller_address'] for entry in self.fleet.settings_by_host.values()]
+        hosts = self.fleet.write('callers', addresses)
+        out = self.fleet.folder / f'calls-{number}.jsonl'
+        arguments = ['--fleet', str(hosts), '--out', str(out), '--seconds', str(seconds)]
+        arguments += ['--rate', str(rate), '--seed', str(self.seed + number)]
+        for name, value in options.items():
+            arguments += [f'--{name.replace("_", "-")}', str(value)]
+        process = self.fleet.spawn(f'caller-{number}', 'tools.caller', *arguments)
+        self.callers.append((process, out))
+
+    def end_load(self):
+        for process, out in self.callers:
+            code = process.wait(timeout=90)
+            assert code == 0, out.with_name(f'{out.stem.replace("calls", "caller")}.log').read_text()
+
+    def sends(self):
+        return [
+            json.loads(line) for _, out in self.callers for line in out.read_text().splitlines()
+        ]
+
+    def history(self):
+        calls = []
+        for send in self.sends():
+            # A host may work on after its caller's connection broke, so the end is not known.
+            returned = 0 if send['told'] == 'gone' else send['returned']
+            calls.append(
+                Call(
+                    key=send['key'],
+                    called=send['called'],
+                    returned=returned,
+                    told=send['told'],
+                    body=send['body'].encode(),
+                )
+            )
+        runs = [
+            Run(
+                key=execution['idempotency_key'],
+                began=execution['began_s'],
+                body=Execution(**execution).answer(),
+            )
+            for execution in self.fleet.executions()
+            if execution['method'] == 'POST'
+        ]
+        return History(calls=calls, runs=runs)
+
+    def check(self):
+        """Check the history and the load of each region; return a line of figures."""
+        history = self.history()
+        faults = history.faults()
+        assert not faults, faults[:5]
+        told = Counter(entry.told for entry in history.calls)
+        assert told['done'], told
+        peaks = self.peaks()
+        over = {place: peak for place, peak in peaks.items() if peak[0] > peak[1]}
+        assert not over, f'in progress above the slots: {over}'
+        bookings = {place[1]: peak for place, peak in peaks.items() if place[0] == 'bookings'}
+        seconds = time.monotonic() - self.started
+        return (
+            f'seed {self.seed}: {len(history.calls)} sends {dict(told)}, {len(history.runs)} runs,'
+            f' peak/slots {bookings}, {seconds:.1f} s'
+        )
+
+    def peaks(self):
+        """Return the highest number in progress and the slots, by service and region."""
+        slots, region_by_address = Counter(), {}
+        for service, declared in self.fleet.declaration['services'].items():
+            for target in declared['targets']:
+                region = target['availability_zone'].rsplit('-', 1)[0]
+                region_by_address[target['address']] = region
+                slots[service, region] += target['slots']
+        changes = defaultdict(list)
+        for execution in self.fleet.executions():
+            place = execution['service'], region_by_address[execution['address']]
+            changes[place].append((execution['arrived_s'], 1))
+            changes[place].append((execution['ended_s'] or float('inf'), -1))
+        peaks = {}
+        for place, entries in changes.items():
+            running = peak = 0
+            for _, change in sorted(entries):
+                running += change
+                peak = max(peak, running)
+            peaks[place] = (peak, slots[place])
+        return peaks
--- /dev/null
+++ b/tools/caller.py
@@ -0,0 +1,143 @@
+"""A bounded open-loop caller that resends, and records what it was told.
+
+``python -m tools.caller --fleet FILE --seconds 10 --rate 80 --seed 1 --out calls.jsonl``, where FILE
+lists the caller addresses of the hosts. Each line of the output is one send.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from tornado.httpclient import HTTPClientError
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+LONGEST_SECONDS = 120
+LONGEST_RATE = 400
+MOST_SENDS = 6
+TIMEOUT_S = 4
+PAUSE_S = 0.25
+LOOKUP_S = 1
+PROBLEM = 'application/problem+json'
+
+
+@dataclass(slots=True, kw_only=True)
+class Send:
+    """``told`` is done, not_run, unknown, refused, or gone if no answer arrived."""
+
+    key: str
+    address: str
+    called: float
+    returned: float = 0
+    told: str = 'gone'
+    code: str = ''
+    body: str = ''
+
+
+class Caller:
+    """Looks up, books and reads at a fixed rate, whatever the answers are."""
+
+    def __init__(self, *, addresses: list[str], options: argparse.Namespace) -> None:
+        self.addresses = addresses
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=1_000)
+        self.sends: list[Send] = []
+        self.hosts: list[dict[str, str]] = []
+
+    async def run(self) -> None:
+        looking = asyncio.create_task(self.keep_looking_up())
+        while not self.hosts:
+            await asyncio.sleep(0.05)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        tasks = []
+        for number in range(int(self.options.seconds * self.options.rate)):
+            await asyncio.sleep(started + number / self.options.rate - loop.time())
+            tasks.append(asyncio.create_task(self.book(number)))
+        await asyncio.gather(*tasks)
+        looking.cancel()
+
+    async def keep_looking_up(self) -> None:
+        while True:
+            address = self.random.choice(self.addresses)
+            status, _, body = await self.fetch(address, f'/lookup/{self.options.service}')
+            if status == 200:
+                self.hosts = json.loads(body)['hosts']
+                await asyncio.sleep(LOOKUP_S)
+            await asyncio.sleep(0.05)
+
+    async def book(self, number: int) -> None:
+        first = self.random.choice(self.hosts)
+        own = self.random.random() < self.options.own_keys
+        caller_part = f'{self.options.seed}-{number}'
+        key = f'own-{caller_part}' if own else f'{first["key_prefix"]}.{caller_part}'
+        body = json.dumps({'number': number, 'mark': self.options.mark})
+        for address in self.turns(first['address']):
+            send = Send(key=key, address=address, called=asyncio.get_running_loop().time())
+            self.sends.append(send)
+            await self.post(send, body)
+            if send.told in {'done', 'refused'}:
+                return
+            await asyncio.sleep(self.random.uniform(0, 2 * self.options.pause))
+
+    def turns(self, first: str) -> Iterator[str]:
+        yield first
+        for _ in range(self.options.sends - 1):
+            yield self.random.choice(self.addresses)
+
+    async def post(self, send: Send, body: str) -> None:
+        path = f'/services/{self.options.service}{self.options.path}'
+        headers = {'Idempotency-Key': send.key}
+        status, kind, answer = await self.fetch(
+            send.address, path, method='POST', body=body, headers=headers
+        )
+        send.returned = asyncio.get_running_loop().time()
+        if status == 200:
+            send.told, send.body = 'done', answer.decode()
+        elif status and kind.startswith(PROBLEM):
+            problem = json.loads(answer)
+            send.told, send.code = problem['outcome'], problem['code']
+        elif status:
+            send.told, send.code = 'unknown', str(status)
+
+    async def fetch(self, address: str, path: str, **options: Any) -> tuple[int, str, bytes]:
+        """Return status, media type and body, or status 0 if no complete answer arrived."""
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                response = await self.client.fetch(
+                    f'http://{address}{path}', raise_error=False, **options
+                )
+        except (OSError, TimeoutError, HTTPClientError):
+            return 0, '', b''
+        return response.code, response.headers.get('Content-Type', ''), response.body or b''
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--fleet', type=Path, required=True)
+    parser.add_argument('--out', type=Path, required=True)
+    parser.add_argument('--seconds', type=float, default=10)
+    parser.add_argument('--rate', type=float, default=80, help='new bookings a second')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--service', default='bookings')
+    parser.add_argument('--path', default='/bookings')
+    parser.add_argument('--own-keys', type=float, default=0.2, help='part with own keys')
+    parser.add_argument('--sends', type=int, default=MOST_SENDS, help='sends of a key at most')
+    parser.add_argument('--pause', type=float, default=PAUSE_S, help='mean pause before a resend')
+    parser.add_argument('--mark', default='', help='is put into each body')
+    options = parser.parse_args()
+    if options.seconds > LONGEST_SECONDS or options.rate > LONGEST_RATE:
+        parser.error(f'at most {LONGEST_SECONDS} s and {LONGEST_RATE} a second')
+    caller = Caller(addresses=json.loads(options.fleet.read_text()), options=options)
+    asyncio.run(caller.run())
+    lines = [json.dumps(asdict(send)) for send in caller.sends]
+    options.out.write_text('\n'.join(lines) + '\n')
+
+
+if __name__ == '__main__':
+    main()
