Answer a key with unknown while a host is not ready

Cause: a host that had just started answered not_run (not_ready) to any request, also to a resend of a key that had run through another host or an earlier incarnation. Change: with an Idempotency-Key the outcome is unknown, with the same code and Retry-After.

--- a/src/balsamrail/errors.py
+++ b/src/balsamrail/errors.py
@@ -143,6 +143,12 @@
         super().__init__(detail=detail, retry_after_s=retry_after_s)
 
 
+class KeyNotReadyError(OutcomeUnknownError):
+    """A host that has just started got a key, which may have run elsewhere before."""
+
+    code = 'not_ready'
+
+
 class AnswerDroppedError(OutcomeUnknownError):
     """The request ran, but its answer is no longer kept."""
 
--- a/src/balsamrail/host/application.py
+++ b/src/balsamrail/host/application.py
@@ -9,7 +9,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from balsamrail.errors import NotReadyError
+from balsamrail.errors import KeyNotReadyError, NotReadyError, RequestError
 from balsamrail.forwarding import problem_answer
 
 
@@ -86,8 +86,7 @@
         def prepare(self) -> Any:
             if application.ready():
                 return super().prepare()
-            error = NotReadyError(detail='the host has not learnt the declaration in force yet')
-            problem = problem_answer(error)
+            problem = problem_answer(_not_ready(self.request.headers))
             self.set_status(problem.status)
             for name, value in problem.headers.get_all():
                 self.set_header(name, value)
@@ -115,6 +114,13 @@
     return (pattern, CountedHandler, *options)
 
 
+def _not_ready(headers: httputil.HTTPHeaders) -> RequestError:
+    detail = 'the host has not learnt the declaration in force yet'
+    # An earlier send of the same key may have run through another host or incarnation.
+    error = KeyNotReadyError if 'Idempotency-Key' in headers else NotReadyError
+    return error(detail=detail, retry_after_s=1)
+
+
 def _log_nothing(handler: RequestHandler) -> None:
     """Take the place of tornado's log, since a line for each request is too much."""
 
