--- a/features/steps/fleet_run.py
+++ b/features/steps/fleet_run.py
@@ -4,6 +4,7 @@
 import tempfile
 import time
 from collections import Counter, defaultdict
+from hashlib import blake2b
 from pathlib import Path
 
 from history import Call, History, Run
@@ -14,6 +15,10 @@
 NETWORK = 30
 
 
+def body_digest(body):
+    return blake2b(body.encode(), digest_size=16).hexdigest()
+
+
 class FleetRun:
     def __init__(self, context, **options):
         folder = tempfile.TemporaryDirectory(prefix='balsamrail-fleet-')
@@ -44,6 +49,11 @@
         address = self.fleet.settings_by_host[host]['caller_address']
         return call(address, 'GET', '/services/bookings/bookings')[0] == 200
 
+    def book(self, host, *, key, body):
+        address = self.fleet.settings_by_host[host]['caller_address']
+        headers = {'Idempotency-Key': key}
+        return call(address, 'POST', '/services/bookings/bookings', body=body, headers=headers)
+
     def load(self, seconds, *, rate=80, **options):
         """Start a caller; its answers are in the history after :meth:`end_load`."""
         number = len(self.callers)
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -1,12 +1,15 @@
 """Steps of the fleet features: real processes under failures."""
 
+import json
 import random
 import signal
 import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
 from behave import given, then, when
-from fleet_run import FleetRun
+from fleet_run import FleetRun, body_digest
 
 from tools.fleet import call
 
@@ -94,3 +97,157 @@
 def step_history_holds(context):
     context.fleet_run.end_load()
     print(context.fleet_run.check())
+
+
+@given('a fleet whose look-ups live 1.5 s')
+def step_short_ttl(context):
+    context.fleet_run = FleetRun(
+        context, limits={'lookup_ttl_s': 1.5}, behaviour={'service_time_s': 0.4}
+    )
+    context.fleet_run.start()
+
+
+@when(
+    '{count:d} hosts at a time are stopped as planned until each was, while callers follow look-ups'
+)
+def step_stops(context, count):
+    run, fleet = context.fleet_run, context.fleet_run.fleet
+    hosts = sorted(fleet.hosts, key=lambda host: (host.split('-')[1:], host))
+    groups = [hosts[first : first + count] for first in range(0, len(hosts), count)]
+    # Callers look up each second and use only hosts of the last answer.
+    run.load(len(groups) * 5, rate=40, sends=1, own_keys=0)
+    time.sleep(1)
+    context.stops = []
+    for group in groups:
+        with ThreadPoolExecutor() as pool:
+            context.stops += pool.map(fleet.terminate, group)
+        for host in group:
+            fleet.start_host(host)
+        fleet.wait_ready()
+
+
+@then('every stop ended with exit code 0 and no request was cut off')
+def step_no_cut(context):
+    run = context.fleet_run
+    run.end_load()
+    drains = sorted(seconds for _, seconds in context.stops)
+    assert len(drains) == len(run.fleet.hosts)
+    assert {code for code, _ in context.stops} == {0}, context.stops
+    lost = [send for send in run.sends() if send['told'] not in {'done', 'not_run'}]
+    assert not lost, (len(lost), lost[:3])
+    print(f'{run.check()}, drain {drains[0]:.2f} to {drains[-1]:.2f} s')
+
+
+@when('one target after the other leaves: {conditions}')
+def step_leave(context, conditions):
+    run, fleet = context.fleet_run, context.fleet_run.fleet
+    run.load(19, rate=60)
+    targets = [
+        target['address'] for target in fleet.declaration['services']['bookings']['targets']
+    ]
+    context.after_leaving = {}
+    for number, condition in enumerate(conditions.split(', ')):
+        faults = {'the list lags': {'list_lag_s': 600}, 'the store is down': {'down': True}}
+        fleet.set_faults(**faults.get(condition, {}))
+        call(targets[number], 'POST', '/behaviour', body='{"state": "leaving"}')
+        time.sleep(5.5)
+        page = call(targets[number], 'GET', '/executions')[1]
+        context.after_leaving[condition] = page['work_after_leaving_s']
+
+
+@then('no target got new work more than {seconds:g} s after it began to leave')
+def step_no_new_work(context, seconds):
+    run = context.fleet_run
+    run.end_load()
+    print(f'last new work after leaving, in s: {context.after_leaving}; {run.check()}')
+    assert max(context.after_leaving.values()) <= seconds, context.after_leaving
+
+
+@given('a fleet whose bookings targets crash on a marked request')
+def step_crashing(context):
+    context.fleet_run = FleetRun(
+        context, alone='bookings', behaviour={'service_time_s': 0.4, 'crash_marker': 'CRASH'}
+    )
+    context.fleet_run.start()
+
+
+@when('the marked request is resent to other hosts with new keys every {pause:g} s')
+def step_crash(context, pause):
+    run, fleet = context.fleet_run, context.fleet_run.fleet
+    run.load(9, rate=40, own_keys=0)
+    time.sleep(1)
+    choice = random.Random(context.seed)
+    context.crash_answers = []
+    for number in range(int(6 / pause)):
+        host = choice.choice(fleet.hosts)
+        answer = run.book(host, key=f'crash-{number}', body='{"mark": "CRASH"}')
+        context.crash_answers.append(answer[1].get('code', 'done'))
+        time.sleep(pause)
+
+
+@then('at most {limit:d} targets are lost')
+def step_lost(context, limit):
+    fleet = context.fleet_run.fleet
+    lost = [name for name, process in fleet.process_by_name.items() if process.poll() == 70]
+    print(f'targets lost: {len(lost)}, answers: {Counter(context.crash_answers)}')
+    assert 0 < len(lost) <= limit, lost
+    assert context.crash_answers[-1] == 'crashes_targets', context.crash_answers
+
+
+@then('requests that were in flight beside it are served when they are sent again')
+def step_neighbours(context):
+    run = context.fleet_run
+    run.end_load()
+    beside = {
+        execution['body_digest']
+        for execution in run.fleet.executions()
+        if execution['state'] == 'crashed' and execution['method'] == 'POST'
+    }
+    numbers = range(9 * 40)
+    bodies = [json.dumps({'number': number, 'mark': ''}) for number in numbers]
+    again = [body for body in bodies if body_digest(body) in beside]
+    for number, body in enumerate(again):
+        run.fleet.wait_until(
+            'a neighbour is served',
+            lambda: (
+                run.book(
+                    run.fleet.hosts[number % 9], key=f'again-{number}-{time.time()}', body=body
+                )[0]
+                == 200
+            ),
+            limit_s=5,
+        )
+    print(f'{len(again)} requests that ran beside it were served when sent again; {run.check()}')
+
+
+@when('all open connections to the upstreams go silent')
+def step_silence(context):
+    run, fleet = context.fleet_run, context.fleet_run.fleet
+    run.load(9, rate=60)
+    time.sleep(2)
+    for service in fleet.declaration['services'].values():
+        for target in service['targets']:
+            call(target['address'], 'POST', '/behaviour', body='{"silence_open": true}')
+    context.silenced = time.monotonic()
+
+
+@then('after {seconds:g} s all bookings are done again and no target is taken for dead')
+def step_recovered(context, seconds):
+    run, fleet = context.fleet_run, context.fleet_run.fleet
+    time.sleep(seconds)
+    dead = {
+        f'{host}: {target}'
+        for host in fleet.hosts
+        for target, state in fleet.read(host, 'dump')['router']['targets'].items()
+        if not state['ready'] or state['leaving']
+    }
+    metrics = [fleet.read(host, 'dump')['metrics'] for host in fleet.hosts]
+    run.end_load()
+    late = [send for send in run.sends() if send['called'] > context.silenced + seconds]
+    told = Counter(send['told'] for send in late)
+    waited = max(send['returned'] - send['called'] for send in run.sends())
+    print(f'{run.check()}; after {seconds} s {dict(told)}, longest answer {waited:.2f} s')
+    assert not dead, dead
+    assert set(told) == {'done'}, told
+    ejections = [entry for entry in metrics if 'ejections' in str(entry)]
+    assert not ejections, ejections[:1]
