--- a/features/steps/forward_handler_steps.py
+++ b/features/steps/forward_handler_steps.py
@@ -16,12 +16,18 @@
     make_environment,
     whole,
 )
+from platform_helpers import make_member
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from balsamrail.forwarding import Forwarder, ForwardHandler, make_key_prefix, server_arguments
-from balsamrail.membership.member import Member
+from balsamrail.forwarding import (
+    Forwarder,
+    ForwardHandler,
+    UnknownPathHandler,
+    make_key_prefix,
+    server_arguments,
+)
 
 MB = 1_048_576
 
@@ -39,7 +45,10 @@
             members=Members() if members is None else members,
         )
         self.collaborators = {'forwarder': self.forwarder, 'environment': self.environment}
-        application = Application([(ForwardHandler.pattern, ForwardHandler, self.collaborators)])
+        application = Application(
+            [(ForwardHandler.pattern, ForwardHandler, self.collaborators)],
+            default_handler_class=UnknownPathHandler,
+        )
         self.server = HTTPServer(application, **server_arguments(self.environment.settings.limits))
         sockets = bind_sockets(0, '127.0.0.1')
         self.server.add_sockets(sockets)
@@ -260,15 +269,10 @@
         ]
         for host in hosts:
             settings, incarnation = host.environment.settings, host.environment.incarnation
-            members[settings.host] = Member(
-                host=settings.host,
+            members[settings.host] = make_member(
+                settings.host,
                 incarnation=incarnation,
-                refutation=0,
-                state='alive',
-                peer_address='127.0.0.1:1',
                 caller_address=f'127.0.0.1:{host.port}',
-                region='attiki',
-                availability_zone='attiki-a',
             )
         expiry_wall_s = hosts[0].environment.clock.wall() + 60
         prefix = make_key_prefix(
@@ -299,11 +303,11 @@
 
 
 async def silent():
-    # Holds the writers themselves: an id may be given again to a new connection.
     served = set()
     is_silent = False
 
     async def answer(number, headers, writer):
+        # The writers themselves, since the id of a closed one may be used again.
         if is_silent and writer in served:
             await asyncio.sleep(10)
         served.add(writer)
--- a/features/steps/record_sync_steps.py
+++ b/features/steps/record_sync_steps.py
@@ -177,16 +177,25 @@
 
 @then('any record patched to any other equals it')
 def step_patch(context):
-    made = []
-
     @for_all(RECORDS, RECORDS)
     def check(old, new):
         patch = make_record_patch(old, new)
-        made.append(patch is not None)
+        # A merge patch cannot write null into a member, so a few changes have no patch.
+        assert patch is not None or not is_expressible(new)
         assert patch is None or apply_record_patch(old, patch) == new
 
     check()
-    assert sum(made) > len(made) / 2, 'most records should have a patch'
+
+
+def is_expressible(record):
+    parts = [record['accepted'], record['candidate'] or {}, record['stopped'] or {}]
+    return record['accepted'] is not None and not any(map(has_null_member, parts))
+
+
+def has_null_member(value):
+    if not isinstance(value, dict):
+        return False
+    return any(member is None or has_null_member(member) for member in value.values())
 
 
 @then('the patch for one changed weight of a 100 KB declaration is under {most:d} bytes')
