--- a/tools/mutants/steering.py
+++ b/tools/mutants/steering.py
@@ -260,10 +260,10 @@
         scenario='A holder wakes after its share was handed out again',
     ),
     Mutant(
-        mechanism='shares are confirmed before they are used again',
+        mechanism='a host waits before it confirms its shares after a pause',
         file='src/balsamrail/steering/share_fence.py',
-        old='        is_late_enough = since >= self._closed_at + _RETURN_S\n',
-        new='        is_late_enough = True\n',
+        old='_RETURN_S = 5.0\n',
+        new='_RETURN_S = 0.0\n',
         feature='features/share_fence.feature',
         scenario='The store is down for minutes',
     ),
