--- a/tools/mutants/steering.py
+++ b/tools/mutants/steering.py
@@ -265,7 +265,7 @@
         old='_RETURN_S = 5.0\n',
         new='_RETURN_S = 0.0\n',
         feature='features/share_fence.feature',
-        scenario='The store is down for minutes',
+        scenario='A holder wakes after its share was handed out again',
     ),
     Mutant(
         mechanism='a request borrows before it is shed',
