Let the test's callers hold enough connections

Cause: with three hosts paused, sends held 4 s each filled the caller's 1,000 connections, and 23,209 of 32,965 sends timed out in its own queue, not at a host. Change: 5,000 connections.

--- a/tools/caller.py
+++ b/tools/caller.py
@@ -19,6 +19,9 @@
 LONGEST_SECONDS = 120
 LONGEST_RATE = 400
 MOST_SENDS = 4
+# A paused host holds each send for TIMEOUT_S: 1,000 connections were too few for 480 sends a second,
+# and the others then timed out in the queue of the client.
+MOST_CONNECTIONS = 5_000
 TIMEOUT_S = 4
 PAUSE_S = 0.25
 LOOKUP_S = 1
@@ -45,7 +48,7 @@
         self.addresses = addresses
         self.options = options
         self.random = random.Random(options.seed)
-        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=1_000)
+        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MOST_CONNECTIONS)
         self.sends: list[Send] = []
         self.hosts: list[dict[str, str]] = []
         self.named = asyncio.Event()
