Use the shared environment in the member table steps, drop a dead method

Cause: the steps built settings and members of their own beside platform_helpers, and nothing called Declaration.region_of. Change: the steps call make_environment and make_member; the method is gone. Checks and assertions are as before.

--- a/features/steps/member_tables_steps.py
+++ b/features/steps/member_tables_steps.py
@@ -7,45 +7,22 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 
-from balsamrail.environment import Environment
-from balsamrail.logs import Log
-from balsamrail.membership import Member, Members
+from balsamrail.membership import Members
 from balsamrail.membership.flood_filter import FloodFilter
 from balsamrail.membership.member_gossip import MemberGossip
 from balsamrail.membership.updates import hello_of, make_update, update_order
 from balsamrail.messages import MemberDigest, encode_message
-from balsamrail.settings import Settings, StoreSettings
 from balsamrail.store import ListedHost
-from features.steps.memory_fleet import Lines
+from features.steps.platform_helpers import make_environment, make_member
 from features.steps.virtual_time import run_virtual
 
 
 def make_table(host='own'):
-    settings = Settings(
-        deployment='test',
-        host=host,
-        region='r',
-        availability_zone='r-a',
-        caller_address='10.0.0.1:80',
-        peer_address='10.0.0.1:81',
-        operator_address='10.0.0.1:82',
-        store=StoreSettings(address='10.0.0.9:1'),
-    )
-    log = Log(host=host, output=Lines())
-    return Members(environment=Environment.create(settings=settings, log=log))
+    return Members(environment=make_environment(host=host))
 
 
 def draw_update(host, incarnation, refutation, state):
-    member = Member(
-        host=host,
-        incarnation=incarnation * 20,
-        refutation=refutation,
-        state=state,
-        peer_address='10.0.0.2:1',
-        caller_address='10.0.0.2:2',
-        region='r',
-        availability_zone='r-a',
-    )
+    member = make_member(host, incarnation=incarnation * 20, refutation=refutation, state=state)
     return make_update(member, observer='x')
 
 
--- a/src/balsamrail/configuration/declaration.py
+++ b/src/balsamrail/configuration/declaration.py
@@ -24,16 +24,6 @@
     links: list[Link] = field(default_factory=list)
     trial: Trial = field(default_factory=Trial)
 
-    def region_of(self, availability_zone: str) -> str:
-        """Return the region that holds an availability zone.
-
-        :raises KeyError: if no region holds it.
-        """
-        for name, region in self.regions.items():
-            if availability_zone in region.availability_zones:
-                return name
-        raise KeyError(availability_zone)
-
     def targets_in(self, *, service: str, region: str) -> list[Target]:
         """Return the targets of a service in a region, in the order of the text."""
         zones = self.regions[region].availability_zones
