Add peers, look-ups, the planned stop, cold targets and SIGHUP to the entry host

Look-ups named only the host itself. Change: the member table and peer streams of the product serve the platform too, over a registry of hosts in the store; look-ups name hosts of the caller's region; the stop waits for three look-up lives; each host takes an equal part of what a cold target tolerates, counted over all registered hosts; targets that drop connections are checked by probes and come back cold. Ruled out: taking only live members for the cold part, since hosts that are cut off go on sending.

--- a/src/balsamrail/catalog/feed.py
+++ b/src/balsamrail/catalog/feed.py
@@ -24,12 +24,12 @@
     __slots__ = (
         '_environment',
         '_is_listing_due',
-        '_kind',
         '_on_event',
         '_on_listing',
         '_revision',
         '_source',
         '_watch',
+        'kind',
     )
 
     def __init__(
@@ -43,7 +43,7 @@
     ) -> None:
         self._environment = environment
         self._source = source
-        self._kind = kind
+        self.kind = kind
         self._on_listing = on_listing
         self._on_event = on_event
         self._revision = 0
@@ -64,23 +64,23 @@
                 await self._step()
                 retry_s = _FIRST_RETRY_S
             except HistoryGoneError as error:
-                self._environment.log.event('feed_history_gone', kind=self._kind, reason=error)
+                self._environment.log.event('feed_history_gone', kind=self.kind, reason=error)
                 self._is_listing_due = True
             except StoreError as error:
                 self._environment.metrics.count('feed_failures')
-                self._environment.log.event('feed_interrupted', kind=self._kind, reason=error)
+                self._environment.log.event('feed_interrupted', kind=self.kind, reason=error)
                 await asyncio.sleep(retry_s)
                 retry_s = min(_LONGEST_RETRY_S, retry_s * 2)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
-        return {'kind': self._kind, 'revision': self._revision}
+        return {'kind': self.kind, 'revision': self._revision}
 
     async def _step(self) -> None:
         if self._is_listing_due:
             self._is_listing_due = False
             try:
-                listing = await self._source.list_objects(self._kind)
+                listing = await self._source.list_objects(self.kind)
             except StoreError:
                 self._is_listing_due = True
                 raise
@@ -88,7 +88,7 @@
             self._on_listing(listing)
             return
         self._watch = asyncio.create_task(
-            self._source.watch(self._kind, revision=self._revision, wait_s=_WATCH_S)
+            self._source.watch(self.kind, revision=self._revision, wait_s=_WATCH_S)
         )
         try:
             answer = await self._watch
--- a/src/balsamrail/catalog/store_contact.py
+++ b/src/balsamrail/catalog/store_contact.py
@@ -22,7 +22,15 @@
     :param kind: a kind with few objects.
     """
 
-    __slots__ = ('_environment', '_is_up', '_kind', '_on_return', '_source', '_up_since', 'last_at')
+    __slots__ = (
+        '_environment',
+        '_is_up',
+        '_kind',
+        '_on_return',
+        '_source',
+        '_up_since',
+        'last_at',
+    )
 
     def __init__(self, *, environment: Environment, source: ObjectSource, kind: str) -> None:
         self._environment = environment
--- a/src/balsamrail/cli/entry_command.py
+++ b/src/balsamrail/cli/entry_command.py
@@ -29,19 +29,19 @@
         """Serve until the planned stop has ended."""
         settings = read_settings(self.settings)
         try:
-            asyncio.run(_serve(settings))
+            asyncio.run(_serve(settings, self.settings))
         except OSError as error:
             raise UsageError(f'cannot listen: {error}') from error
         return ExitCode.ok
 
 
-async def _serve(settings: 'Settings') -> None:
+async def _serve(settings: 'Settings', path: str) -> None:
     from balsamrail.entry import EntryHost
     from balsamrail.environment import Environment
     from balsamrail.host import LibraryLogHandler
 
     environment = Environment.create(settings=settings)
     logging.getLogger().addHandler(LibraryLogHandler(log=environment.log))
-    host = EntryHost(environment=environment)
+    host = EntryHost(environment=environment, settings_path=path)
     host.stop_on_signal()
     await host.run()
--- a/src/balsamrail/cli/main.py
+++ b/src/balsamrail/cli/main.py
@@ -33,7 +33,13 @@
 @dataclass(slots=True, kw_only=True)
 class _Program:
     command: cappa.Subcommands[
-        NodeCommand | EntryCommand | CheckCommand | SubmitCommand | StatusCommand | LookupCommand | DumpCommand
+        NodeCommand
+        | EntryCommand
+        | CheckCommand
+        | SubmitCommand
+        | StatusCommand
+        | LookupCommand
+        | DumpCommand
     ]
 
 
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -31,8 +31,7 @@
 # A target stops a little before the caller is answered, so that its own answer still arrives.
 _RETURN_S = 0.04
 _SHORTEST_WORK_S = 0.02
-_SUSPECT_S = 0.5
-_LONGEST_SUSPECT_S = 4.0
+_FIRST_CHECK_S = 0.25
 
 
 class Dispatcher:
@@ -79,7 +78,9 @@
         """
         manifest = self._catalog.manifest
         if manifest is None:
-            raise NotReadyError(detail='the host has not learnt the manifest yet', retry_after_s=0.5)
+            raise NotReadyError(
+                detail='the host has not learnt the manifest yet', retry_after_s=0.5
+            )
         route = manifest.route_for(host=request.host, path=request.path)
         if route is None:
             raise UnknownRouteError(detail='no route matches the host name and the path')
@@ -118,7 +119,10 @@
                 if not error.may_have_run:
                     # Nothing has reached a target, so the number of attempts is not used up.
                     tried_sent = [name for name in tried if name != state.entry.target_id]
-                    if len(tried) > route.max_attempts + 2 or len(tried_sent) >= route.max_attempts:
+                    if (
+                        len(tried) > route.max_attempts + 2
+                        or len(tried_sent) >= route.max_attempts
+                    ):
                         raise _unknown(error)
                     continue
             else:
@@ -201,8 +205,8 @@
         )
         if not error.may_have_run:
             self._pool.drop(state.entry.target_id)
-            pause_s = min(_LONGEST_SUSPECT_S, _SUSPECT_S * 2 ** (state.failures - 1))
-            state.suspect_until = self._now() + pause_s
+            state.is_down = True
+            state.check_at = self._now() + _FIRST_CHECK_S
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
--- a/src/balsamrail/delivery/target_pool.py
+++ b/src/balsamrail/delivery/target_pool.py
@@ -28,9 +28,7 @@
         self._idle_by_id: dict[str, list[HttpConnection]] = {}
         self._open_by_id: Counter[str] = Counter()
 
-    async def take(
-        self, entry: TargetEntry, *, is_fresh: bool, deadline: float
-    ) -> HttpConnection:
+    async def take(self, entry: TargetEntry, *, is_fresh: bool, deadline: float) -> HttpConnection:
         """Return a connection to a target, a kept one if there is one.
 
         :param is_fresh: take only a new one or one that was used within the last second, since a
--- a/src/balsamrail/delivery/target_wire.py
+++ b/src/balsamrail/delivery/target_wire.py
@@ -11,9 +11,7 @@
 class TargetWire(Protocol):
     """The platform's protocol towards targets."""
 
-    def outgoing(
-        self, request: EntryRequest, *, entry: TargetEntry, left_s: float
-    ) -> HttpRequest:
+    def outgoing(self, request: EntryRequest, *, entry: TargetEntry, left_s: float) -> HttpRequest:
         """Return what is sent to a target.
 
         :param left_s: how long the target may work, in seconds.
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -1,20 +1,30 @@
-"""Builds the parts of an entry host, listens, and stops as planned."""
+"""An entry host: builds its parts, listens, and stops as planned."""
 
 import asyncio
 import signal
+from typing import Any
 
 from tornado.httpserver import HTTPServer
+from tornado.tcpserver import TCPServer
 
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.catalog.store_contact import StoreContact
 from balsamrail.delivery.dispatcher import Dispatcher
+from balsamrail.delivery.reviver import Reviver
 from balsamrail.delivery.target_pool import TargetPool
+from balsamrail.entry.entry_stop import EntryStop
+from balsamrail.entry.settings_file import SettingsFile
 from balsamrail.environment import Environment
+from balsamrail.fleet.directory import Directory
 from balsamrail.host import Supervisor
+from balsamrail.host.announcer import Announcer
+from balsamrail.membership import Members, PeerNetwork, PeerServer
 from balsamrail.placement.chooser import Chooser
+from balsamrail.placement.cold_gate import ColdGate
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.platform.caller_server import CallerServer
 from balsamrail.platform.catalog_feeds import EVACUATIONS, CatalogFeeds
+from balsamrail.platform.host_registry import HostRegistry
 from balsamrail.platform.lookup_server import lookup_application
 from balsamrail.platform.object_store import ObjectStore
 from balsamrail.platform.target_protocol import TargetProtocol
@@ -23,13 +33,20 @@
 _BACKLOG = 1_024
 _LOOKUP_TTL_S = 1.0
 _SWEEP_S = 1.0
+_IDLE_S = 60
+_HEADER_BYTES = 65_536
 
 
 class EntryHost:
-    """One entry host."""
+    """Runs one entry host on the users' platform until SIGTERM.
 
-    def __init__(self, *, environment: Environment) -> None:
+    :param settings_path: the settings file, which is read again when it changes.
+    """
+
+    def __init__(self, *, environment: Environment, settings_path: str | None = None) -> None:
         self._environment = environment
+        self.settings_file = SettingsFile(environment=environment, path=settings_path)
+        settings = environment.settings
         self.store = ObjectStore(environment=environment)
         self.contact = StoreContact(environment=environment, source=self.store, kind=EVACUATIONS)
         self.catalog = Catalog(environment=environment)
@@ -39,63 +56,110 @@
             source=self.store,
             contact=self.contact,
         )
-        self.book = TargetBook(catalog=self.catalog)
+        registry = HostRegistry(environment=environment, store=self.store)
+        self.members = Members(environment=environment, panic_rule=False)
+        self.network = PeerNetwork(environment=environment, members=self.members, store=registry)
+        self.announcer = Announcer(environment=environment, members=self.members, store=registry)
+        self.directory = Directory(
+            environment=environment, catalog=self.catalog, members=self.members
+        )
+        self.gate = ColdGate(own_host=settings.host)
+        self.book = TargetBook(catalog=self.catalog, bounds=settings.bounds)
         self.catalog.subscribe(self._catalog_changed)
+        self.members.subscribe(self._members_changed)
         self.pool = TargetPool(environment=environment)
+        wire = TargetProtocol()
+        self.reviver = Reviver(
+            environment=environment, catalog=self.catalog, book=self.book, wire=wire
+        )
         self.dispatcher = Dispatcher(
             environment=environment,
             catalog=self.catalog,
-            chooser=Chooser(book=self.book),
+            chooser=Chooser(book=self.book, gate=self.gate),
             pool=self.pool,
-            wire=TargetProtocol(),
+            wire=wire,
         )
         self.callers = CallerServer(environment=environment, handler=self.dispatcher)
         self._supervisor = Supervisor(environment=environment)
         self._stopping = asyncio.Event()
+        self._servers: list[TCPServer] = []
 
     def stop_on_signal(self) -> None:
         """Begin the planned stop at SIGTERM or SIGINT."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.settings_file.reload)
 
     async def run(self) -> None:
         """Serve until stopped."""
+        self._listen_all()
+        self._start_parts()
+        self._environment.log.event('host_started', incarnation=self._environment.incarnation)
+        await self._stopping.wait()
+        self.directory.is_leaving = True
+        self.members.leave()
+        stop = EntryStop(
+            environment=self._environment, callers=self.callers, lookup_ttl_s=_LOOKUP_TTL_S
+        )
+        left = await stop.run()
+        self.members.finish()
+        for server in self._servers:
+            server.stop()
+        await self._supervisor.stop()
+        self.pool.close()
+        self._environment.log.event('host_stopped', in_flight=left)
+
+    def _listen_all(self) -> None:
         settings = self._environment.settings
-        server = HTTPServer(self.callers, idle_connection_timeout=60, max_header_size=65536)  # type: ignore[arg-type]
-        ip, port = split_address(settings.caller_address)
-        server.listen(port, address=ip, backlog=_BACKLOG)
-        application = lookup_application(
-            look_up=self._look_up, is_ready=self._is_ready, ttl_s=_LOOKUP_TTL_S
+        callers: Any = self.callers
+        self._listen(
+            HTTPServer(callers, idle_connection_timeout=_IDLE_S, max_header_size=_HEADER_BYTES),
+            settings.caller_address,
         )
-        small = HTTPServer(application)
-        for address in (settings.lookup_address, settings.readiness_address):
+        lookups = lookup_application(
+            look_up=self.directory.addresses, is_ready=self._is_ready, ttl_s=_LOOKUP_TTL_S
+        )
+        for address in {settings.lookup_address, settings.readiness_address}:
             if address is not None:
-                ip, port = split_address(address)
-                small.listen(port, address=ip, backlog=_BACKLOG)
-        self._supervisor.start('contact', self.contact.run)
-        for number, feed in enumerate(self.feeds.feeds):
-            self._supervisor.start(f'feed {number}', feed.run)
-        self._supervisor.start('pool', self._sweep)
-        self._environment.log.event('host_started')
-        await self._stopping.wait()
-        self._environment.log.event('host_stopping', in_flight=self.callers.in_flight)
-        self.callers.is_leaving = True
-        await asyncio.sleep(3)
-        self._environment.log.event('host_stopped', in_flight=self.callers.in_flight)
+                self._listen(HTTPServer(lookups), address)
+        peers = PeerServer(environment=self._environment, accept=self.network.accept)
+        self._listen(peers, settings.peer_address)
+
+    def _listen(self, server: TCPServer, address: str) -> None:
+        number, port = split_address(address)
+        server.listen(port, address=number, backlog=_BACKLOG)
+        self._servers.append(server)
+
+    def _start_parts(self) -> None:
+        parts: dict[str, Any] = {
+            'store_contact': self.contact,
+            'announcer': self.announcer,
+            'network': self.network,
+            'reviver': self.reviver,
+            'settings_file': self.settings_file,
+        }
+        for feed in self.feeds.feeds:
+            parts[f'feed_{feed.kind}'] = feed
+        for name, part in parts.items():
+            self._supervisor.start(name, part.run)
+        self._supervisor.start('sweep', self._sweep)
 
     def _is_ready(self) -> bool:
         return self.catalog.is_ready() and not self._stopping.is_set()
 
-    def _look_up(self, *, name: str, region: str, zone: str) -> list[str]:
-        return [self._environment.settings.caller_address]
-
     def _catalog_changed(self) -> None:
         self.book.refresh(now=self._environment.clock.monotonic())
         if self.catalog.manifest is not None:
             self.callers.limits = self.catalog.manifest.limits
 
+    def _members_changed(self) -> None:
+        listed = {entry.host for entry in self.members.host_list.hosts()}
+        known = {member.host for member in self.members.known()}
+        self.gate.set_hosts(frozenset(listed | known))
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
             self.pool.sweep()
+            self._members_changed()
--- /dev/null
+++ b/src/balsamrail/entry/settings_file.py
@@ -0,0 +1,71 @@
+"""Follows changes of the settings file."""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+from balsamrail.documents import decode_document
+from balsamrail.environment import Environment
+from balsamrail.errors import DocumentError
+from balsamrail.settings import Settings
+
+_CHECK_S = 1.0
+
+
+class SettingsFile:
+    """Takes over a changed settings file, at SIGHUP at once and otherwise within a second.
+
+    A file that cannot be read or is wrong leaves the settings in force. Addresses on which the
+    process already listens stay as they are until it starts again.
+
+    :param path: the file, ``None`` if the settings do not come from one.
+    """
+
+    __slots__ = ('_due', '_environment', '_path', '_text')
+
+    def __init__(self, *, environment: Environment, path: str | None) -> None:
+        self._environment = environment
+        self._path = path
+        self._due = asyncio.Event()
+        self._text = self._read() if path else None
+
+    def reload(self) -> None:
+        """Read the file again soon."""
+        self._due.set()
+
+    async def run(self) -> None:
+        """Follow the file until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(_CHECK_S):
+                    await self._due.wait()
+            except TimeoutError:
+                self._apply(is_asked=False)
+            else:
+                self._due.clear()
+                self._apply(is_asked=True)
+
+    def dump(self) -> dict[str, Any]:
+        """Return where the settings come from."""
+        return {'path': self._path}
+
+    def _apply(self, *, is_asked: bool) -> None:
+        text = self._read() if self._path else None
+        if text is None or (text == self._text and not is_asked):
+            return
+        is_changed = text != self._text
+        self._text = text
+        try:
+            settings = decode_document(text=text, kind=Settings)
+        except DocumentError as error:
+            self._environment.log.event('settings_rejected', faults='; '.join(error.faults))
+            return
+        self._environment.settings = settings
+        self._environment.log.event('settings_reloaded', changed=is_changed)
+
+    def _read(self) -> str | None:
+        try:
+            return Path(self._path or '').read_text(encoding='utf-8')
+        except (OSError, UnicodeDecodeError) as error:
+            self._environment.log.event('settings_unreadable', reason=error)
+            return None
--- /dev/null
+++ b/src/balsamrail/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The hosts of the fleet as callers and decisions see them."""
--- /dev/null
+++ b/src/balsamrail/fleet/directory.py
@@ -0,0 +1,63 @@
+"""Tells callers which hosts to use."""
+
+from collections.abc import Collection
+from typing import Any, Protocol
+
+from balsamrail.catalog.catalog import Catalog
+from balsamrail.environment import Environment
+from balsamrail.membership import Member
+
+_MOST_NAMED = 64
+
+
+class KnownMembers(Protocol):
+    """The member table."""
+
+    def nameable(self) -> list[Member]:
+        """Return the members that are believed to serve."""
+
+
+class Directory:
+    """Names hosts near a caller.
+
+    Hosts of the caller's region come first and alone, since requests may be confined to regions
+    and bytes between regions cost. Without any, those of the regions to which the routes of the
+    host name are confined are named, and else all.
+    """
+
+    __slots__ = ('_catalog', '_environment', '_members', 'is_leaving')
+
+    def __init__(
+        self, *, environment: Environment, catalog: Catalog, members: KnownMembers
+    ) -> None:
+        self._environment = environment
+        self._catalog = catalog
+        self._members = members
+        self.is_leaving = False
+
+    def addresses(self, *, name: str, region: str) -> list[str]:
+        """Return the callers' addresses of the hosts to use, none if there is none.
+
+        :param name: the host name that the caller is going to ask for.
+        :param region: where the caller is.
+        """
+        own = self._environment.settings.host
+        members = [
+            member
+            for member in self._members.nameable()
+            if member.host != own or not self.is_leaving
+        ]
+        near = _in_regions(members, {region})
+        if not near:
+            manifest = self._catalog.manifest
+            allowed = manifest.hosts_allow(host=name.lower()) if manifest else frozenset()
+            near = _in_regions(members, allowed) or members
+        return [member.caller_address for member in near[:_MOST_NAMED]]
+
+    def dump(self) -> dict[str, Any]:
+        """Return the hosts that are named for this host's own region."""
+        return {'named': self.addresses(name='', region=self._environment.settings.region)}
+
+
+def _in_regions(members: list[Member], regions: Collection[str]) -> list[Member]:
+    return [member for member in members if member.region in regions]
--- a/src/balsamrail/host/announcer.py
+++ b/src/balsamrail/host/announcer.py
@@ -6,9 +6,9 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreError
 from balsamrail.membership import Members
-from balsamrail.store import ListedHost, Store
+from balsamrail.store import HostSource, ListedHost
 
-_RETRY_S = 5
+_RETRY_S = 1
 
 
 class Announcer:
@@ -16,7 +16,7 @@
 
     __slots__ = ('_environment', '_listed', '_members', '_store')
 
-    def __init__(self, *, environment: Environment, members: Members, store: Store) -> None:
+    def __init__(self, *, environment: Environment, members: Members, store: HostSource) -> None:
         self._environment = environment
         self._members = members
         self._store = store
--- a/src/balsamrail/logs.py
+++ b/src/balsamrail/logs.py
@@ -40,14 +40,14 @@
     """Writes events of one process.
 
     :param host: added to each line.
-    :param output: where lines go; standard error by default.
+    :param output: where lines go; standard output by default.
     """
 
     __slots__ = ('_host', '_logger')
 
     def __init__(self, *, host: str, output: _Output | None = None) -> None:
         self._host = host
-        self._logger = _LineLogger(output=output or sys.stderr)
+        self._logger = _LineLogger(output=output or sys.stdout)
 
     def event(self, name: str, /, **fields: object) -> None:
         """Write one line for the event ``name`` with ``fields`` as its pairs."""
--- a/src/balsamrail/membership/host_list.py
+++ b/src/balsamrail/membership/host_list.py
@@ -7,7 +7,7 @@
 
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreError
-from balsamrail.store import ListedHost, Store
+from balsamrail.store import HostSource, ListedHost
 
 # All hosts together make about 15 list calls/s, whatever the size of the fleet: 920 hosts poll
 # every 61 s on average, and up to 75 hosts poll every 5 s (9 hosts: 1.8 calls/s).
@@ -84,7 +84,7 @@
         """Return the last list."""
         return list(self._host_by_name.values())
 
-    async def poll(self, *, store: Store) -> None:
+    async def poll(self, *, store: HostSource) -> None:
         """Read the list for ever, at a rate that suits the whole fleet."""
         while True:
             try:
--- a/src/balsamrail/membership/peer_network.py
+++ b/src/balsamrail/membership/peer_network.py
@@ -21,7 +21,7 @@
 from balsamrail.membership.tcp_transport import TcpTransport
 from balsamrail.membership.transport import Transport
 from balsamrail.messages import Heartbeat, HeartbeatAck, Hello, MemberDigest, MemberUpdate, Message
-from balsamrail.store import Store
+from balsamrail.store import HostSource
 
 
 class PeerNetwork:
@@ -54,7 +54,7 @@
         *,
         environment: Environment,
         members: Members,
-        store: Store,
+        store: HostSource,
         transport: Transport | None = None,
         detector: FailureDetector | None = None,
         replace_silent: bool = True,
--- a/src/balsamrail/placement/chooser.py
+++ b/src/balsamrail/placement/chooser.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from balsamrail.catalog.manifest_route import ManifestRoute
+from balsamrail.placement.cold_gate import ColdGate
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.placement.target_state import TargetState
 
@@ -41,10 +42,11 @@
     the first targets of its object or is refused.
     """
 
-    __slots__ = ('_book',)
+    __slots__ = ('_book', '_gate')
 
-    def __init__(self, *, book: TargetBook) -> None:
+    def __init__(self, *, book: TargetBook, gate: ColdGate) -> None:
         self._book = book
+        self._gate = gate
 
     def choose(
         self,
@@ -63,12 +65,19 @@
         usable = []
         for target_id in ranking.best(object_key, count=_CANDIDATES + len(tried)):
             state = self._book.state_of(target_id)
-            if state is None or target_id in tried or now < state.suspect_until:
+            if state is None or state.is_down or target_id in tried:
                 continue
-            usable.append(state)
+            if not state.is_cold(now=now) or self._may_warm(state, now):
+                usable.append(state)
         if not usable:
             return Refused(reason='no_target', retry_after_s=0.3)
         for state in usable[:_TARGETS_OF_OBJECT]:
             if state.fill(now=now) < _FULL:
+                if state.is_cold(now=now):
+                    self._gate.note_sent(state.entry.target_id, now=now)
                 return Chosen(state=state)
         return Refused(reason='overloaded', retry_after_s=0.3)
+
+    def _may_warm(self, state: TargetState, now: float) -> bool:
+        per_s = self._book.cold_rate_of(state.entry.service)
+        return self._gate.is_open(state.entry.target_id, per_s=per_s, now=now)
--- a/src/balsamrail/placement/target_book.py
+++ b/src/balsamrail/placement/target_book.py
@@ -6,6 +6,7 @@
 from balsamrail.catalog.target_entry import TargetEntry
 from balsamrail.placement.ranking import Ranking
 from balsamrail.placement.target_state import TargetState
+from balsamrail.settings import Bounds
 
 
 class TargetBook:
@@ -14,10 +15,11 @@
     :param catalog: tells which targets are registered.
     """
 
-    __slots__ = ('_catalog', '_rankings_by_scope', 'states_by_id')
+    __slots__ = ('_bounds', '_catalog', '_rankings_by_scope', 'states_by_id')
 
-    def __init__(self, *, catalog: Catalog) -> None:
+    def __init__(self, *, catalog: Catalog, bounds: Bounds) -> None:
         self._catalog = catalog
+        self._bounds = bounds
         self.states_by_id: dict[str, TargetState] = {}
         self._rankings_by_scope: dict[tuple[str, frozenset[str]], Ranking] = {}
 
@@ -35,6 +37,13 @@
         """Return what is known of a target, ``None`` if it is not registered."""
         return self.states_by_id.get(target_id)
 
+    def cold_rate_of(self, service: str) -> float:
+        """Return how many requests a second a cold target may get from all hosts together."""
+        manifest = self._catalog.manifest
+        spec = manifest.services.get(service) if manifest else None
+        rate = spec.warmup_per_s if spec else 0
+        return rate * self._bounds.cold_overage + self._bounds.cold_slack
+
     def ranking_of(self, service: str, *, allowed_regions: frozenset[str]) -> Ranking:
         """Return the ranking of a service's targets that may be used in some regions.
 
@@ -54,7 +63,7 @@
                 'in_flight': state.in_flight,
                 'failures': state.failures,
                 'cold_until': state.cold_until,
-                'suspect_until': state.suspect_until,
+                'is_down': state.is_down,
             }
             for target_id, state in self.states_by_id.items()
         }
--- a/src/balsamrail/placement/target_state.py
+++ b/src/balsamrail/placement/target_state.py
@@ -15,14 +15,16 @@
 
     :param in_flight: this host's requests at the target.
     :param cold_until: the time until which the target tolerates few requests.
-    :param suspect_until: the time before which the target is not chosen.
+    :param is_down: whether it refused or dropped a connection and has not answered since.
+    :param check_at: when the health of a target that is down is checked next.
     :param failures: failures in a row.
     """
 
     entry: TargetEntry
     in_flight: int = 0
     cold_until: float = 0
-    suspect_until: float = 0
+    is_down: bool = False
+    check_at: float = 0
     failures: int = 0
     _others: float = 0
     _reported_at: float = 0
--- a/src/balsamrail/platform/caller_server.py
+++ b/src/balsamrail/platform/caller_server.py
@@ -55,6 +55,7 @@
         self.limits = CallerLimits()
         self.is_leaving = False
         self.in_flight = 0
+        self.last_request_at = environment.clock.monotonic()
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -84,6 +85,7 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self._server.in_flight += 1
         self._request = self._decoded(start_line, headers)
+        self._server.last_request_at = self._request.arrived_at
         limits = self._server.limits
         size = len(start_line.path) + sum(
             len(name) + len(value) + _LINE_BYTES for name, value in headers.get_all()
--- /dev/null
+++ b/src/balsamrail/platform/host_registry.py
@@ -0,0 +1,56 @@
+"""The fleet's own entries in the platform's store."""
+
+from typing import Any
+
+from balsamrail.environment import Environment
+from balsamrail.errors import StoreConflictError
+from balsamrail.platform.object_store import ObjectStore
+from balsamrail.store import ListedHost
+
+_KIND = 'balsamrail-hosts'
+
+
+class HostRegistry:
+    """Lists the hosts of the fleet and registers this one.
+
+    Nothing there expires by itself. An entry tells where a host can be reached; whether it is
+    alive is judged by its peers.
+    """
+
+    __slots__ = ('_environment', '_store')
+
+    def __init__(self, *, environment: Environment, store: ObjectStore) -> None:
+        self._environment = environment
+        self._store = store
+
+    async def list_hosts(self) -> list[ListedHost]:
+        """Return the registered hosts; the list may be seconds old."""
+        listing = await self._store.list_objects(_KIND, is_stale_allowed=True)
+        hosts = []
+        for stored in listing.objects:
+            listed = _read(stored.name, stored.spec)
+            if listed is None:
+                self._environment.log.event('host_entry_rejected', object=stored.name)
+            else:
+                hosts.append(listed)
+        return hosts
+
+    async def announce_host(self, host: ListedHost) -> None:
+        """Register this host.
+
+        :raises StoreError: if the store did not take it.
+        """
+        spec = {'address': host.address, 'state': host.state}
+        try:
+            await self._store.create(_KIND, host.host, spec=spec)
+        except StoreConflictError:
+            await self._store.replace(_KIND, host.host, spec=spec)
+
+
+def _read(name: str, spec: Any) -> ListedHost | None:
+    if not isinstance(spec, dict):
+        return None
+    address, state = spec.get('address'), spec.get('state')
+    if not isinstance(address, str) or not isinstance(state, str):
+        return None
+    return ListedHost(host=name, address=address, state=state)
--- a/src/balsamrail/platform/lookup_server.py
+++ b/src/balsamrail/platform/lookup_server.py
@@ -35,8 +35,9 @@
         addresses = self._look_up(
             name=self.get_query_argument('name', ''),
             region=self.get_query_argument('region', ''),
-            zone=self.get_query_argument('zone', ''),
         )
+        if not addresses:
+            self.set_status(503)
         self.set_header('Content-Type', 'application/json')
         self.finish(json.dumps({'addresses': addresses, 'ttlS': self._ttl_s}))
 
--- a/src/balsamrail/platform/object_store.py
+++ b/src/balsamrail/platform/object_store.py
@@ -8,6 +8,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from balsamrail.catalog.stored_objects import Listing, StoreObject, WatchAnswer
 from balsamrail.delivery.http_connection import HttpConnection
 from balsamrail.delivery.http_message import HttpAnswer, HttpRequest
 from balsamrail.environment import Environment
@@ -21,7 +22,6 @@
 )
 from balsamrail.platform.store_codec import read_body, read_events, read_items, read_object
 from balsamrail.platform.store_codec import read_revision as revision_of
-from balsamrail.catalog.stored_objects import Listing, StoreObject, WatchAnswer
 
 _PATH = '/balsamrail/objects'
 _MS_IN_S = 1_000
--- a/src/balsamrail/platform/store_codec.py
+++ b/src/balsamrail/platform/store_codec.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any
 
-from balsamrail.errors import StoreError
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject, WatchAnswer
+from balsamrail.errors import StoreError
 
 
 def read_body(body: bytes) -> dict[str, Any]:
--- a/src/balsamrail/platform/target_protocol.py
+++ b/src/balsamrail/platform/target_protocol.py
@@ -1,7 +1,10 @@
 """The platform's headers towards targets."""
 
+from http import HTTPStatus
+
 from balsamrail.catalog.target_entry import TargetEntry
 from balsamrail.delivery.entry_request import EntryRequest
+from balsamrail.delivery.health_report import HealthReport
 from balsamrail.delivery.http_message import HttpAnswer, HttpRequest
 from balsamrail.delivery.target_answer import TargetAnswer
 from balsamrail.forwarding.hop_headers import passed_on
@@ -17,11 +20,13 @@
 
 
 class TargetProtocol:
-    """Implements :class:`balsamrail.delivery.target_wire.TargetWire`."""
+    """Writes requests to targets and reads what they answer.
+
+    Implements :class:`balsamrail.delivery.target_wire.TargetWire` and
+    :class:`balsamrail.delivery.health_report.HealthWire`.
+    """
 
-    def outgoing(
-        self, request: EntryRequest, *, entry: TargetEntry, left_s: float
-    ) -> HttpRequest:
+    def outgoing(self, request: EntryRequest, *, entry: TargetEntry, left_s: float) -> HttpRequest:
         """Return the caller's request with the time that is left and the target's id."""
         sent = passed_on(request.headers, without=_OWN_HEADERS)
         sent[headers.TIMEOUT_MS] = str(max(1, int(left_s * _MS_IN_S)))
@@ -50,6 +55,16 @@
             load=_load(answer.headers.get(headers.TARGET_LOAD)),
         )
 
+    def read_health(self, answer: HttpAnswer, *, entry: TargetEntry) -> HealthReport:
+        """Return what the answer to a health check tells of the target ``entry``."""
+        named = answer.headers.get(headers.TARGET_ID, entry.target_id)
+        cold_ms = answer.headers.get(headers.COLD_LEFT_MS, '')
+        return HealthReport(
+            is_usable=named == entry.target_id
+            and (answer.status == HTTPStatus.OK or headers.NOT_RUN in answer.headers),
+            cold_left_s=int(cold_ms) / _MS_IN_S if cold_ms.isdecimal() else None,
+        )
+
 
 def _load(text: str | None) -> ReportedLoad | None:
     fields = (text or '').split(',')
--- a/src/balsamrail/store/store.py
+++ b/src/balsamrail/store/store.py
@@ -2,11 +2,11 @@
 
 from typing import Any, Protocol
 
-from balsamrail.store.listed_host import ListedHost
+from balsamrail.store.host_source import HostSource
 from balsamrail.store.stored_object import StoredObject
 
 
-class Store(Protocol):
+class Store(HostSource, Protocol):
     """The object API and the host list.
 
     Every method raises :class:`balsamrail.errors.StoreUnavailableError` if the call did not take
@@ -28,9 +28,3 @@
 
     async def list_names(self, *, prefix: str) -> dict[str, int]:
         """Return the version of each object whose name begins with ``prefix``."""
-
-    async def list_hosts(self) -> list[ListedHost]:
-        """Return the platform's host list, which lags."""
-
-    async def announce_host(self, host: ListedHost) -> None:
-        """Tell the platform the state of this host."""
