Let two hosts of a region watch the store and tell the others

Every host watched three kinds and each change of 404 targets woke all of them. Change: objects are merged by revision from any number of sources (ObjectView); two hosts of a region watch and pass changes on over the peer streams (FeedHub, FeedFollower); the next ones in rank step in when a watcher does not hear from the store; a host that hears of it from nobody watches itself; regions of up to three hosts all watch. Calls are made only while a check at a tenth of the price is answered, bursts of changes are gathered for 0.15 s, and watches end before the shortest history.

--- a/src/balsamrail/catalog/catalog.py
+++ b/src/balsamrail/catalog/catalog.py
@@ -16,6 +16,7 @@
 
     __slots__ = (
         '_environment',
+        '_is_changed',
         '_subscribers',
         '_targets_by_service',
         'entries_by_id',
@@ -29,6 +30,7 @@
         self.entries_by_id: dict[str, TargetEntry] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
         self._targets_by_service: dict[str, list[TargetEntry]] = {}
+        self._is_changed = False
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, changed: Callable[[], None]) -> None:
@@ -51,7 +53,7 @@
         return True
 
     def put_target(self, entry: TargetEntry) -> None:
-        """Add a target or replace what is known of it."""
+        """Add a target or replace what is known of it; see :meth:`publish`."""
         known = self.entries_by_id.get(entry.target_id)
         if known == entry:
             return
@@ -66,12 +68,17 @@
             cold_left_s=entry.cold_left_s,
             born_ms=entry.born_ms,
         )
-        self._changed()
+        self._is_changed = True
 
     def drop_target(self, target_id: str, *, reason: str) -> None:
-        """Forget a target."""
+        """Forget a target; see :meth:`publish`."""
         if self.entries_by_id.pop(target_id, None) is not None:
             self._environment.log.event('target_gone', target=target_id, reason=reason)
+            self._is_changed = True
+
+    def publish(self) -> None:
+        """Tell the subscribers of changed targets, once for all changes since the last call."""
+        if self._is_changed:
             self._changed()
 
     def set_evacuated(self, zones: frozenset[str]) -> None:
@@ -109,6 +116,7 @@
         }
 
     def _changed(self) -> None:
+        self._is_changed = False
         self._targets_by_service.clear()
         for changed in self._subscribers:
             changed()
--- a/src/balsamrail/catalog/removal_grace.py
+++ b/src/balsamrail/catalog/removal_grace.py
@@ -34,3 +34,4 @@
     def _remove_now(self, target_id: str, reason: str) -> None:
         self._timers_by_id.pop(target_id, None)
         self._catalog.drop_target(target_id, reason=reason)
+        self._catalog.publish()
--- a/src/balsamrail/catalog/store_contact.py
+++ b/src/balsamrail/catalog/store_contact.py
@@ -23,23 +23,21 @@
     """
 
     __slots__ = (
+        '_answers',
         '_environment',
-        '_is_up',
         '_kind',
         '_on_return',
         '_source',
         '_up_since',
-        'last_at',
     )
 
     def __init__(self, *, environment: Environment, source: ObjectSource, kind: str) -> None:
         self._environment = environment
         self._source = source
         self._kind = kind
-        self._is_up = False
+        self._answers = asyncio.Event()
         self._up_since = environment.clock.monotonic()
         self._on_return: list[Callable[[], None]] = []
-        self.last_at: float | None = None
 
     def subscribe(self, on_return: Callable[[], None]) -> None:
         """Call ``on_return`` whenever the store answers again."""
@@ -47,14 +45,22 @@
 
     def is_up(self) -> bool:
         """Return whether the last call was answered."""
-        return self._is_up
+        return self._answers.is_set()
 
     def up_for_s(self) -> float:
         """Return for how many seconds the store has answered, 0 while it does not."""
-        if not self._is_up:
+        if not self.is_up():
             return 0
         return self._environment.clock.monotonic() - self._up_since
 
+    async def wait_until_up(self) -> None:
+        """Wait until the store answers."""
+        await self._answers.wait()
+
+    def reset(self) -> None:
+        """Forget the last answer, since checks have ended."""
+        self._answers.clear()
+
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
@@ -69,21 +75,19 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
-        return {'is_up': self._is_up, 'up_for_s': self.up_for_s()}
+        return {'is_up': self.is_up(), 'up_for_s': self.up_for_s()}
 
     def _note_failure(self, error: StoreError) -> None:
-        if self._is_up:
-            self._is_up = False
+        if self.is_up():
+            self._answers.clear()
             self._environment.metrics.count('store_losses')
             self._environment.log.event('store_lost', reason=error)
 
     def _note_answer(self) -> None:
-        now = self._environment.clock.monotonic()
-        self.last_at = now
-        if self._is_up:
+        if self.is_up():
             return
-        self._is_up = True
-        self._up_since = now
+        self._answers.set()
+        self._up_since = self._environment.clock.monotonic()
         self._environment.log.event('store_reached')
         for on_return in self._on_return:
             on_return()
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -7,26 +7,21 @@
 from tornado.httpserver import HTTPServer
 from tornado.tcpserver import TCPServer
 
-from balsamrail.catalog.catalog import Catalog
-from balsamrail.catalog.store_contact import StoreContact
 from balsamrail.delivery.dispatcher import Dispatcher
 from balsamrail.delivery.reviver import Reviver
 from balsamrail.delivery.target_pool import TargetPool
 from balsamrail.entry.entry_stop import EntryStop
 from balsamrail.entry.settings_file import SettingsFile
+from balsamrail.entry.store_parts import StoreParts
 from balsamrail.environment import Environment
 from balsamrail.fleet.directory import Directory
 from balsamrail.host import Supervisor
-from balsamrail.host.announcer import Announcer
-from balsamrail.membership import Members, PeerNetwork, PeerServer
+from balsamrail.membership import PeerServer
 from balsamrail.placement.chooser import Chooser
 from balsamrail.placement.cold_gate import ColdGate
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.platform.caller_server import CallerServer
-from balsamrail.platform.catalog_feeds import EVACUATIONS, CatalogFeeds
-from balsamrail.platform.host_registry import HostRegistry
 from balsamrail.platform.lookup_server import lookup_application
-from balsamrail.platform.object_store import ObjectStore
 from balsamrail.platform.target_protocol import TargetProtocol
 from balsamrail.settings.address import split_address
 
@@ -47,19 +42,9 @@
         self._environment = environment
         self.settings_file = SettingsFile(environment=environment, path=settings_path)
         settings = environment.settings
-        self.store = ObjectStore(environment=environment)
-        self.contact = StoreContact(environment=environment, source=self.store, kind=EVACUATIONS)
-        self.catalog = Catalog(environment=environment)
-        self.feeds = CatalogFeeds(
-            environment=environment,
-            catalog=self.catalog,
-            source=self.store,
-            contact=self.contact,
-        )
-        registry = HostRegistry(environment=environment, store=self.store)
-        self.members = Members(environment=environment, panic_rule=False)
-        self.network = PeerNetwork(environment=environment, members=self.members, store=registry)
-        self.announcer = Announcer(environment=environment, members=self.members, store=registry)
+        self.shared = StoreParts(environment=environment)
+        self.catalog = self.shared.catalog
+        self.members = self.shared.members
         self.directory = Directory(
             environment=environment, catalog=self.catalog, members=self.members
         )
@@ -123,7 +108,7 @@
         for address in {settings.lookup_address, settings.readiness_address}:
             if address is not None:
                 self._listen(HTTPServer(lookups), address)
-        peers = PeerServer(environment=self._environment, accept=self.network.accept)
+        peers = PeerServer(environment=self._environment, accept=self.shared.network.accept)
         self._listen(peers, settings.peer_address)
 
     def _listen(self, server: TCPServer, address: str) -> None:
@@ -133,14 +118,13 @@
 
     def _start_parts(self) -> None:
         parts: dict[str, Any] = {
-            'store_contact': self.contact,
-            'announcer': self.announcer,
-            'network': self.network,
+            'announcer': self.shared.announcer,
+            'network': self.shared.network,
+            'watch': self.shared.watch,
+            'hub': self.shared.hub,
             'reviver': self.reviver,
             'settings_file': self.settings_file,
         }
-        for feed in self.feeds.feeds:
-            parts[f'feed_{feed.kind}'] = feed
         for name, part in parts.items():
             self._supervisor.start(name, part.run)
         self._supervisor.start('sweep', self._sweep)
--- /dev/null
+++ b/src/balsamrail/entry/store_parts.py
@@ -0,0 +1,52 @@
+"""What a host knows of the store, and how it learns of it."""
+
+from balsamrail.catalog.catalog import Catalog
+from balsamrail.catalog.feed import Feed
+from balsamrail.catalog.store_contact import StoreContact
+from balsamrail.environment import Environment
+from balsamrail.fleet.feed_follower import FeedFollower
+from balsamrail.fleet.feed_hub import FeedHub
+from balsamrail.fleet.store_watch import StoreWatch
+from balsamrail.host.announcer import Announcer
+from balsamrail.membership import Members, PeerNetwork
+from balsamrail.platform.catalog_reader import EVACUATIONS, CatalogReader
+from balsamrail.platform.host_registry import HostRegistry
+from balsamrail.platform.object_store import ObjectStore
+
+
+class StoreParts:
+    """Builds the store's client, the catalog, the fleet and the feeds between them."""
+
+    __slots__ = ('announcer', 'catalog', 'hub', 'members', 'network', 'store', 'watch')
+
+    def __init__(self, *, environment: Environment) -> None:
+        self.store = ObjectStore(environment=environment)
+        self.catalog = Catalog(environment=environment)
+        registry = HostRegistry(environment=environment, store=self.store)
+        self.members = Members(environment=environment, panic_rule=False)
+        self.network = PeerNetwork(environment=environment, members=self.members, store=registry)
+        self.announcer = Announcer(environment=environment, members=self.members, store=registry)
+        reader = CatalogReader(
+            environment=environment,
+            catalog=self.catalog,
+            store_up_for_s=lambda: self.watch.store_up_for_s(),
+        )
+        contact = StoreContact(environment=environment, source=self.store, kind=EVACUATIONS)
+        self.watch = StoreWatch(
+            environment=environment,
+            members=self.members,
+            contact=contact,
+            feeds=[
+                Feed(environment=environment, source=self.store, view=view, contact=contact)
+                for view in reader.views
+            ],
+            follower=FeedFollower(
+                environment=environment, network=self.network, views=reader.views
+            ),
+        )
+        self.hub = FeedHub(
+            environment=environment,
+            network=self.network,
+            views=reader.views,
+            watch=self.watch,
+        )
--- /dev/null
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -0,0 +1,148 @@
+"""Takes changes of the store's objects from the hosts that watch it."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from balsamrail.catalog.object_view import ObjectView
+from balsamrail.catalog.stored_objects import Listing, ObjectEvent
+from balsamrail.environment import Environment
+from balsamrail.errors import PeerError
+from balsamrail.fleet.object_codec import unpack_objects
+from balsamrail.fleet.watch_duty import WatcherState
+from balsamrail.membership.network import Network
+from balsamrail.messages import FeedStatus, FeedSubscribe, FeedUpdate
+
+_RENEW_S = 1.0
+# Two statuses in a row may be late before a watcher counts as silent.
+_SILENT_S = 1.2
+# For so long a watcher may be without word from the store until another one steps in.
+_PENDING_S = 1.0
+_MS_IN_S = 1_000
+
+
+@dataclass(slots=True, kw_only=True)
+class _Source:
+    number: int = 0
+    is_complete: bool = False
+    is_current: bool = False
+    store_up_s: float = 0
+    heard_at: float = 0
+    asked_at: float = 0
+    since: float = 0
+    sound_at: float = 0
+
+
+class FeedFollower:
+    """Subscribes to watchers and merges what they tell into the views.
+
+    All watchers are heard at once, so that one that is cut off from the store does not keep the
+    others' news from this host.
+    """
+
+    __slots__ = ('_environment', '_network', '_sources_by_host', '_views_by_kind')
+
+    def __init__(
+        self, *, environment: Environment, network: Network, views: Iterable[ObjectView]
+    ) -> None:
+        self._environment = environment
+        self._network = network
+        self._views_by_kind = {view.kind: view for view in views}
+        self._sources_by_host: dict[str, _Source] = {}
+        network.subscribe(FeedUpdate, self._update)
+        network.subscribe(FeedStatus, self._status)
+
+    async def follow(self, hosts: Iterable[str]) -> None:
+        """Keep subscriptions to exactly these hosts; called several times a second."""
+        wanted = set(hosts)
+        for host in list(self._sources_by_host):
+            if host not in wanted:
+                del self._sources_by_host[host]
+        now = self._environment.clock.monotonic()
+        for host in sorted(wanted):
+            source = self._sources_by_host.get(host)
+            if source is None:
+                source = _Source(since=now, asked_at=now - _RENEW_S)
+                self._sources_by_host[host] = source
+            if now - source.asked_at >= _RENEW_S:
+                source.asked_at = now
+                await self._ask(host, source)
+
+    def state_of(self, host: str) -> WatcherState:
+        """Return what is known of a watcher."""
+        source = self._sources_by_host.get(host)
+        if source is None:
+            return WatcherState.pending
+        if self._is_sound(source):
+            return WatcherState.sound
+        waited_s = self._environment.clock.monotonic() - max(source.sound_at, source.since)
+        return WatcherState.pending if waited_s < _PENDING_S else WatcherState.failing
+
+    def is_current(self) -> bool:
+        """Return whether some watcher hears from the store and tells everything."""
+        return any(self._is_sound(source) for source in self._sources_by_host.values())
+
+    def store_up_for_s(self) -> float:
+        """Return for how long the store has answered the watchers, in seconds."""
+        return max(
+            (s.store_up_s for s in self._sources_by_host.values() if self._is_sound(s)),
+            default=0,
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Return the watchers and how far they are heard."""
+        return {
+            host: {'is_current': source.is_current, 'number': source.number}
+            for host, source in self._sources_by_host.items()
+        }
+
+    def _is_sound(self, source: _Source) -> bool:
+        silent_s = self._environment.clock.monotonic() - source.heard_at
+        return source.is_complete and source.is_current and silent_s < _SILENT_S
+
+    async def _ask(self, host: str, source: _Source) -> None:
+        message = FeedSubscribe(needs_listing=not source.is_complete)
+        if not await self._network.send(host, message):
+            source.is_complete = False
+
+    def _update(self, host: str, message: FeedUpdate) -> None:
+        source = self._sources_by_host.get(host)
+        view = self._views_by_kind.get(message.kind)
+        if source is None or view is None:
+            return
+        try:
+            written = unpack_objects(message.written)
+            removed = unpack_objects(message.removed)
+        except PeerError as error:
+            self._environment.log.event('feed_update_invalid', peer=host, reason=error)
+            source.is_complete = False
+            return
+        self._count(source, message.number)
+        if message.is_listing:
+            view.apply_listing(Listing(objects=tuple(written), revision=message.revision))
+            return
+        view.apply_events(
+            [
+                *(ObjectEvent(stored=stored, is_removal=True) for stored in removed),
+                *(ObjectEvent(stored=stored, is_removal=False) for stored in written),
+            ]
+        )
+
+    def _status(self, host: str, message: FeedStatus) -> None:
+        source = self._sources_by_host.get(host)
+        if source is None:
+            return
+        if message.number != source.number:
+            source.is_complete = False
+        source.is_current = message.is_current
+        source.store_up_s = message.store_up_ms / _MS_IN_S
+        source.heard_at = self._environment.clock.monotonic()
+        if self._is_sound(source):
+            source.sound_at = source.heard_at
+
+    def _count(self, source: _Source, number: int) -> None:
+        if number == 1:
+            source.is_complete = True
+        elif number != source.number + 1:
+            source.is_complete = False
+        source.number = number
--- /dev/null
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -0,0 +1,150 @@
+"""Passes changes of the store's objects on to other hosts."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from balsamrail.catalog.object_view import ObjectView
+from balsamrail.catalog.stored_objects import ObjectEvent
+from balsamrail.environment import Environment
+from balsamrail.fleet.object_codec import pack_object
+from balsamrail.membership.network import Network
+from balsamrail.messages import FeedStatus, FeedSubscribe, FeedUpdate
+
+_STATUS_S = 0.4
+# A subscription is renewed every second.
+_LEASE_S = 4.0
+_MS_IN_S = 1_000
+
+
+class StoreWatch(Protocol):
+    """Whether this host hears from the store itself."""
+
+    def is_current(self) -> bool:
+        """Return whether all kinds are watched and the store answers."""
+
+    def up_for_s(self) -> float:
+        """Return for how many seconds the store has answered."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Subscription:
+    expires_at: float
+    number: int = 0
+
+
+class FeedHub:
+    """Serves the hosts that subscribed with what this host knows of the store.
+
+    A new subscriber gets everything, then each change, and a status several times a second. A
+    gap in the numbers tells it that something was lost.
+    """
+
+    __slots__ = ('_environment', '_network', '_subscriptions_by_host', '_views', '_watch')
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        network: Network,
+        views: Iterable[ObjectView],
+        watch: StoreWatch,
+    ) -> None:
+        self._environment = environment
+        self._network = network
+        self._views = tuple(views)
+        self._watch = watch
+        self._subscriptions_by_host: dict[str, _Subscription] = {}
+        network.subscribe(FeedSubscribe, self._subscribe)
+        for view in self._views:
+            view.subscribe(self._forwarder(view))
+
+    async def run(self) -> None:
+        """Send statuses until cancelled."""
+        while True:
+            await asyncio.sleep(_STATUS_S)
+            now = self._environment.clock.monotonic()
+            for host, subscription in list(self._subscriptions_by_host.items()):
+                if subscription.expires_at < now:
+                    del self._subscriptions_by_host[host]
+                else:
+                    await self._send_status(host, subscription)
+
+    def dump(self) -> dict[str, Any]:
+        """Return who is subscribed."""
+        return {'subscribers': sorted(self._subscriptions_by_host)}
+
+    async def _send_status(self, host: str, subscription: _Subscription) -> None:
+        status = FeedStatus(
+            number=subscription.number,
+            is_current=self._watch.is_current(),
+            store_up_ms=int(self._watch.up_for_s() * _MS_IN_S),
+        )
+        if not await self._network.send(host, status):
+            self._subscriptions_by_host.pop(host, None)
+
+    def _subscribe(self, host: str, message: FeedSubscribe) -> None:
+        expires_at = self._environment.clock.monotonic() + _LEASE_S
+        subscription = self._subscriptions_by_host.get(host)
+        if subscription is not None and not message.needs_listing:
+            subscription.expires_at = expires_at
+            return
+        subscription = _Subscription(expires_at=expires_at)
+        self._subscriptions_by_host[host] = subscription
+        asyncio.create_task(self._greet(host, subscription))
+
+    async def _greet(self, host: str, subscription: _Subscription) -> None:
+        for view in self._views:
+            if view.is_listed:
+                await self._send_update(host, subscription, _listing_of(view))
+        await self._send_status(host, subscription)
+
+    def _forwarder(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
+        def forward(events: list[ObjectEvent]) -> None:
+            if self._subscriptions_by_host:
+                asyncio.create_task(self._forward(_update_of(view.kind, events)))
+
+        return forward
+
+    async def _forward(self, update: FeedUpdate) -> None:
+        for host, subscription in list(self._subscriptions_by_host.items()):
+            await self._send_update(host, subscription, update)
+
+    async def _send_update(
+        self, host: str, subscription: _Subscription, update: FeedUpdate
+    ) -> None:
+        subscription.number += 1
+        numbered = FeedUpdate(
+            number=subscription.number,
+            kind=update.kind,
+            is_listing=update.is_listing,
+            revision=update.revision,
+            written=update.written,
+            removed=update.removed,
+        )
+        if not await self._network.send(host, numbered):
+            self._subscriptions_by_host.pop(host, None)
+
+
+def _listing_of(view: ObjectView) -> FeedUpdate:
+    stored = view.objects_by_name.values()
+    return FeedUpdate(
+        number=0,
+        kind=view.kind,
+        is_listing=True,
+        revision=max((one.revision for one in stored), default=0),
+        written=[pack_object(one) for one in stored],
+        removed=[],
+    )
+
+
+def _update_of(kind: str, events: list[ObjectEvent]) -> FeedUpdate:
+    return FeedUpdate(
+        number=0,
+        kind=kind,
+        is_listing=False,
+        revision=0,
+        written=[pack_object(event.stored) for event in events if not event.is_removal],
+        removed=[pack_object(event.stored) for event in events if event.is_removal],
+    )
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -3,6 +3,9 @@
 from balsamrail.messages.claim_answer import ClaimAnswer
 from balsamrail.messages.claim_request import ClaimRequest
 from balsamrail.messages.crash_report import CrashReport
+from balsamrail.messages.feed_status import FeedStatus
+from balsamrail.messages.feed_subscribe import FeedSubscribe
+from balsamrail.messages.feed_update import FeedUpdate
 from balsamrail.messages.heartbeat import Heartbeat
 from balsamrail.messages.heartbeat_ack import HeartbeatAck
 from balsamrail.messages.hello import Hello
@@ -46,6 +49,9 @@
     | MemberDigest
     | ShareEpochQuery
     | ShareEpochAnswer
+    | FeedSubscribe
+    | FeedUpdate
+    | FeedStatus
 )
 
 # The position in this tuple is the tag on the wire: append only, never reorder.
@@ -72,4 +78,7 @@
     MemberDigest,
     ShareEpochQuery,
     ShareEpochAnswer,
+    FeedSubscribe,
+    FeedUpdate,
+    FeedStatus,
 )
--- a/src/balsamrail/settings/settings.py
+++ b/src/balsamrail/settings/settings.py
@@ -19,7 +19,7 @@
     ``seeds`` are peer addresses that are asked while the store and its host list are down.
 
     The fields from ``lookup_address`` on are those of a host on the users' platform: where it
-    answers look-ups and readiness checks, the region of each availability zone, the promised
+    answers look-ups and readiness checks, whether all hosts start for the first time, the region of each availability zone, the promised
     bounds, and the memory of a process in MB.
     """
 
@@ -37,4 +37,5 @@
     readiness_address: Address | None = None
     region_by_availability_zone: dict[str, str] = field(default_factory=dict)
     bounds: Bounds = field(default_factory=Bounds)
+    is_first_start: bool = False
     memory_mb: int = field(default=300, metadata=schema(min=1))
