--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -12,9 +12,8 @@
 from balsamrail.membership import Member
 
 _TICK_S = 0.25
-# At the start peers are heard of first, which is cheaper than to watch for a moment.
-_FIRST_TICK_S = 0.4
-# When all hosts start together they have to find each other first.
+# When all hosts start for the first time there is no traffic yet, and to find each other first
+# saves calls. A host that starts later has callers waiting and asks the store at once.
 _FIRST_START_S = 1.5
 # For so long no watcher may be heard before this host watches itself.
 _PATIENCE_S = 1.5
@@ -86,7 +85,7 @@
     async def run(self) -> None:
         """Take up and leave the duty until cancelled."""
         is_first_start = self._environment.settings.is_first_start
-        await asyncio.sleep(_FIRST_START_S if is_first_start else _FIRST_TICK_S)
+        await asyncio.sleep(_FIRST_START_S if is_first_start else 0)
         self._heard_at = self._environment.clock.monotonic()
         try:
             while True:
