--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -8,21 +8,17 @@
 from tornado.tcpserver import TCPServer
 
 from balsamrail.delivery.dispatcher import Dispatcher
-from balsamrail.delivery.places import PlacedTargets
 from balsamrail.delivery.reviver import Reviver
-from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.delivery.target_pool import TargetPool
 from balsamrail.entry.entry_stop import EntryStop
 from balsamrail.entry.settings_file import SettingsFile
 from balsamrail.entry.store_parts import StoreParts
 from balsamrail.environment import Environment
 from balsamrail.fleet.directory import Directory
-from balsamrail.fleet.placement_service import PlacementService
 from balsamrail.host import Supervisor
 from balsamrail.membership import PeerServer
 from balsamrail.placement.chooser import Chooser
 from balsamrail.placement.cold_gate import ColdGate
-from balsamrail.placement.retry_budgets import RetryBudgets
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.platform.caller_server import CallerServer
 from balsamrail.platform.lookup_server import lookup_application
@@ -54,12 +50,6 @@
         )
         self.gate = ColdGate(own_host=settings.host)
         self.book = TargetBook(catalog=self.catalog, bounds=settings.bounds)
-        self.placement = PlacementService(
-            environment=environment,
-            network=self.shared.network,
-            members=self.members,
-            rooms=lambda: self.book.rooms(now=environment.clock.monotonic()),
-        )
         self.catalog.subscribe(self._catalog_changed)
         self.members.subscribe(self._members_changed)
         self.pool = TargetPool(environment=environment)
@@ -70,16 +60,9 @@
         self.dispatcher = Dispatcher(
             environment=environment,
             catalog=self.catalog,
-            places=PlacedTargets(
-                environment=environment,
-                placement=self.placement,
-                chooser=Chooser(book=self.book, gate=self.gate, region=settings.region),
-                book=self.book,
-            ),
-            exchange=TargetExchange(environment=environment, pool=self.pool, wire=wire),
-            budgets=RetryBudgets(
-                bounds=settings.bounds, fleet_size=lambda: len(self.members.known()) + 1
-            ),
+            chooser=Chooser(book=self.book, gate=self.gate),
+            pool=self.pool,
+            wire=wire,
         )
         self.callers = CallerServer(environment=environment, handler=self.dispatcher)
         self._supervisor = Supervisor(environment=environment)
@@ -140,7 +123,6 @@
             'watch': self.shared.watch,
             'hub': self.shared.hub,
             'reviver': self.reviver,
-            'placement': self.placement,
             'settings_file': self.settings_file,
         }
         for name, part in parts.items():
@@ -152,7 +134,6 @@
 
     def _catalog_changed(self) -> None:
         self.book.refresh(now=self._environment.clock.monotonic())
-        self.placement.targets_changed()
         if self.catalog.manifest is not None:
             self.callers.limits = self.catalog.manifest.limits
 
--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -13,10 +13,6 @@
 from balsamrail.messages.member_digest import MemberDigest
 from balsamrail.messages.member_update import MemberUpdate
 from balsamrail.messages.message import MESSAGE_KINDS, Message
-from balsamrail.messages.object_rates import ObjectRates
-from balsamrail.messages.placed_load import PlacedLoad
-from balsamrail.messages.placement_query import PlacementQuery
-from balsamrail.messages.placement_update import PlacementUpdate
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
 from balsamrail.messages.record_patch import RecordPatch
@@ -28,7 +24,6 @@
 from balsamrail.messages.share_request import ShareRequest
 from balsamrail.messages.share_sealed import ShareSealed
 from balsamrail.messages.target_leaving import TargetLeaving
-from balsamrail.messages.target_samples import TargetSamples
 from balsamrail.messages.trial_counters import TrialCounters
 from balsamrail.messages.weights_given import WeightsGiven
 from balsamrail.messages.weights_request import WeightsRequest
@@ -48,10 +43,6 @@
     'MemberDigest',
     'MemberUpdate',
     'Message',
-    'ObjectRates',
-    'PlacedLoad',
-    'PlacementQuery',
-    'PlacementUpdate',
     'RecordAnnounce',
     'RecordFull',
     'RecordPatch',
@@ -63,7 +54,6 @@
     'ShareRequest',
     'ShareSealed',
     'TargetLeaving',
-    'TargetSamples',
     'TrialCounters',
     'WeightsGiven',
     'WeightsRequest',
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -11,10 +11,6 @@
 from balsamrail.messages.hello import Hello
 from balsamrail.messages.member_digest import MemberDigest
 from balsamrail.messages.member_update import MemberUpdate
-from balsamrail.messages.object_rates import ObjectRates
-from balsamrail.messages.placed_load import PlacedLoad
-from balsamrail.messages.placement_query import PlacementQuery
-from balsamrail.messages.placement_update import PlacementUpdate
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
 from balsamrail.messages.record_patch import RecordPatch
@@ -26,7 +22,6 @@
 from balsamrail.messages.share_request import ShareRequest
 from balsamrail.messages.share_sealed import ShareSealed
 from balsamrail.messages.target_leaving import TargetLeaving
-from balsamrail.messages.target_samples import TargetSamples
 from balsamrail.messages.trial_counters import TrialCounters
 from balsamrail.messages.weights_given import WeightsGiven
 from balsamrail.messages.weights_request import WeightsRequest
@@ -57,11 +52,6 @@
     | FeedSubscribe
     | FeedUpdate
     | FeedStatus
-    | ObjectRates
-    | PlacedLoad
-    | PlacementQuery
-    | PlacementUpdate
-    | TargetSamples
 )
 
 # The position in this tuple is the tag on the wire: append only, never reorder.
@@ -91,9 +81,4 @@
     FeedSubscribe,
     FeedUpdate,
     FeedStatus,
-    ObjectRates,
-    PlacedLoad,
-    PlacementQuery,
-    PlacementUpdate,
-    TargetSamples,
 )
--- a/src/balsamrail/placement/chooser.py
+++ b/src/balsamrail/placement/chooser.py
@@ -1,6 +1,6 @@
 """Chooses the target of a request or refuses the request."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from balsamrail.catalog.manifest_route import ManifestRoute
@@ -11,13 +11,15 @@
 # An object is handled by so many targets at most; further ones would not know it.
 _TARGETS_OF_OBJECT = 2
 _CANDIDATES = 4
-# Room comes and goes within the time of one answer.
-_RETRY_S = 0.1
-# Requests at a target, running and waiting, in proportion to its slots. Beyond the first of the
-# two an answer would be late; a target that does not know the object takes it only into a free
-# slot, since the run is slow and would hold up those that it knows.
-_FULL = 1.8
-_SPARE = 0.8
+# Requests at a target, running and waiting, in proportion to its slots.
+_FULL = 2.5
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Chosen:
+    """The target that takes the request."""
+
+    state: TargetState
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -40,12 +42,11 @@
     the first targets of its object or is refused.
     """
 
-    __slots__ = ('_book', '_gate', '_region')
+    __slots__ = ('_book', '_gate')
 
-    def __init__(self, *, book: TargetBook, gate: ColdGate, region: str) -> None:
+    def __init__(self, *, book: TargetBook, gate: ColdGate) -> None:
         self._book = book
         self._gate = gate
-        self._region = region
 
     def choose(
         self,
@@ -53,51 +54,29 @@
         *,
         service: str,
         object_key: str,
-        assigned: str | None,
         tried: Sequence[str],
         now: float,
-    ) -> TargetState | Refused:
+    ) -> Chosen | Refused:
         """Return where a request goes.
 
-        :param assigned: the target that the object is assigned to.
         :param tried: the targets to which it was sent before.
         """
-        usable: list[TargetState] = []
-        for target_id in self._candidates(route, service, object_key, assigned, len(tried)):
+        ranking = self._book.ranking_of(service, allowed_regions=route.allowed_regions)
+        usable = []
+        for target_id in ranking.best(object_key, count=_CANDIDATES + len(tried)):
             state = self._book.state_of(target_id)
-            if state is None or state.is_down or state in usable or target_id in tried:
+            if state is None or state.is_down or target_id in tried:
                 continue
             if not state.is_cold(now=now) or self._may_warm(state, now):
                 usable.append(state)
-            if len(usable) == _TARGETS_OF_OBJECT:
-                break
         if not usable:
-            return Refused(reason='no_target', retry_after_s=_RETRY_S)
-        for number, state in enumerate(usable):
-            if state.fill(now=now) < (_SPARE if number else _FULL):
+            return Refused(reason='no_target', retry_after_s=0.3)
+        for state in usable[:_TARGETS_OF_OBJECT]:
+            if state.fill(now=now) < _FULL:
                 if state.is_cold(now=now):
                     self._gate.note_sent(state.entry.target_id, now=now)
-                return state
-        return Refused(reason='overloaded', retry_after_s=_RETRY_S)
-
-    def _candidates(
-        self,
-        route: ManifestRoute,
-        service: str,
-        object_key: str,
-        assigned: str | None,
-        tried: int,
-    ) -> Iterable[str]:
-        if assigned is not None:
-            yield assigned
-        scopes = [route.allowed_regions]
-        if route.allows(self._region):
-            scopes.insert(0, frozenset((self._region,)))
-        for allowed_regions in scopes:
-            ranking = self._book.ranking_of(service, allowed_regions=allowed_regions)
-            for target_id in ranking.best(object_key, count=_CANDIDATES + tried):
-                if target_id != assigned:
-                    yield target_id
+                return Chosen(state=state)
+        return Refused(reason='overloaded', retry_after_s=0.3)
 
     def _may_warm(self, state: TargetState, now: float) -> bool:
         per_s = self._book.cold_rate_of(state.entry.service)
--- a/src/balsamrail/placement/target_book.py
+++ b/src/balsamrail/placement/target_book.py
@@ -3,10 +3,8 @@
 from typing import Any
 
 from balsamrail.catalog.catalog import Catalog
-from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.catalog.target_entry import TargetEntry
 from balsamrail.placement.ranking import Ranking
-from balsamrail.placement.target_room import TargetRoom
 from balsamrail.placement.target_state import TargetState
 from balsamrail.settings import Bounds
 
@@ -39,25 +37,6 @@
         """Return what is known of a target, ``None`` if it is not registered."""
         return self.states_by_id.get(target_id)
 
-    def is_usable(self, target_id: str, route: ManifestRoute) -> bool:
-        """Return whether a target may get requests of a route, cold or not."""
-        state = self.states_by_id.get(target_id)
-        return state is not None and self._is_open(state) and route.allows(state.entry.region)
-
-    def rooms(self, *, now: float) -> list[TargetRoom]:
-        """Return all targets as places for objects."""
-        return [
-            TargetRoom(
-                target_id=target_id,
-                service=state.entry.service,
-                region=state.entry.region,
-                slots=state.entry.slots,
-                is_usable=self._is_open(state),
-                is_cold=state.is_cold(now=now),
-            )
-            for target_id, state in self.states_by_id.items()
-        ]
-
     def cold_rate_of(self, service: str) -> float:
         """Return how many requests a second a cold target may get from all hosts together."""
         manifest = self._catalog.manifest
@@ -100,11 +79,6 @@
             state.cold_until = max(state.cold_until, now + entry.cold_left_s)
         state.entry = entry
 
-    def _is_open(self, state: TargetState) -> bool:
-        entry = state.entry
-        is_evacuated = entry.availability_zone in self._catalog.evacuated_zones
-        return not (state.is_down or entry.is_draining or is_evacuated)
-
     def _weights(self, service: str, allowed_regions: frozenset[str]) -> dict[str, float]:
         return {
             entry.target_id: float(entry.slots)
