Plan regions by their targets' slots and admit by what still can be in time

Change: a region keeps the objects that its targets can carry if all regions ask alike, the rest goes to regions with spare slots, and rendezvous hashing picks the target in the region; the first target takes requests up to 1.8 times its slots, the second only into a free slot (0.8); refused callers may come back after 0.1 s; the dispatcher is split into a run for each request, which logs one line; the retry budget counts the bound and the hosts.

--- /dev/null
+++ b/src/balsamrail/delivery/request_run.py
@@ -0,0 +1,177 @@
+"""Takes one request to one target after the other until there is an answer."""
+
+import math
+
+from balsamrail.catalog.manifest_route import ManifestRoute
+from balsamrail.delivery.entry_request import EntryRequest
+from balsamrail.delivery.http_message import HttpAnswer
+from balsamrail.delivery.place import Place
+from balsamrail.delivery.target_answer import TargetAnswer
+from balsamrail.delivery.target_exchange import TargetExchange
+from balsamrail.environment import Environment
+from balsamrail.errors import (
+    ExchangeError,
+    NoTargetError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RequestError,
+    TargetFailedError,
+)
+from balsamrail.placement.chooser import Chooser
+from balsamrail.placement.retry_budget import RetryBudget
+from balsamrail.placement.target_state import TargetState
+
+_FIRST_ERROR_STATUS = 400
+# Targets that cannot be connected to do not count as attempts, but are not tried for ever.
+_MOST_UNREACHED = 3
+_RETRY_AFTER_S = 0.1
+
+
+class RequestRun:
+    """One request of a caller on its way to an answer.
+
+    It is sent again only to another target and only if it provably did not run or may run
+    twice, within the route's attempts and the budget of second attempts.
+    """
+
+    __slots__ = (
+        '_budget',
+        '_chooser',
+        '_deadline',
+        '_environment',
+        '_exchange',
+        '_place',
+        '_request',
+        '_route',
+        '_sent',
+        '_unreached',
+    )
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        exchange: TargetExchange,
+        chooser: Chooser,
+        budget: RetryBudget,
+        route: ManifestRoute,
+        place: Place,
+        request: EntryRequest,
+    ) -> None:
+        patience_s = request.patience_s if request.patience_s is not None else math.inf
+        self._environment = environment
+        self._exchange = exchange
+        self._chooser = chooser
+        self._budget = budget
+        self._route = route
+        self._place = place
+        self._request = request
+        self._deadline = request.arrived_at + min(patience_s, route.timeout_s)
+        self._sent: list[str] = []
+        self._unreached: list[str] = []
+
+    async def run(self) -> HttpAnswer:
+        """Return the answer of a target.
+
+        :raises RequestError: if there is none.
+        """
+        try:
+            answer = await self._run()
+        except RequestError as error:
+            self._log(status=error.status, code=error.code, reason=error.detail)
+            raise
+        self._log(status=answer.status, code='answered', reason='')
+        return answer
+
+    async def _run(self) -> HttpAnswer:
+        failure: ExchangeError | None = None
+        while True:
+            state = self._choose(failure)
+            try:
+                answer = await self._attempt(state)
+            except ExchangeError as error:
+                failure = error
+                if not error.may_have_run:
+                    self._unreached.append(state.entry.target_id)
+                    if len(self._unreached) >= _MOST_UNREACHED:
+                        raise _final(error)
+                    continue
+                self._sent.append(state.entry.target_id)
+            else:
+                self._sent.append(state.entry.target_id)
+                if _is_final(answer):
+                    return answer.http
+                failure = _failure_of(answer)
+            if failure.may_have_run and not self._route.is_idempotent:
+                raise _final(failure)
+            if len(self._sent) >= self._route.max_attempts:
+                raise _final(failure)
+            if not self._budget.take(now=self._now()):
+                raise _final(failure)
+
+    def _choose(self, failure: ExchangeError | None) -> TargetState:
+        choice = self._chooser.choose(
+            self._route,
+            service=self._place.service,
+            object_key=self._place.object_key,
+            tried=[*self._sent, *self._unreached],
+            now=self._now(),
+        )
+        if isinstance(choice, TargetState):
+            return choice
+        if failure is not None and failure.may_have_run:
+            raise _final(failure)
+        kind = NoTargetError if choice.reason == 'no_target' else OverloadedError
+        raise kind(detail=choice.reason, retry_after_s=choice.retry_after_s)
+
+    async def _attempt(self, state: TargetState) -> TargetAnswer:
+        return await self._exchange.send(
+            self._request,
+            state,
+            is_fresh=not self._route.is_idempotent,
+            deadline=self._deadline,
+        )
+
+    def _log(self, *, status: int, code: str, reason: str) -> None:
+        self._environment.metrics.count(f'requests_{code}')
+        took_s = self._now() - self._request.arrived_at
+        self._environment.metrics.record('request', took_s)
+        self._environment.log.event(
+            'request_done',
+            request=self._request.request_id,
+            route=self._route.name,
+            service=self._place.service,
+            object=self._request.object_key,
+            sent=','.join(self._sent),
+            unreached=','.join(self._unreached),
+            status=status,
+            code=code,
+            reason=reason,
+            took_s=took_s,
+            left_s=self._deadline - self._now(),
+        )
+
+    def _now(self) -> float:
+        return self._environment.clock.monotonic()
+
+
+def _is_final(answer: TargetAnswer) -> bool:
+    return not answer.is_not_run and (
+        answer.is_signed or answer.http.status >= _FIRST_ERROR_STATUS
+    )
+
+
+def _failure_of(answer: TargetAnswer) -> ExchangeError:
+    if answer.is_not_run:
+        return ExchangeError(
+            detail=f'the target refused with {answer.http.status}', may_have_run=False
+        )
+    return ExchangeError(detail='the answer is not signed', may_have_run=True)
+
+
+def _final(failure: ExchangeError) -> RequestError:
+    if not failure.may_have_run:
+        return OverloadedError(detail=failure.detail, retry_after_s=_RETRY_AFTER_S)
+    if failure.has_timed_out:
+        return OutcomeUnknownError(detail=failure.detail)
+    return TargetFailedError(detail=failure.detail)
--- /dev/null
+++ b/src/balsamrail/delivery/target_exchange.py
@@ -0,0 +1,90 @@
+"""Sends one request to one target."""
+
+from balsamrail.delivery.entry_request import EntryRequest
+from balsamrail.delivery.target_answer import TargetAnswer
+from balsamrail.delivery.target_pool import TargetPool
+from balsamrail.delivery.target_wire import TargetWire
+from balsamrail.environment import Environment
+from balsamrail.errors import DeadlineExpiredError, ExchangeError
+from balsamrail.placement.target_state import TargetState
+
+# A target stops a little before the caller is answered, so that its own answer still arrives.
+_RETURN_S = 0.04
+_SHORTEST_WORK_S = 0.02
+# A target that refused a connection is checked after this time.
+_FIRST_CHECK_S = 0.25
+
+
+class TargetExchange:
+    """Takes a connection, sends a request and notes what the target's answer tells of it."""
+
+    __slots__ = ('_environment', '_pool', '_wire')
+
+    def __init__(self, *, environment: Environment, pool: TargetPool, wire: TargetWire) -> None:
+        self._environment = environment
+        self._pool = pool
+        self._wire = wire
+
+    async def send(
+        self,
+        request: EntryRequest,
+        state: TargetState,
+        *,
+        is_fresh: bool,
+        deadline: float,
+    ) -> TargetAnswer:
+        """Return the target's complete answer.
+
+        :param is_fresh: take a connection that the target does not close just now.
+        :param deadline: the loop's time in seconds at which the caller is answered.
+        :raises ExchangeError: if there is none.
+        :raises DeadlineExpiredError: if no time is left for the target.
+        """
+        state.in_flight += 1
+        try:
+            answer = await self._send(request, state, is_fresh=is_fresh, deadline=deadline)
+        except ExchangeError as error:
+            self._note_failure(request, state, error)
+            raise
+        finally:
+            state.in_flight -= 1
+        state.failures = 0
+        if answer.load is not None:
+            state.note_load(answer.load, now=self._environment.clock.monotonic())
+        return answer
+
+    async def _send(
+        self, request: EntryRequest, state: TargetState, *, is_fresh: bool, deadline: float
+    ) -> TargetAnswer:
+        entry = state.entry
+        connection = await self._pool.take(entry, is_fresh=is_fresh, deadline=deadline)
+        left_s = deadline - self._environment.clock.monotonic() - _RETURN_S
+        if left_s < _SHORTEST_WORK_S:
+            self._pool.give_back(entry, connection)
+            raise DeadlineExpiredError(detail='no time is left', retry_after_s=0.3)
+        found = await connection.exchange(
+            self._wire.outgoing(request, entry=entry, left_s=left_s),
+            deadline=deadline,
+            is_answer=lambda answer: self._wire.belongs(request, answer),
+        )
+        self._pool.give_back(entry, connection)
+        return self._wire.read(found)
+
+    def _note_failure(
+        self, request: EntryRequest, state: TargetState, error: ExchangeError
+    ) -> None:
+        state.failures += 1
+        self._environment.metrics.count('attempts_failed')
+        self._environment.log.event(
+            'attempt_failed',
+            request=request.request_id,
+            target=state.entry.target_id,
+            reason=error.detail,
+            may_have_run=error.may_have_run,
+            was_reused=error.was_reused,
+            failures=state.failures,
+        )
+        if not error.may_have_run:
+            self._pool.drop(state.entry.target_id)
+            state.is_down = True
+            state.check_at = self._environment.clock.monotonic() + _FIRST_CHECK_S
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -9,6 +9,7 @@
 
 from balsamrail.delivery.dispatcher import Dispatcher
 from balsamrail.delivery.reviver import Reviver
+from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.delivery.target_pool import TargetPool
 from balsamrail.entry.entry_stop import EntryStop
 from balsamrail.entry.settings_file import SettingsFile
@@ -19,6 +20,7 @@
 from balsamrail.membership import PeerServer
 from balsamrail.placement.chooser import Chooser
 from balsamrail.placement.cold_gate import ColdGate
+from balsamrail.placement.retry_budgets import RetryBudgets
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.platform.caller_server import CallerServer
 from balsamrail.platform.lookup_server import lookup_application
@@ -49,7 +51,7 @@
             environment=environment, catalog=self.catalog, members=self.members
         )
         self.gate = ColdGate(own_host=settings.host)
-        self.book = TargetBook(catalog=self.catalog, bounds=settings.bounds)
+        self.book = TargetBook(catalog=self.catalog, settings=settings)
         self.catalog.subscribe(self._catalog_changed)
         self.members.subscribe(self._members_changed)
         self.pool = TargetPool(environment=environment)
@@ -61,8 +63,10 @@
             environment=environment,
             catalog=self.catalog,
             chooser=Chooser(book=self.book, gate=self.gate),
-            pool=self.pool,
-            wire=wire,
+            exchange=TargetExchange(environment=environment, pool=self.pool, wire=wire),
+            budgets=RetryBudgets(
+                bounds=settings.bounds, fleet_size=lambda: len(self.members.known()) + 1
+            ),
         )
         self.callers = CallerServer(environment=environment, handler=self.dispatcher)
         self._supervisor = Supervisor(environment=environment)
--- a/src/balsamrail/fleet/directory.py
+++ b/src/balsamrail/fleet/directory.py
@@ -35,7 +35,7 @@
         self._members = members
         self.is_leaving = False
 
-    def addresses(self, *, name: str, region: str) -> list[str]:
+    def addresses(self, *, name: str, region: str, zone: str = '') -> list[str]:
         """Return the callers' addresses of the hosts to use, none if there is none.
 
         :param name: the host name that the caller is going to ask for.
@@ -47,7 +47,8 @@
             for member in self._members.nameable()
             if member.host != own or not self.is_leaving
         ]
-        near = _in_regions(members, {region})
+        near = [member for member in members if member.availability_zone == zone]
+        near = near or _in_regions(members, {region})
         if not near:
             manifest = self._catalog.manifest
             allowed = manifest.hosts_allow(host=name.lower()) if manifest else frozenset()
--- a/src/balsamrail/placement/chooser.py
+++ b/src/balsamrail/placement/chooser.py
@@ -10,16 +10,13 @@
 
 # An object is handled by so many targets at most; further ones would not know it.
 _TARGETS_OF_OBJECT = 2
-_CANDIDATES = 4
-# Requests at a target, running and waiting, in proportion to its slots.
-_FULL = 2.5
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Chosen:
-    """The target that takes the request."""
-
-    state: TargetState
+# Requests at a target, running and waiting, in proportion to its slots. Beyond the first bound an
+# answer would be late. A target that does not know the object takes it only into a free slot,
+# since the run is slow and would hold up the objects that the target knows.
+_FULL = 1.8
+_SPARE = 0.8
+# Room comes and goes within the time of one answer.
+_RETRY_S = 0.1
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -40,6 +37,9 @@
     A target is faster for an object that it handled recently and remembers only some of them, so
     that spilling to further targets makes all of them slower. A request therefore goes to one of
     the first targets of its object or is refused.
+
+    It answers the load of bursts and of lost targets: what cannot be answered in time is refused
+    at once, and known objects go before unknown ones.
     """
 
     __slots__ = ('_book', '_gate')
@@ -56,27 +56,40 @@
         object_key: str,
         tried: Sequence[str],
         now: float,
-    ) -> Chosen | Refused:
+    ) -> TargetState | Refused:
         """Return where a request goes.
 
         :param tried: the targets to which it was sent before.
         """
-        ranking = self._book.ranking_of(service, allowed_regions=route.allowed_regions)
-        usable = []
-        for target_id in ranking.best(object_key, count=_CANDIDATES + len(tried)):
+        usable = self._usable(route, service, object_key, tried, now)
+        if not usable:
+            return Refused(reason='no_target', retry_after_s=_RETRY_S)
+        for position, state in enumerate(usable):
+            if state.fill(now=now) < (_SPARE if position else _FULL):
+                if state.is_cold(now=now):
+                    self._gate.note_sent(state.entry.target_id, now=now)
+                return state
+        return Refused(reason='overloaded', retry_after_s=_RETRY_S)
+
+    def _usable(
+        self,
+        route: ManifestRoute,
+        service: str,
+        object_key: str,
+        tried: Sequence[str],
+        now: float,
+    ) -> list[TargetState]:
+        order = self._book.order_of(service, allowed_regions=route.allowed_regions)
+        usable: list[TargetState] = []
+        for target_id in order.candidates(object_key, in_region=_TARGETS_OF_OBJECT + len(tried)):
             state = self._book.state_of(target_id)
             if state is None or state.is_down or target_id in tried:
                 continue
             if not state.is_cold(now=now) or self._may_warm(state, now):
                 usable.append(state)
-        if not usable:
-            return Refused(reason='no_target', retry_after_s=0.3)
-        for state in usable[:_TARGETS_OF_OBJECT]:
-            if state.fill(now=now) < _FULL:
-                if state.is_cold(now=now):
-                    self._gate.note_sent(state.entry.target_id, now=now)
-                return Chosen(state=state)
-        return Refused(reason='overloaded', retry_after_s=0.3)
+            if len(usable) == _TARGETS_OF_OBJECT:
+                break
+        return usable
 
     def _may_warm(self, state: TargetState, now: float) -> bool:
         per_s = self._book.cold_rate_of(state.entry.service)
--- a/src/balsamrail/placement/retry_budget.py
+++ b/src/balsamrail/placement/retry_budget.py
@@ -1,6 +1,7 @@
 """The budget of second attempts."""
 
 from collections import deque
+from collections.abc import Callable
 
 
 class RetryBudget:
@@ -10,13 +11,13 @@
     hosts keeps to both without any exchange.
 
     :param ratio: second attempts for each request.
-    :param slack: further second attempts in a window.
+    :param slack: gives the further second attempts in a window.
     :param window_s: the window in seconds.
     """
 
     __slots__ = ('_ratio', '_requests', '_retries', '_slack', '_window_s')
 
-    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(self, *, ratio: float, slack: Callable[[], float], window_s: float) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
@@ -32,7 +33,7 @@
         """Return how many second attempts may be made now."""
         _forget(self._requests, now - self._window_s)
         _forget(self._retries, now - self._window_s)
-        return self._ratio * len(self._requests) + self._slack - len(self._retries)
+        return self._ratio * len(self._requests) + self._slack() - len(self._retries)
 
     def take(self, *, now: float) -> bool:
         """Count a second attempt if the budget allows it."""
--- a/src/balsamrail/placement/target_book.py
+++ b/src/balsamrail/placement/target_book.py
@@ -1,12 +1,13 @@
 """The states of all targets."""
 
+from collections.abc import Iterator
 from typing import Any
 
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.catalog.target_entry import TargetEntry
-from balsamrail.placement.ranking import Ranking
+from balsamrail.placement.object_order import ObjectOrder
 from balsamrail.placement.target_state import TargetState
-from balsamrail.settings import Bounds
+from balsamrail.settings import Settings
 
 
 class TargetBook:
@@ -15,17 +16,26 @@
     :param catalog: tells which targets are registered.
     """
 
-    __slots__ = ('_bounds', '_catalog', '_rankings_by_scope', 'states_by_id')
+    __slots__ = (
+        '_bounds',
+        '_catalog',
+        '_orders_by_scope',
+        '_own_region',
+        '_regions',
+        'states_by_id',
+    )
 
-    def __init__(self, *, catalog: Catalog, bounds: Bounds) -> None:
+    def __init__(self, *, catalog: Catalog, settings: Settings) -> None:
         self._catalog = catalog
-        self._bounds = bounds
+        self._bounds = settings.bounds
+        self._own_region = settings.region
+        self._regions = sorted({settings.region, *settings.region_by_availability_zone.values()})
         self.states_by_id: dict[str, TargetState] = {}
-        self._rankings_by_scope: dict[tuple[str, frozenset[str]], Ranking] = {}
+        self._orders_by_scope: dict[tuple[str, frozenset[str]], ObjectOrder] = {}
 
     def refresh(self, *, now: float) -> None:
         """Take over what the catalog says of the targets."""
-        self._rankings_by_scope.clear()
+        self._orders_by_scope.clear()
         entries = self._catalog.entries_by_id
         for target_id in list(self.states_by_id):
             if target_id not in entries:
@@ -44,17 +54,21 @@
         rate = spec.warmup_per_s if spec else 0
         return rate * self._bounds.cold_overage + self._bounds.cold_slack
 
-    def ranking_of(self, service: str, *, allowed_regions: frozenset[str]) -> Ranking:
-        """Return the ranking of a service's targets that may be used in some regions.
+    def order_of(self, service: str, *, allowed_regions: frozenset[str]) -> ObjectOrder:
+        """Return the order of a service's targets that may be used in some regions.
 
         :param allowed_regions: the regions, all of them if empty.
         """
         scope = (service, allowed_regions)
-        ranking = self._rankings_by_scope.get(scope)
-        if ranking is None:
-            ranking = Ranking(weight_by_id=self._weights(service, allowed_regions))
-            self._rankings_by_scope[scope] = ranking
-        return ranking
+        order = self._orders_by_scope.get(scope)
+        if order is None:
+            order = ObjectOrder(
+                self._usable_entries(service, allowed_regions),
+                regions=self._regions,
+                own=self._own_region,
+            )
+            self._orders_by_scope[scope] = order
+        return order
 
     def dump(self) -> dict[str, Any]:
         """Return the states as plain data."""
@@ -79,10 +93,10 @@
             state.cold_until = max(state.cold_until, now + entry.cold_left_s)
         state.entry = entry
 
-    def _weights(self, service: str, allowed_regions: frozenset[str]) -> dict[str, float]:
-        return {
-            entry.target_id: float(entry.slots)
-            for entry in self._catalog.targets_of(service)
-            if entry.availability_zone not in self._catalog.evacuated_zones
-            and (not allowed_regions or entry.region in allowed_regions)
-        }
+    def _usable_entries(
+        self, service: str, allowed_regions: frozenset[str]
+    ) -> Iterator[TargetEntry]:
+        for entry in self._catalog.targets_of(service):
+            is_evacuated = entry.availability_zone in self._catalog.evacuated_zones
+            if not is_evacuated and (not allowed_regions or entry.region in allowed_regions):
+                yield entry
--- a/src/balsamrail/platform/lookup_server.py
+++ b/src/balsamrail/platform/lookup_server.py
@@ -35,6 +35,7 @@
         addresses = self._look_up(
             name=self.get_query_argument('name', ''),
             region=self.get_query_argument('region', ''),
+            zone=self.get_query_argument('zone', ''),
         )
         if not addresses:
             self.set_status(503)
