--- a/src/balsamrail/delivery/request_run.py
+++ b/src/balsamrail/delivery/request_run.py
@@ -87,26 +87,11 @@
         failure: ExchangeError | None = None
         while True:
             state = self._choose(failure)
-            try:
-                answer = await self._attempt(state)
-            except ExchangeError as error:
-                failure = error
-                if not error.may_have_run:
-                    self._unreached.append(state.entry.target_id)
-                    if len(self._unreached) >= _MOST_UNREACHED:
-                        raise _final(error)
-                    continue
-                self._sent.append(state.entry.target_id)
-            else:
-                self._sent.append(state.entry.target_id)
-                if _is_final(answer):
-                    return answer.http
-                failure = _failure_of(answer)
-            if failure.may_have_run and not self._route.is_idempotent:
-                raise _final(failure)
-            if len(self._sent) >= self._route.max_attempts:
-                raise _final(failure)
-            if not self._budget.take(now=self._now()):
+            outcome = await self._attempt(state)
+            if isinstance(outcome, HttpAnswer):
+                return outcome
+            failure = outcome
+            if not self._may_try_again(failure, state.entry.target_id):
                 raise _final(failure)
 
     def _choose(self, failure: ExchangeError | None) -> TargetState:
@@ -124,13 +109,29 @@
         kind = NoTargetError if choice.reason == 'no_target' else OverloadedError
         raise kind(detail=choice.reason, retry_after_s=choice.retry_after_s)
 
-    async def _attempt(self, state: TargetState) -> TargetAnswer:
-        return await self._exchange.send(
-            self._request,
-            state,
-            is_fresh=not self._route.is_idempotent,
-            deadline=self._deadline,
-        )
+    async def _attempt(self, state: TargetState) -> HttpAnswer | ExchangeError:
+        target_id = state.entry.target_id
+        try:
+            answer = await self._exchange.send(
+                self._request,
+                state,
+                is_fresh=not self._route.is_idempotent,
+                deadline=self._deadline,
+            )
+        except ExchangeError as error:
+            (self._sent if error.may_have_run else self._unreached).append(target_id)
+            return error
+        self._sent.append(target_id)
+        return answer.http if _is_final(answer) else _failure_of(answer)
+
+    def _may_try_again(self, failure: ExchangeError, target_id: str) -> bool:
+        if target_id in self._unreached:
+            return len(self._unreached) < _MOST_UNREACHED
+        if failure.may_have_run and not self._route.is_idempotent:
+            return False
+        if len(self._sent) >= self._route.max_attempts:
+            return False
+        return self._budget.take(now=self._now())
 
     def _log(self, *, status: int, code: str, reason: str) -> None:
         self._environment.metrics.count(f'requests_{code}')
@@ -148,6 +149,7 @@
             code=code,
             reason=reason,
             took_s=took_s,
+            aim_s=self._route.aim_s,
             left_s=self._deadline - self._now(),
         )
 
--- a/src/balsamrail/delivery/reviver.py
+++ b/src/balsamrail/delivery/reviver.py
@@ -75,7 +75,7 @@
         if cold_s is None:
             manifest = self._catalog.manifest
             spec = manifest.services.get(state.entry.service) if manifest else None
-            cold_s = spec.warmup_s if spec else 0.0
+            cold_s = spec.warmup_s if spec else 0
         state.is_down = False
         state.failures = 0
         state.cold_until = max(state.cold_until, now + cold_s)
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -86,6 +86,9 @@
         self._start_parts()
         self._environment.log.event('host_started', incarnation=self._environment.incarnation)
         await self._stopping.wait()
+        await self._leave()
+
+    async def _leave(self) -> None:
         self.directory.is_leaving = True
         self.members.leave()
         stop = EntryStop(
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -11,7 +11,9 @@
 from balsamrail.fleet.object_codec import unpack_objects
 from balsamrail.fleet.watch_duty import WatcherState
 from balsamrail.membership.network import Network
-from balsamrail.messages import FeedStatus, FeedSubscribe, FeedUpdate
+from balsamrail.messages.feed_status import FeedStatus
+from balsamrail.messages.feed_subscribe import FeedSubscribe
+from balsamrail.messages.feed_update import FeedUpdate
 
 _RENEW_S = 1.0
 # Two statuses in a row may be late before a watcher counts as silent.
--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -10,7 +10,9 @@
 from balsamrail.environment import Environment
 from balsamrail.fleet.object_codec import pack_object
 from balsamrail.membership.network import Network
-from balsamrail.messages import FeedStatus, FeedSubscribe, FeedUpdate
+from balsamrail.messages.feed_status import FeedStatus
+from balsamrail.messages.feed_subscribe import FeedSubscribe
+from balsamrail.messages.feed_update import FeedUpdate
 
 _STATUS_S = 0.4
 # A subscription is renewed every second.
--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -4,9 +4,6 @@
 from balsamrail.messages.claim_request import ClaimRequest
 from balsamrail.messages.codec import FrameReader, encode_message
 from balsamrail.messages.crash_report import CrashReport
-from balsamrail.messages.feed_status import FeedStatus
-from balsamrail.messages.feed_subscribe import FeedSubscribe
-from balsamrail.messages.feed_update import FeedUpdate
 from balsamrail.messages.heartbeat import Heartbeat
 from balsamrail.messages.heartbeat_ack import HeartbeatAck
 from balsamrail.messages.hello import Hello
@@ -33,9 +30,6 @@
     'ClaimAnswer',
     'ClaimRequest',
     'CrashReport',
-    'FeedStatus',
-    'FeedSubscribe',
-    'FeedUpdate',
     'FrameReader',
     'Heartbeat',
     'HeartbeatAck',
--- a/src/balsamrail/placement/chooser.py
+++ b/src/balsamrail/placement/chooser.py
@@ -13,7 +13,10 @@
 # Requests at a target, running and waiting, in proportion to its slots. Beyond the first bound an
 # answer would be late. A target that does not know the object takes it only into a free slot,
 # since the run is slow and would hold up the objects that the target knows.
-_FULL = 1.8
+_FULL = 2.0
+# Each step of priority down lowers the bound, so that the less urgent are refused first.
+_PRIORITY_STEP = 0.2
+_LOWEST_FULL = 1.2
 _SPARE = 0.8
 # Room comes and goes within the time of one answer.
 _RETRY_S = 0.1
@@ -64,8 +67,9 @@
         usable = self._usable(route, service, object_key, tried, now)
         if not usable:
             return Refused(reason='no_target', retry_after_s=_RETRY_S)
+        full = max(_LOWEST_FULL, _FULL - _PRIORITY_STEP * route.priority)
         for position, state in enumerate(usable):
-            if state.fill(now=now) < (_SPARE if position else _FULL):
+            if state.fill(now=now) < (_SPARE if position else full):
                 if state.is_cold(now=now):
                     self._gate.note_sent(state.entry.target_id, now=now)
                 return state
--- a/src/balsamrail/placement/part_picker.py
+++ b/src/balsamrail/placement/part_picker.py
@@ -21,10 +21,8 @@
         if len(parts) == 1:
             return parts[0].service
         credits = self._credits_by_route.setdefault(route.name, {})
-        total = 0.0
         for part in parts:
-            total += part.weight
             credits[part.service] = credits.get(part.service, 0) + part.weight
-        chosen = max(parts, key=lambda part: credits[part.service]).service
-        credits[chosen] -= total
+        chosen = max(parts, key=lambda candidate: credits[candidate.service]).service
+        credits[chosen] -= sum(candidate.weight for candidate in parts)
         return chosen
--- a/src/balsamrail/placement/ranking.py
+++ b/src/balsamrail/placement/ranking.py
@@ -18,8 +18,7 @@
 def mixed(first: int, second: int) -> int:
     """Return 64 bits that depend on every bit of two hashes."""
     value = (first ^ second) * _MIX & _MASK
-    value ^= value >> 32
-    value = value * _MIX & _MASK
+    value = (value ^ value >> 32) * _MIX & _MASK
     return value ^ value >> 29
 
 
--- a/src/balsamrail/placement/target_state.py
+++ b/src/balsamrail/placement/target_state.py
@@ -6,7 +6,7 @@
 from balsamrail.placement.reported_load import ReportedLoad
 
 # A target's report says less and less of the other hosts' requests as it gets older.
-_REPORT_LIFE_S = 1.0
+_REPORT_LIFE_S = 2.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -36,8 +36,8 @@
 
     def load(self, *, now: float) -> float:
         """Return the estimated number of requests at the target, those of other hosts included."""
-        age = max(0.0, now - self._reported_at)
-        others = self._others * max(0.0, 1 - age / _REPORT_LIFE_S)
+        age = max(0, now - self._reported_at)
+        others = self._others * max(0, 1 - age / _REPORT_LIFE_S)
         return self.in_flight + others
 
     def fill(self, *, now: float) -> float:
--- a/src/balsamrail/platform/manifest_reader.py
+++ b/src/balsamrail/platform/manifest_reader.py
@@ -17,7 +17,7 @@
     """
     try:
         return _read(spec)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError) as error:
         raise EntryError(f'the manifest cannot be read: {error!r}') from error
 
 
@@ -26,12 +26,12 @@
     services: dict[str, ServiceSpec] = {}
     limits = CallerLimits()
     for entry in spec['resources']:
-        name = entry.get('metadata', {}).get('name', '')
+        name = _object(_object(entry).get('metadata', {})).get('name', '')
         match entry['entryKind']:
             case 'routes':
-                routes.append(_route(name, entry['spec']))
+                routes.append(_route(name, _object(entry['spec'])))
             case 'services':
-                services[name] = _service(name, entry['spec'])
+                services[name] = _service(name, _object(entry['spec']))
             case 'limits':
                 limits = _limits(entry['spec'])
     return Manifest(
@@ -81,6 +81,12 @@
     )
 
 
+def _object(value: Any) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise TypeError(f'{value!r} is not an object')
+    return value
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f'{value!r} is not a text')
--- a/src/balsamrail/platform/store_codec.py
+++ b/src/balsamrail/platform/store_codec.py
@@ -1,6 +1,7 @@
 """Reads the bodies of the platform's store."""
 
 import json
+from contextlib import suppress
 from typing import Any
 
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject, WatchAnswer
@@ -33,7 +34,7 @@
             revision=int(metadata.get('revision') or 0),
             spec=found.get('spec'),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError) as error:
         raise StoreError(f'an object has another form: {error!r}') from error
 
 
@@ -41,11 +42,9 @@
     """Return the objects of one page of a listing; those without a name are left out."""
     objects = []
     for entry in found.get('items') or ():
-        try:
+        # Nothing can be said of an object whose name is not known.
+        with suppress(StoreError):
             objects.append(read_object(entry))
-        except StoreError:
-            # Nothing can be said of an object whose name is not known.
-            continue
     return objects
 
 
--- a/src/balsamrail/platform/target_reader.py
+++ b/src/balsamrail/platform/target_reader.py
@@ -21,7 +21,7 @@
     """
     try:
         return _read(target_id, spec, region_by_availability_zone)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError) as error:
         raise EntryError(f'the target {target_id} cannot be read: {error!r}') from error
 
 
@@ -40,7 +40,7 @@
         version=str(spec.get('version', '')),
         slots=max(1, _typed(spec['slots'], int)),
         is_draining=spec['state'] == 'draining',
-        cold_left_s=max(0.0, float(_number(spec.get('warmupLeftS', 0)))),
+        cold_left_s=max(0, _number(spec.get('warmupLeftS', 0))),
         born_ms=born_ms if type(born_ms) is int else 0,
     )
 
