Tell callers that an outcome is open whatever follows the lost answer

Cause: RequestRun judged by its last failure alone. An idempotent request whose answer was lost and whose second target refused, or that had used up its time, ended as 'not run' with a time to come back, although it may have run. Change: the run keeps the failure that leaves the outcome open, tells that one whatever comes later, and starts nothing after its deadline. Ruled out: telling the last failure of a request that is idempotent, since the answer promises that it never runs.

--- /dev/null
+++ b/features/delivery.feature
@@ -0,0 +1,103 @@
+Feature: A request is taken to targets until there is an answer
+
+  Scenario: The answer of the target reaches the caller whole
+    Given targets that answer at once
+    When a caller sends a request
+    Then it gets the target's answer after one attempt
+
+  Scenario: A target that refuses without running is not the end
+    This guards against callers who see a refusal while another target has room.
+
+    Given a target that refuses without running and one that answers
+    When a caller sends a request that is not idempotent
+    Then it gets the target's answer after two attempts at different targets
+
+  Scenario: What may have run is not sent again unless it is idempotent
+    This guards against a request that runs twice.
+
+    Given targets that cut the connection after the request
+    When a caller sends a request that is not idempotent
+    Then it is told that the outcome is not known after one attempt
+
+  Scenario: What may run twice is sent again
+    Given a target that cuts the connection after the request and one that answers
+    When a caller sends a request that is idempotent
+    Then it gets the target's answer after two attempts at different targets
+
+  Scenario: A refusal after a lost answer leaves the outcome open
+    This guards against a caller who is told that a request did not run although it may have.
+
+    Given a target that cuts the connection after the request and one that refuses without running
+    When a caller sends a request that is idempotent
+    Then it is told of the failure after 2 attempts at different targets
+
+  Scenario: The attempts end where the route says
+    Given targets that cut the connection after the request
+    When a caller sends a request that is idempotent
+    Then it is told of the failure after 3 attempts at different targets
+
+  Scenario: The attempts end where the budget does
+    This guards against second attempts that multiply the load of an outage.
+
+    Given targets that cut the connection after the request and an empty budget
+    When a caller sends a request that is idempotent
+    Then it is told of the failure after 1 attempts at different targets
+
+  Scenario: A target that cannot be reached costs no attempt
+    Given a target that refuses connections and one that answers
+    When a caller sends a request that is not idempotent
+    Then it gets the target's answer after one attempt
+    And the target that refused is not tried by the next request
+
+  Scenario: An answer of another request is passed over
+    This guards against answers that are taken for those of another request.
+
+    Given a target that first answers with another request's id
+    When a caller sends a request
+    Then it gets the target's answer after one attempt
+
+  Scenario: A late answer never reaches the next request
+    Given a target that answers after the first caller has gone
+    When two callers send one request after the other
+    Then the second caller gets the answer to its own request
+
+  Scenario: Bytes after an answer are not taken for the next answer
+    Given a target that sends its answer twice
+    When two callers send one request after the other
+    Then the second caller gets the answer to its own request
+
+  Scenario: An answer without its signature is not passed on as a success
+    This guards against wrong bytes that reach a caller as an answer.
+
+    Given a target whose answer is not signed and one that answers
+    When a caller sends a request that is idempotent
+    Then it gets the target's answer after two attempts at different targets
+
+  Scenario: A cut answer is not passed on
+    Given a target whose answer is cut off and one that answers
+    When a caller sends a request that is idempotent
+    Then it gets the target's answer after two attempts at different targets
+
+  Scenario: The caller is answered within its time
+    This guards against callers who wait longer than they said.
+
+    Given targets that never answer
+    When a caller that waits 0.3 s sends a request
+    Then it is told that the outcome is not known within 0.45 s
+
+  Scenario: A caller that leaves ends what may be repeated
+    This guards against work for nobody.
+
+    Given targets that never answer
+    When a caller leaves after an idempotent request
+    Then the target sees its connection closed
+
+  Scenario: A caller that leaves does not end what may not be repeated
+    Given a target that answers after 0.2 s
+    When a caller leaves after a request that is not idempotent
+    Then the target's answer is still taken
+
+  Scenario: The target is told its name and the time that is left
+    Given targets that answer at once
+    When a caller that waits 0.8 s sends a request
+    Then the target was named in it and told of at most 0.8 s
--- /dev/null
+++ b/features/steps/delivery_parts.py
@@ -0,0 +1,105 @@
+"""A dispatcher with raw targets, for steps about delivery."""
+
+import asyncio
+
+import platform_helpers
+from forwarding_parts import RawUpstream, whole
+from placement_parts import REGION_BY_ZONE, make_entry, make_manifest, make_route
+from tornado.httputil import HTTPHeaders
+
+from balsamrail.catalog.catalog import Catalog
+from balsamrail.delivery.dispatcher import Dispatcher
+from balsamrail.delivery.entry_request import EntryRequest
+from balsamrail.delivery.target_exchange import TargetExchange
+from balsamrail.delivery.target_pool import TargetPool
+from balsamrail.placement.chooser import Chooser
+from balsamrail.placement.cold_gate import ColdGate
+from balsamrail.placement.retry_budgets import RetryBudgets
+from balsamrail.placement.target_book import TargetBook
+from balsamrail.platform.target_protocol import TargetProtocol
+from balsamrail.settings.bounds import Bounds
+
+
+def answer_to(headers, body=b'whole', **more):
+    fields = {
+        'X-Request-Id': headers.get('x-request-id', ''),
+        'X-Response-Signature': 'signed',
+        **{name.replace('_', '-'): value for name, value in more.items()},
+    }
+    return whole(body, **fields)
+
+
+class Delivery:
+    """One host's dispatcher; ``behaviours`` answer the requests of one target each."""
+
+    def __init__(self, behaviours, *, slack=1000):
+        self.behaviours = behaviours
+        self.bounds = Bounds(retry_ratio=0, retry_slack=slack)
+        self.targets = []
+
+    async def start(self, *, is_first_refusing=False):
+        for behaviour in self.behaviours:
+            self.targets.append(await RawUpstream(behaviour).start())
+        self.log = platform_helpers.Lines()
+        environment = platform_helpers.make_environment(
+            log=self.log, region_by_availability_zone=REGION_BY_ZONE, bounds=self.bounds
+        )
+        self.environment = environment
+        catalog = Catalog(environment=environment)
+        catalog.offer_manifest(
+            make_manifest(
+                make_route(path_prefix='/read/'),
+                make_route(path_prefix='/write/', is_idempotent=False),
+            )
+        )
+        book = TargetBook(catalog=catalog, settings=environment.settings)
+        addresses = [target.address for target in self.targets]
+        if is_first_refusing:
+            addresses.insert(0, platform_helpers.free_address())
+        for number, address in enumerate(addresses):
+            catalog.put_target(make_entry(f'i-{number}', address=address, slots=8))
+        book.refresh(now=0)
+        self.book = book
+        self.pool = TargetPool(environment=environment)
+        self.dispatcher = Dispatcher(
+            environment=environment,
+            catalog=catalog,
+            chooser=Chooser(book=book, gate=ColdGate(own_host='attiki-a-1')),
+            exchange=TargetExchange(
+                environment=environment, pool=self.pool, wire=TargetProtocol()
+            ),
+            budgets=RetryBudgets(bounds=self.bounds, fleet_size=lambda: 1),
+        )
+        return self
+
+    def stop(self):
+        self.pool.close()
+        for target in self.targets:
+            target.stop()
+
+    def send(self, request_id, *, path='/read/x', key='x', patience_s=2.0):
+        request = EntryRequest(
+            request_id=request_id,
+            method='GET',
+            host='lepu.example',
+            path=path,
+            headers=HTTPHeaders({'X-Request-Id': request_id, 'Host': 'lepu.example'}),
+            object_key=key,
+            arrived_at=asyncio.get_running_loop().time(),
+            patience_s=patience_s,
+        )
+        return self.dispatcher.handle(request)
+
+    def key_that_prefers(self, target_id):
+        """Return an object whose first target is ``target_id``."""
+        order = self.book.order_of('lepu', allowed_regions=frozenset())
+        for number in range(1_000):
+            name = f'object {number}'
+            found = next(order.candidates(f'lepu.example/read/{name}', in_region=1))
+            other = next(order.candidates(f'lepu.example/write/{name}', in_region=1))
+            if found == other == target_id:
+                return name
+        raise AssertionError(target_id)
+
+    def attempts(self):
+        return [len(target.heads) for target in self.targets]
--- /dev/null
+++ b/features/steps/delivery_steps.py
@@ -0,0 +1,262 @@
+"""Steps of delivery.feature."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from delivery_parts import Delivery, answer_to
+from forwarding_parts import whole
+from platform_helpers import run_real
+
+from balsamrail.errors import RequestError
+
+
+async def answers(number, headers, writer):
+    writer.write(answer_to(headers))
+
+
+async def answers_late(number, headers, writer):
+    await asyncio.sleep(0.2)
+    writer.write(answer_to(headers))
+
+
+async def refuses(number, headers, writer):
+    writer.write(answer_to(headers, X_Not_Executed='1').replace(b'200 OK', b'503 Busy'))
+
+
+async def cuts(number, headers, writer):
+    raise ConnectionError
+
+
+async def cuts_inside(number, headers, writer):
+    writer.write(answer_to(headers)[:-2])
+    await writer.drain()
+    raise ConnectionError
+
+
+async def never(number, headers, writer):
+    await asyncio.sleep(60)
+
+
+async def is_unsigned(number, headers, writer):
+    writer.write(whole(X_Request_Id=headers['x-request-id']))
+
+
+async def answers_another_first(number, headers, writer):
+    writer.write(answer_to({'x-request-id': 'another'}, b'wrong') + answer_to(headers))
+
+
+async def answers_twice(number, headers, writer):
+    writer.write(answer_to(headers, headers['x-request-id'].encode()) * 2)
+
+
+async def answers_first_late(number, headers, writer):
+    if headers['x-request-id'] == 'first':
+        await asyncio.sleep(0.4)
+    writer.write(answer_to(headers, headers['x-request-id'].encode()))
+
+
+@given('targets that answer at once')
+def step_answer(context):
+    context.delivery = Delivery([answers] * 3)
+
+
+@given('a target that refuses without running and one that answers')
+def step_refuses(context):
+    context.delivery = Delivery([refuses, answers])
+
+
+@given('targets that cut the connection after the request')
+def step_cut(context):
+    context.delivery = Delivery([cuts] * 4)
+
+
+@given('targets that cut the connection after the request and an empty budget')
+def step_cut_no_budget(context):
+    context.delivery = Delivery([cuts] * 4, slack=0)
+
+
+@given('a target that cuts the connection after the request and one that answers')
+def step_cut_one(context):
+    context.delivery = Delivery([cuts, answers])
+
+
+@given('a target that cuts the connection after the request and one that refuses without running')
+def step_cut_refuse(context):
+    context.delivery = Delivery([cuts, refuses])
+
+
+@given('a target that refuses connections and one that answers')
+def step_unreachable(context):
+    context.delivery = Delivery([answers])
+    context.is_first_refusing = True
+
+
+@given("a target that first answers with another request's id")
+def step_crossed(context):
+    context.delivery = Delivery([answers_another_first])
+
+
+@given('a target that answers after the first caller has gone')
+def step_first_late(context):
+    context.delivery = Delivery([answers_first_late])
+
+
+@given('a target that sends its answer twice')
+def step_twice(context):
+    context.delivery = Delivery([answers_twice])
+
+
+@given('a target whose answer is not signed and one that answers')
+def step_unsigned(context):
+    context.delivery = Delivery([is_unsigned, answers])
+
+
+@given('a target whose answer is cut off and one that answers')
+def step_cut_answer(context):
+    context.delivery = Delivery([cuts_inside, answers])
+
+
+@given('targets that never answer')
+def step_never(context):
+    context.delivery = Delivery([never] * 3)
+
+
+@given('a target that answers after 0.2 s')
+def step_late(context):
+    context.delivery = Delivery([answers_late])
+
+
+def _send(context, *, path='/read/x', patience_s=2.0):
+    async def play():
+        delivery = await context.delivery.start(
+            is_first_refusing=getattr(context, 'is_first_refusing', False)
+        )
+        key = delivery.key_that_prefers('i-0')
+        started = time.monotonic()
+        try:
+            context.answer = await delivery.send('r-1', path=path, key=key, patience_s=patience_s)
+        except RequestError as error:
+            context.error = error
+        context.took_s = time.monotonic() - started
+        if getattr(context, 'is_first_refusing', False):
+            context.is_down = delivery.book.state_of('i-0').is_down
+            await delivery.send('r-2', path=path, key=key)
+        context.counts = delivery.attempts()
+        delivery.stop()
+
+    run_real(play())
+
+
+@when('a caller sends a request')
+@when('a caller sends a request that is idempotent')
+def step_send(context):
+    _send(context)
+
+
+@when('a caller sends a request that is not idempotent')
+def step_send_once(context):
+    _send(context, path='/write/x')
+
+
+@when('a caller that waits {patience_s:g} s sends a request')
+def step_send_patience(context, patience_s):
+    _send(context, patience_s=patience_s)
+
+
+@when('two callers send one request after the other')
+def step_two(context):
+    async def play():
+        delivery = await context.delivery.start()
+        try:
+            await delivery.send('first', patience_s=0.2)
+        except RequestError:
+            await asyncio.sleep(0.3)
+        context.second = await delivery.send('second')
+        delivery.stop()
+
+    run_real(play())
+
+
+@when('a caller leaves after an idempotent request')
+def step_leave(context):
+    _leave(context, '/read/x')
+
+
+@when('a caller leaves after a request that is not idempotent')
+def step_leave_once(context):
+    _leave(context, '/write/x')
+
+
+def _leave(context, path):
+    async def play():
+        delivery = await context.delivery.start()
+        task = asyncio.create_task(delivery.send('r-1', path=path))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.sleep(0.3)
+        context.closed = sum(target.closed_early for target in delivery.targets)
+        context.lines = ''.join(delivery.log.lines)
+        delivery.stop()
+
+    run_real(play())
+
+
+@then("it gets the target's answer after one attempt")
+def step_one_attempt(context):
+    assert context.answer.status == 200 and context.answer.body == b'whole', context.answer
+    expected = 2 if getattr(context, 'is_first_refusing', False) else 1
+    assert sum(context.counts) == expected, context.counts
+
+
+@then('the target that refused is not tried by the next request')
+def step_not_tried(context):
+    assert context.is_down
+
+
+@then("it gets the target's answer after two attempts at different targets")
+def step_two_attempts(context):
+    assert context.answer.status == 200 and context.answer.body == b'whole', context.answer
+    assert context.counts == [1, 1], context.counts
+
+
+@then('it is told that the outcome is not known after one attempt')
+def step_unknown(context):
+    assert context.error.outcome == 'unknown', context.error
+    assert sum(context.counts) == 1, context.counts
+
+
+@then('it is told of the failure after {count:d} attempts at different targets')
+def step_failure(context, count):
+    assert context.error.outcome == 'unknown', context.error
+    assert sum(context.counts) == count and max(context.counts) == 1, context.counts
+
+
+@then('the second caller gets the answer to its own request')
+def step_own_answer(context):
+    assert context.second.body == b'second', context.second
+
+
+@then('it is told that the outcome is not known within {bound_s:g} s')
+def step_in_time(context, bound_s):
+    assert context.error.outcome == 'unknown', context.error
+    assert context.took_s < bound_s, context.took_s
+
+
+@then('the target sees its connection closed')
+def step_closed(context):
+    assert context.closed == 1, context.closed
+
+
+@then("the target's answer is still taken")
+def step_still_taken(context):
+    assert context.closed == 0
+    assert 'code=answered' in context.lines, context.lines
+
+
+@then('the target was named in it and told of at most {patience_s:g} s')
+def step_told(context, patience_s):
+    heads = [head for target in context.delivery.targets for head in target.heads]
+    lines = dict(line.split(': ', 1) for line in heads[0].split('\r\n') if ': ' in line)
+    assert lines['X-Target-Instance'] == 'i-0', lines
+    assert 0 < int(lines['X-Timeout-Ms']) <= patience_s * 1_000, lines
--- a/features/steps/edges_steps.py
+++ b/features/steps/edges_steps.py
@@ -30,14 +30,15 @@
     str: st.text(max_size=9),
     bytes: st.binary(max_size=9),
     dict: st.dictionaries(st.text(max_size=9), st.integers(-(2**63), 2**63), max_size=3),
-    list: st.lists(st.integers(-(2**63), 2**63), max_size=3),
+    list[int]: st.lists(st.integers(-(2**63), 2**63), max_size=3),
+    list[bytes]: st.lists(st.binary(max_size=9), max_size=3),
 }
 MESSAGES = st.one_of(
     *(
         st.builds(
             kind,
             **{
-                field.name: CELL_BY_TYPE[get_origin(field.type) or field.type]
+                field.name: CELL_BY_TYPE.get(field.type) or CELL_BY_TYPE[get_origin(field.type)]
                 for field in fields(kind)
             },
         )
--- a/src/balsamrail/delivery/request_run.py
+++ b/src/balsamrail/delivery/request_run.py
@@ -38,6 +38,7 @@
         '_budget',
         '_chooser',
         '_deadline',
+        '_doubt',
         '_environment',
         '_exchange',
         '_place',
@@ -67,6 +68,8 @@
         self._place = place
         self._request = request
         self._deadline = request.arrived_at + min(patience_s, route.timeout_s)
+        # The last failure that leaves open whether the request ran.
+        self._doubt: ExchangeError | None = None
         self._sent: list[str] = []
         self._unreached: list[str] = []
 
@@ -78,23 +81,24 @@
         try:
             answer = await self._run()
         except RequestError as error:
-            self._log(status=error.status, code=error.code, reason=error.detail)
-            raise
+            told = error if self._doubt is None else _final(self._doubt)
+            self._log(status=told.status, code=told.code, reason=told.detail)
+            raise told
         self._log(status=answer.status, code='answered', reason='')
         return answer
 
     async def _run(self) -> HttpAnswer:
-        failure: ExchangeError | None = None
         while True:
-            state = self._choose(failure)
+            state = self._choose()
             outcome = await self._attempt(state)
             if isinstance(outcome, HttpAnswer):
                 return outcome
-            failure = outcome
-            if not self._may_try_again(failure, state.entry.target_id):
-                raise _final(failure)
+            if outcome.may_have_run:
+                self._doubt = outcome
+            if not self._may_try_again(outcome, state.entry.target_id):
+                raise _final(outcome)
 
-    def _choose(self, failure: ExchangeError | None) -> TargetState:
+    def _choose(self) -> TargetState:
         choice = self._chooser.choose(
             self._route,
             service=self._place.service,
@@ -104,8 +108,6 @@
         )
         if isinstance(choice, TargetState):
             return choice
-        if failure is not None and failure.may_have_run:
-            raise _final(failure)
         kind = NoTargetError if choice.reason == 'no_target' else OverloadedError
         raise kind(detail=choice.reason, retry_after_s=choice.retry_after_s)
 
@@ -129,6 +131,8 @@
             return len(self._unreached) < _MOST_UNREACHED
         if failure.may_have_run and not self._route.is_idempotent:
             return False
+        if self._now() >= self._deadline:
+            return False
         if len(self._sent) >= self._route.max_attempts:
             return False
         return self._budget.take(now=self._now())
