Serve the operators' pages on entry hosts and play them against a stand-in

A stand-in of the platform's store speaks the published protocol, and 6 entry hosts in one process play look-ups, drains, manifests, outages, planned stops, restarts, limits and smuggled requests against it. Found in the stand-in, not in the product: a silent store still ended watches that were waiting, so the outage scenario failed at first (no_target). Ruled out: a header time of its own, since tornado has one timer for both.

--- a/features/steps/edges_steps.py
+++ b/features/steps/edges_steps.py
@@ -38,7 +38,9 @@
         st.builds(
             kind,
             **{
-                field.name: CELL_BY_TYPE.get(field.type) or CELL_BY_TYPE[get_origin(field.type)]
+                field.name: CELL_BY_TYPE[
+                    field.type if field.type in CELL_BY_TYPE else get_origin(field.type)
+                ]
                 for field in fields(kind)
             },
         )
--- /dev/null
+++ b/features/steps/entry_fleet.py
@@ -0,0 +1,190 @@
+"""Entry hosts in one process with the platform's stand-in store and raw targets."""
+
+import asyncio
+
+import platform_helpers
+from delivery_parts import answer_to
+from forwarding_parts import RawUpstream
+from placement_parts import REGION_BY_ZONE
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from balsamrail.entry import EntryHost
+from balsamrail.settings import Limits, StoreSettings
+from balsamrail.settings.bounds import Bounds
+from standins.platform_store import PlatformStore
+
+NAME = 'lepu.example'
+LIMITS = {
+    'maxHeaderBytes': 2_000,
+    'maxBodyBytes': 5_000,
+    'headerTimeoutS': 3,
+    'idleTimeoutS': 9,
+}
+
+
+def manifest(version, *, service='lepu'):
+    services = [
+        {
+            'entryKind': 'services',
+            'metadata': {'name': name},
+            'spec': {'healthPath': '/health', 'maxConnections': 100},
+        }
+        for name in ('lepu', 'mora')
+    ]
+    route = {
+        'host': NAME,
+        'pathPrefix': '/read/',
+        'kind': 'idempotent',
+        'timeoutS': 2,
+        'maxAttempts': 3,
+        'service': service,
+    }
+    return {
+        'version': version,
+        'resources': [
+            {'entryKind': 'routes', 'metadata': {'name': 'r'}, 'spec': route},
+            {'entryKind': 'limits', 'metadata': {'name': 'l'}, 'spec': LIMITS},
+            *services,
+        ],
+    }
+
+
+class Target:
+    """A registered target; ``arrivals`` holds the time of each request."""
+
+    def __init__(self, name, *, zone, service):
+        self.name = name
+        self.zone = zone
+        self.service = service
+        self.arrivals = []
+
+    async def start(self, store):
+        self.upstream = await RawUpstream(self._answer).start()
+        self.store = store
+        self.register('ready')
+
+    def register(self, state):
+        spec = {
+            'service': self.service,
+            'address': self.upstream.address,
+            'zone': self.zone,
+            'version': '1',
+            'slots': 8,
+            'state': state,
+            'warmupLeftS': 0,
+            'born': 1,
+        }
+        self.store.put('servers', self.name, spec)
+
+    async def _answer(self, number, headers, writer):
+        self.arrivals.append(asyncio.get_running_loop().time())
+        writer.write(answer_to(headers, self.service.encode()))
+
+
+class EntryFleet:
+    """Hosts, targets and a store."""
+
+    def __init__(self, *, attiki, makedonia):
+        zones = ['attiki-a', 'attiki-b'] * attiki
+        self.zone_by_host = {f'attiki-{n}': zones[n] for n in range(attiki)}
+        self.zone_by_host.update({f'makedonia-{n}': 'makedonia-a' for n in range(makedonia)})
+        self.hosts = {}
+        self.tasks = {}
+        self.failures = []
+        self.answers = []
+
+    async def start(self):
+        self.store = PlatformStore()
+        await self.store.start()
+        self.store.put('config', 'main', manifest(3))
+        self.targets = [
+            Target(f'{service}-{zone}', zone=zone, service=service)
+            for service in ('lepu', 'mora')
+            for zone in ('attiki-a', 'attiki-b', 'makedonia-a')
+        ]
+        for target in self.targets:
+            await target.start(self.store)
+        self.addresses = {
+            host: [platform_helpers.free_address() for _ in range(5)] for host in self.zone_by_host
+        }
+        for host in self.zone_by_host:
+            self.start_host(host)
+        await self.until(lambda: all(host.status()['is_ready'] for host in self.hosts.values()))
+        await self.until(self._knows_all)
+
+    def start_host(self, host):
+        caller, ready, lookup, peer, operator = self.addresses[host]
+        zone = self.zone_by_host[host]
+        environment = platform_helpers.make_environment(
+            host=host,
+            region=REGION_BY_ZONE[zone],
+            availability_zone=zone,
+            region_by_availability_zone=REGION_BY_ZONE,
+            caller_address=caller,
+            readiness_address=ready,
+            lookup_address=lookup,
+            peer_address=peer,
+            operator_address=operator,
+            bounds=Bounds(retry_slack=100),
+            limits=Limits(heartbeat_s=0.5, suspect_after_s=1.5, gone_after_s=0.5),
+            store=StoreSettings(address=self.store.address, timeout_s=1),
+            seeds=[addresses[3] for addresses in list(self.addresses.values())[:3]],
+        )
+        self.hosts[host] = EntryHost(environment=environment)
+        self.tasks[host] = asyncio.create_task(self.hosts[host].run())
+
+    async def kill(self, host):
+        """End a host without its planned stop."""
+        self.tasks.pop(host).cancel()
+        await self.hosts.pop(host).end()
+
+    async def stop(self):
+        for host in list(self.hosts):
+            await self.kill(host)
+        for target in self.targets:
+            target.upstream.stop()
+        await self.store.stop()
+
+    async def get(self, address, path, **changes):
+        request = HTTPRequest(f'http://{address}{path}', request_timeout=3, **changes)
+        return await AsyncHTTPClient(force_instance=True).fetch(request, raise_error=False)
+
+    async def look_up(self, host, region):
+        path = f'/balsamrail/resolve?name={NAME}&region={region}&zone='
+        found = await self.get(self.addresses[host][2], path)
+        return found
+
+    async def send(self, address, number):
+        sent_at = asyncio.get_running_loop().time()
+        headers = {'Host': NAME, 'X-Request-Id': f'r-{number}', 'X-Timeout-Ms': '2000'}
+        answer = await self.get(address, f'/read/{number}', headers=headers)
+        if answer.code == 200:
+            self.answers.append((sent_at, answer.body.decode()))
+        else:
+            self.failures.append((number, answer.code, answer.body))
+
+    async def load(self, seconds, *, address_of=None):
+        """Send 60 requests a second."""
+        number, pending = 0, []
+        end = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end:
+            number += 1
+            hosts = sorted(self.hosts)
+            address = (
+                address_of(number) if address_of else self.addresses[hosts[number % len(hosts)]][0]
+            )
+            pending.append(asyncio.create_task(self.send(address, number)))
+            await asyncio.sleep(1 / 60)
+        await asyncio.gather(*pending)
+
+    async def until(self, holds, *, limit_s=8):
+        async with asyncio.timeout(limit_s):
+            while not holds():  # noqa: ASYNC110 - the hosts tell nobody when they are ready
+                await asyncio.sleep(0.05)
+
+    def _knows_all(self):
+        count = len(self.zone_by_host)
+        return all(
+            len(host.members.nameable()) == count and len(host.catalog.entries_by_id) == 6
+            for host in self.hosts.values()
+        )
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,318 @@
+"""Steps of entry.feature."""
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from entry_fleet import NAME, EntryFleet, manifest
+from platform_helpers import Lines, make_environment, run_real
+
+from balsamrail.entry.settings_file import SettingsFile
+
+RUN_S = 40
+
+
+@given('{attiki:d} hosts in attiki and {makedonia:d} in makedonia with targets in both')
+def step_fleet(context, attiki, makedonia):
+    context.fleet = EntryFleet(attiki=attiki, makedonia=makedonia)
+
+
+def _play(context, play):
+    async def run():
+        fleet = context.fleet
+        await fleet.start()
+        try:
+            await play(fleet)
+        finally:
+            await fleet.stop()
+
+    run_real(run(), limit_s=RUN_S)
+
+
+@when('callers of both regions look up hosts and send requests to each')
+def step_look_up(context):
+    async def play(fleet):
+        context.named = {}
+        for region in ('attiki', 'makedonia'):
+            found = await fleet.look_up('attiki-0', region)
+            context.named[region] = sorted(json.loads(found.body)['addresses'])
+        for number, host in enumerate(fleet.hosts):
+            await fleet.send(fleet.addresses[host][0], number)
+        context.expected = {
+            region: sorted(
+                addresses[0]
+                for host, addresses in fleet.addresses.items()
+                if host.startswith(region)
+            )
+            for region in context.named
+        }
+
+    _play(context, play)
+
+
+@then('each request is answered by a target')
+@then('every request is answered by a target')
+def step_answered(context):
+    assert not context.fleet.failures, context.fleet.failures[:5]
+    assert len(context.fleet.answers) >= 6
+
+
+@then('each look-up names exactly the hosts of its region')
+def step_named(context):
+    assert context.named == context.expected, context.named
+
+
+@when('all hosts have found each other and 8 s pass')
+def step_wait(context):
+    async def play(fleet):
+        await asyncio.sleep(8)
+        context.watching = [
+            name
+            for name, host in fleet.hosts.items()
+            if host.dump()['watch']['is_watching'] and name.startswith('attiki')
+        ]
+
+    _play(context, play)
+
+
+@then('at most {count:d} hosts of attiki watch the store')
+def step_watchers(context, count):
+    assert 1 <= len(context.watching) <= count, context.watching
+
+
+@when('a target registers as draining under load')
+def step_drain(context):
+    async def play(fleet):
+        load = asyncio.create_task(fleet.load(6))
+        await asyncio.sleep(2)
+        target = fleet.targets[0]
+        target.register('draining')
+        context.drained_at = asyncio.get_running_loop().time()
+        await load
+        context.arrivals = target.arrivals
+
+    _play(context, play)
+
+
+@then('no request sent 2 s later or more reaches it and none fails')
+def step_drained(context):
+    assert not context.fleet.failures, context.fleet.failures[:5]
+    assert context.arrivals
+    late = [at for at in context.arrivals if at > context.drained_at + 2]
+    assert not late, late
+
+
+@when('the operator moves the route to another service under load')
+def step_move(context):
+    async def play(fleet):
+        load = asyncio.create_task(fleet.load(6))
+        await asyncio.sleep(2)
+        fleet.store.put('config', 'main', manifest(7, service='mora'))
+        context.moved_at = asyncio.get_running_loop().time()
+        await load
+
+    _play(context, play)
+
+
+@then('every request sent 2 s later or more is run by the new service')
+def step_moved(context):
+    assert not context.fleet.failures, context.fleet.failures[:5]
+    later = {body for at, body in context.fleet.answers if at > context.moved_at + 2}
+    assert later == {'mora'}, later
+
+
+@when('the store is silent for 4 s and its registrations lapse for 1 s')
+def step_outage(context):
+    async def play(fleet):
+        load = asyncio.create_task(fleet.load(10))
+        await asyncio.sleep(1)
+        fleet.store.mode = 'silent'
+        for target in fleet.targets:
+            fleet.store.remove('servers', target.name)
+        await asyncio.sleep(4)
+        fleet.store.mode = 'up'
+        await asyncio.sleep(1)
+        for target in fleet.targets:
+            target.register('ready')
+        await load
+
+    _play(context, play)
+
+
+@when('one host is stopped while callers follow look-ups')
+def step_stop(context):
+    async def play(fleet):
+        context.leaving = 'attiki-1'
+        named = [fleet.addresses[host][0] for host in fleet.zone_by_host]
+        context.named_later = []
+
+        async def follow():
+            while True:
+                found = await fleet.look_up('attiki-0', 'attiki')
+                named[:] = json.loads(found.body)['addresses']
+                context.named_later.append(list(named))
+                await asyncio.sleep(1)
+
+        follower = asyncio.create_task(follow())
+        load = asyncio.create_task(
+            fleet.load(8, address_of=lambda number: named[number % len(named)])
+        )
+        await asyncio.sleep(2)
+        started = asyncio.get_running_loop().time()
+        fleet.hosts[context.leaving].stop()
+        await asyncio.wait_for(fleet.tasks[context.leaving], 6)
+        context.stop_s = asyncio.get_running_loop().time() - started
+        context.gone_address = fleet.addresses[context.leaving][0]
+        await load
+        follower.cancel()
+
+    _play(context, play)
+
+
+@then('the host ends within its grace and is named by no look-up of the others')
+def step_stopped(context):
+    assert context.stop_s < 6, context.stop_s
+    assert context.gone_address not in context.named_later[-1]
+
+
+@when('all hosts end at once and start again with nothing but the store')
+def step_restart(context):
+    async def play(fleet):
+        for host in list(fleet.hosts):
+            await fleet.kill(host)
+        for host in fleet.zone_by_host:
+            fleet.start_host(host)
+        await fleet.until(
+            lambda: all(host.status()['is_ready'] for host in fleet.hosts.values()), limit_s=3
+        )
+        await fleet.load(1)
+
+    _play(context, play)
+
+
+@then('all are ready within 3 s and serve')
+def step_restarted(context):
+    assert not context.fleet.failures, context.fleet.failures[:5]
+    assert context.fleet.answers
+
+
+@when('a caller sends too large headers, a too large body, an unknown path and a proper request')
+def step_limits(context):
+    async def play(fleet):
+        address = fleet.addresses['attiki-0'][0]
+        large = {'Host': NAME, 'X-Large': 'x' * 3_000}
+        sent = (
+            ('/read/1', {'headers': large}),
+            ('/read/1', {'headers': {'Host': NAME}, 'method': 'POST', 'body': 'x' * 6_000}),
+            ('/other', {'headers': {'Host': NAME}}),
+            ('/read/1', {'headers': {'Host': NAME, 'X-Request-Id': 'r-1'}}),
+        )
+        context.codes = [(await fleet.get(address, path, **more)).code for path, more in sent]
+
+    _play(context, play)
+
+
+@then('they are answered 431, 413, 404 and 200')
+def step_codes(context):
+    assert context.codes == [431, 413, 404, 200], context.codes
+
+
+@when('a caller sends requests with two lengths, a length beside chunks or a broken chunk')
+def step_smuggle(context):
+    hidden = b'GET /read/hidden HTTP/1.1\r\nHost: lepu.example\r\n\r\n'
+    head = b'POST /read/1 HTTP/1.1\r\nHost: lepu.example\r\nX-Request-Id: r-1\r\n'
+    chunks = b'0\r\n\r\n' + hidden
+    attacks = (
+        head + b'Content-Length: 0\r\nContent-Length: %d\r\n\r\n' % len(hidden) + hidden,
+        head + b'Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n' % len(chunks) + chunks,
+        head + b'Transfer-Encoding: chunked\r\n\r\n2x\r\nab\r\n' + chunks,
+        head + b'Transfer-Encoding: identity, chunked\r\n\r\n' + chunks,
+        head + b'Content-Length: +0\r\n\r\n' + hidden,
+        head + b'Content-Length : 0\r\n\r\n' + hidden,
+    )
+
+    async def play(fleet):
+        number, _, port = fleet.addresses['attiki-0'][0].rpartition(':')
+        for attack in attacks:
+            reader, writer = await asyncio.open_connection(number, int(port))
+            writer.write(attack)
+            try:
+                async with asyncio.timeout(0.5):
+                    await reader.read()
+            except (TimeoutError, ConnectionError):
+                pass
+            writer.close()
+        context.heads = [head for target in fleet.targets for head in target.upstream.heads]
+
+    _play(context, play)
+
+
+@then('no target sees any request but those')
+def step_not_smuggled(context):
+    assert not [head for head in context.heads if 'hidden' in head], context.heads
+
+
+@when("the operators' pages are read")
+def step_pages(context):
+    async def play(fleet):
+        await fleet.send(fleet.addresses['attiki-0'][0], 1)
+        address = fleet.addresses['attiki-0'][4]
+        context.pages = {
+            name: (await fleet.get(address, f'/{name}')).body.decode()
+            for name in ('status', 'dump', 'metrics')
+        }
+
+    _play(context, play)
+
+
+@then('the status, the dump and the metrics tell of the manifest and the requests')
+def step_told(context):
+    status = json.loads(context.pages['status'])
+    assert status['is_ready'] and status['manifest_version'] == 3, status
+    assert json.loads(context.pages['dump'])['catalog']['manifest_version'] == 3
+    assert 'requests_answered 1\n' in context.pages['metrics'], context.pages['metrics']
+
+
+@given('a host with a settings file')
+def step_file(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = Path(folder.name, 'settings.json')
+
+
+@when('the file gets another bound, then a fault, and SIGHUP arrives each time')
+def step_reload(context):
+    fields = {
+        'deployment': 'platform',
+        'host': 'attiki-1',
+        'region': 'attiki',
+        'availability_zone': 'attiki-a',
+        'caller_address': '127.0.0.1:1',
+        'peer_address': '127.0.0.1:2',
+        'operator_address': '127.0.0.1:3',
+        'store': {'address': '127.0.0.1:4'},
+    }
+
+    async def play():
+        context.lines = Lines()
+        context.path.write_text(json.dumps(fields))
+        environment = make_environment(log=context.lines)
+        file = SettingsFile(environment=environment, path=str(context.path))
+        task = asyncio.create_task(file.run())
+        await asyncio.sleep(0)
+        for text in (json.dumps({**fields, 'bounds': {'drain_s': 7}}), '{"host": 1}'):
+            context.path.write_text(text)
+            file.reload()
+            await asyncio.sleep(0.1)
+        task.cancel()
+        context.settings = environment.settings
+
+    run_real(play())
+
+
+@then('the bound is in force and the faulty file is logged and not taken over')
+def step_reloaded(context):
+    assert context.settings.bounds.drain_s == 7
+    assert any('settings_rejected' in line for line in context.lines.lines)
--- /dev/null
+++ b/features/steps/platform_store_steps.py
@@ -0,0 +1,171 @@
+"""Steps of platform_store.feature."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from platform_helpers import make_environment, run_real
+
+from balsamrail.errors import (
+    HistoryGoneError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from balsamrail.platform.object_store import ObjectStore
+from standins.platform_store import PlatformStore
+
+KIND = 'things'
+
+
+@given("the stand-in of the platform's store")
+def step_store(context):
+    pass
+
+
+def _play(context, play, *, timeout_s=2):
+    async def run():
+        context.standin = PlatformStore()
+        await context.standin.start()
+        environment = make_environment(store_address=context.standin.address, timeout_s=timeout_s)
+        context.store = ObjectStore(environment=environment)
+        await play(context.store, context.standin)
+        context.store.close()
+        await context.standin.stop()
+
+    run_real(run())
+
+
+async def _error_of(call):
+    try:
+        await call
+    except Exception as error:
+        return type(error)
+    return None
+
+
+async def _names(store):
+    listing = await store.list_objects(KIND)
+    return {stored.name: stored.spec for stored in listing.objects}
+
+
+@when('an object is created, replaced at its revision and removed')
+def step_write(context):
+    async def play(store, standin):
+        first = await store.create(KIND, 'a/b', spec=1)
+        seen = [await _names(store)]
+        again = await _error_of(store.create(KIND, 'a/b', spec=1))
+        second = await store.replace(KIND, 'a/b', spec=2, revision=first.revision)
+        seen.append(await _names(store))
+        late = await _error_of(store.replace(KIND, 'a/b', spec=3, revision=first.revision))
+        early = await _error_of(store.delete(KIND, 'a/b', revision=first.revision))
+        await store.delete(KIND, 'a/b', revision=second.revision)
+        await store.delete(KIND, 'a/b', revision=second.revision)
+        seen.append(await _names(store))
+        context.seen = seen
+        context.refused = [again, late, early]
+
+    _play(context, play)
+
+
+@then('each step is seen by a listing, and each repeated or outdated step is a conflict')
+def step_seen(context):
+    assert context.seen == [{'a/b': 1}, {'a/b': 2}, {}], context.seen
+    assert context.refused == [StoreConflictError] * 3, context.refused
+
+
+@when('1,203 objects are listed')
+def step_list(context):
+    async def play(store, standin):
+        for number in range(1_203):
+            standin.put(KIND, f'n-{number}', number)
+        context.names = await _names(store)
+
+    _play(context, play)
+
+
+@then('all are found')
+def step_all(context):
+    assert len(context.names) == 1_203, len(context.names)
+
+
+@when('a kind is watched while an object is written, removed and then left alone')
+def step_watch(context):
+    async def play(store, standin):
+        revision = (await store.list_objects(KIND)).revision
+        context.events = []
+        for change in (lambda: standin.put(KIND, 'x', 1), lambda: standin.remove(KIND, 'x'), None):
+            if change is not None:
+                asyncio.get_running_loop().call_later(0.05, change)
+            answer = await store.watch(KIND, revision=revision, wait_s=0.3)
+            revision = answer.revision
+            context.events.append([(e.stored.name, e.is_removal) for e in answer.events])
+
+    _play(context, play)
+
+
+@then('the watch gives the write, the removal and nothing, in this order')
+def step_events(context):
+    assert context.events == [[('x', False)], [('x', True)], []], context.events
+
+
+@when('the store forgets and a watch goes on from before')
+def step_forget(context):
+    async def play(store, standin):
+        standin.put(KIND, 'x', 1)
+        revision = (await store.list_objects(KIND)).revision
+        standin.put(KIND, 'x', 2)
+        standin.forget()
+        context.error = await _error_of(store.watch(KIND, revision=revision, wait_s=1))
+
+    _play(context, play)
+
+
+@then('the watch raises HistoryGoneError')
+def step_gone(context):
+    assert context.error is HistoryGoneError, context.error
+
+
+@when('the store is busy, resets connections or loses the answers of writes')
+def step_faults(context):
+    async def play(store, standin):
+        context.errors = {}
+        for mode in ('busy', 'reset', 'losing'):
+            standin.mode, standin.losing = (mode, False) if mode != 'losing' else ('up', True)
+            read = await _error_of(store.list_objects(KIND))
+            write = await _error_of(store.create(KIND, mode, spec=1))
+            context.errors[mode] = (read, write)
+        standin.losing = False
+        context.names = await _names(store)
+
+    _play(context, play)
+
+
+@then(
+    'reads raise StoreUnavailableError, refused writes too, and lost writes '
+    'StoreOutcomeUnknownError'
+)
+def step_errors(context):
+    assert context.errors == {
+        'busy': (StoreUnavailableError, StoreUnavailableError),
+        'reset': (StoreUnavailableError, StoreOutcomeUnknownError),
+        'losing': (None, StoreOutcomeUnknownError),
+    }, context.errors
+    assert set(context.names) == {'losing'}, context.names
+
+
+@when('the store is silent')
+def step_silent(context):
+    async def play(store, standin):
+        standin.mode = 'silent'
+        started = time.monotonic()
+        context.error = await _error_of(store.list_objects(KIND))
+        context.took_s = time.monotonic() - started
+
+    _play(context, play, timeout_s=0.4)
+
+
+@then('a read raises StoreUnavailableError within the timeout of the settings')
+def step_gave_up(context):
+    assert context.error is StoreUnavailableError, context.error
+    assert context.took_s < 0.6, context.took_s
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -4,19 +4,20 @@
 import signal
 from typing import Any
 
-from tornado.httpserver import HTTPServer
-from tornado.tcpserver import TCPServer
+from tornado.web import Application
 
 from balsamrail.delivery.dispatcher import Dispatcher
 from balsamrail.delivery.reviver import Reviver
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.delivery.target_pool import TargetPool
 from balsamrail.entry.entry_stop import EntryStop
+from balsamrail.entry.listeners import Listeners
 from balsamrail.entry.settings_file import SettingsFile
 from balsamrail.entry.store_parts import StoreParts
 from balsamrail.environment import Environment
 from balsamrail.fleet.directory import Directory
 from balsamrail.host import Supervisor
+from balsamrail.host.operator_handlers import operator_routes
 from balsamrail.membership import PeerServer
 from balsamrail.placement.chooser import Chooser
 from balsamrail.placement.cold_gate import ColdGate
@@ -25,13 +26,9 @@
 from balsamrail.platform.caller_server import CallerServer
 from balsamrail.platform.lookup_server import lookup_application
 from balsamrail.platform.target_protocol import TargetProtocol
-from balsamrail.settings.address import split_address
 
-_BACKLOG = 1_024
 _LOOKUP_TTL_S = 1.0
 _SWEEP_S = 1.0
-_IDLE_S = 60
-_HEADER_BYTES = 65_536
 
 
 class EntryHost:
@@ -69,20 +66,37 @@
             ),
         )
         self.callers = CallerServer(environment=environment, handler=self.dispatcher)
+        self._listeners = Listeners(
+            environment=environment,
+            callers=self.callers,
+            lookups=lookup_application(
+                look_up=self.directory.addresses, is_ready=self._is_ready, ttl_s=_LOOKUP_TTL_S
+            ),
+            operators=Application(
+                operator_routes(
+                    dump=self.dump, status=self.status, metrics=environment.metrics.page
+                ),
+                log_function=lambda handler: None,
+            ),
+            peers=PeerServer(environment=environment, accept=self.shared.network.accept),
+        )
         self._supervisor = Supervisor(environment=environment)
         self._stopping = asyncio.Event()
-        self._servers: list[TCPServer] = []
 
     def stop_on_signal(self) -> None:
         """Begin the planned stop at SIGTERM or SIGINT."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
+            loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.settings_file.reload)
 
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        self._stopping.set()
+
     async def run(self) -> None:
         """Serve until stopped."""
-        self._listen_all()
+        self._listeners.listen()
         self._start_parts()
         self._environment.log.event('host_started', incarnation=self._environment.incarnation)
         await self._stopping.wait()
@@ -96,32 +110,43 @@
         )
         left = await stop.run()
         self.members.finish()
-        for server in self._servers:
-            server.stop()
+        await self.end()
+        self._environment.log.event('host_stopped', in_flight=left)
+
+    async def end(self) -> None:
+        """Close everything at once, without the planned stop."""
+        self._listeners.close()
         await self._supervisor.stop()
         self.pool.close()
-        self._environment.log.event('host_stopped', in_flight=left)
 
-    def _listen_all(self) -> None:
-        settings = self._environment.settings
-        callers: Any = self.callers
-        self._listen(
-            HTTPServer(callers, idle_connection_timeout=_IDLE_S, max_header_size=_HEADER_BYTES),
-            settings.caller_address,
-        )
-        lookups = lookup_application(
-            look_up=self.directory.addresses, is_ready=self._is_ready, ttl_s=_LOOKUP_TTL_S
-        )
-        for address in {settings.lookup_address, settings.readiness_address}:
-            if address is not None:
-                self._listen(HTTPServer(lookups), address)
-        peers = PeerServer(environment=self._environment, accept=self.shared.network.accept)
-        self._listen(peers, settings.peer_address)
+    def status(self) -> dict[str, Any]:
+        """Return in a few words how this host is."""
+        manifest = self.catalog.manifest
+        return {
+            'host': self._environment.settings.host,
+            'incarnation': self._environment.incarnation,
+            'is_ready': self._is_ready(),
+            'is_leaving': self._stopping.is_set(),
+            'manifest_version': manifest.version if manifest else None,
+            'targets': len(self.catalog.entries_by_id),
+            'in_flight': self.callers.in_flight,
+        }
 
-    def _listen(self, server: TCPServer, address: str) -> None:
-        number, port = split_address(address)
-        server.listen(port, address=number, backlog=_BACKLOG)
-        self._servers.append(server)
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all parts as plain data."""
+        parts: dict[str, Any] = {
+            'catalog': self.catalog,
+            'directory': self.directory,
+            'targets': self.book,
+            'pool': self.pool,
+            'reviver': self.reviver,
+            'watch': self.shared.watch,
+            'hub': self.shared.hub,
+            'members': self.members,
+            'metrics': self._environment.metrics,
+        }
+        state = {name: part.dump() for name, part in parts.items()}
+        return {'status': self.status(), **state}
 
     def _start_parts(self) -> None:
         parts: dict[str, Any] = {
@@ -142,7 +167,9 @@
     def _catalog_changed(self) -> None:
         self.book.refresh(now=self._environment.clock.monotonic())
         if self.catalog.manifest is not None:
-            self.callers.limits = self.catalog.manifest.limits
+            limits = self.catalog.manifest.limits
+            self.callers.limits = limits
+            self._listeners.set_idle(limits.idle_timeout_s)
 
     def _members_changed(self) -> None:
         listed = {entry.host for entry in self.members.host_list.hosts()}
--- /dev/null
+++ b/src/balsamrail/entry/listeners.py
@@ -0,0 +1,78 @@
+"""The addresses on which an entry host listens."""
+
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.tcpserver import TCPServer
+from tornado.web import Application
+
+from balsamrail.catalog.caller_limits import CallerLimits
+from balsamrail.environment import Environment
+from balsamrail.membership import PeerServer
+from balsamrail.platform.caller_server import CallerServer
+from balsamrail.settings.address import split_address
+
+_BACKLOG = 1_024
+# Larger headers end the connection; smaller ones beyond the operators' limit are answered.
+_HEADER_BYTES = 65_536
+# A caller that takes longer to send a body is no longer waiting for its answer.
+_BODY_S = 60
+
+
+class Listeners:
+    """Opens the listeners for callers, look-ups, peers and operators.
+
+    :param lookups: answers readiness checks and look-ups.
+    :param operators: answers the operators' pages.
+    """
+
+    __slots__ = ('_callers', '_environment', '_lookups', '_operators', '_peers', '_servers')
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        callers: CallerServer,
+        lookups: Application,
+        operators: Application,
+        peers: PeerServer,
+    ) -> None:
+        self._environment = environment
+        taker: Any = callers
+        self._callers = HTTPServer(
+            taker,
+            idle_connection_timeout=CallerLimits().idle_timeout_s,
+            body_timeout=_BODY_S,
+            max_header_size=_HEADER_BYTES,
+        )
+        self._lookups = lookups
+        self._operators = operators
+        self._peers = peers
+        self._servers: list[TCPServer] = []
+
+    def listen(self) -> None:
+        """Open all listeners.
+
+        :raises OSError: if an address cannot be listened on.
+        """
+        settings = self._environment.settings
+        self._listen(self._callers, settings.caller_address)
+        for address in {settings.lookup_address, settings.readiness_address}:
+            if address is not None:
+                self._listen(HTTPServer(self._lookups), address)
+        self._listen(HTTPServer(self._operators), settings.operator_address)
+        self._listen(self._peers, settings.peer_address)
+
+    def set_idle(self, idle_s: float) -> None:
+        """Close callers' connections that were idle for so many seconds, open ones included."""
+        self._callers.conn_params.header_timeout = idle_s
+
+    def close(self) -> None:
+        """Take no more connections."""
+        for server in self._servers:
+            server.stop()
+
+    def _listen(self, server: TCPServer, address: str) -> None:
+        number, port = split_address(address)
+        server.listen(port, address=number, backlog=_BACKLOG)
+        self._servers.append(server)
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,190 @@
+"""A stand-in of the platform's metadata store, by its published protocol, in one process.
+
+It keeps objects by kind and name, watches and conditional writes, and can be down, refuse calls,
+lose answers and forget its history.
+"""
+
+import asyncio
+import json
+import time
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from standins.serving import drop_connection, listen
+
+_PAGE = 500
+_BODY_BYTES = 2_097_152
+# Longer than any client waits.
+_SILENT_S = 60
+
+
+class PlatformStore:
+    """Serves the objects API; ``mode`` is ``up``, ``busy``, ``reset`` or ``silent``."""
+
+    def __init__(self, *, address: str = '127.0.0.1:0') -> None:
+        self._listen_address = address
+        self.address = ''
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.events: dict[str, list[dict[str, Any]]] = {}
+        self.oldest = 0
+        self.mode = 'up'
+        self.losing = False
+        self.calls: list[tuple[str, str]] = []
+        self._changed = asyncio.Event()
+        self._server: HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        handlers: list[Any] = [
+            (r'/balsamrail/objects/([^/]+)', _KindHandler, {'store': self}),
+            (r'/balsamrail/objects/([^/]+)/([^/]+)', _ObjectHandler, {'store': self}),
+        ]
+        self._server, self.address = listen(
+            Application(handlers, log_function=lambda handler: None),
+            address=self._listen_address,
+            kind=HTTPServer,
+            max_body_size=_BODY_BYTES,
+        )
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        """Write an object as the operator or a target does."""
+        self.revision += 1
+        metadata = {'name': name, 'revision': self.revision, 'created': time.time()}
+        stored = {'metadata': metadata, 'spec': spec}
+        self.objects.setdefault(kind, {})[name] = stored
+        self._tell(kind, {'object': stored, 'tombstone': False})
+        return stored
+
+    def remove(self, kind: str, name: str) -> dict[str, Any]:
+        """Remove an object that exists."""
+        stored = self.objects[kind].pop(name)
+        self.revision += 1
+        gone = {**stored, 'metadata': {**stored['metadata'], 'revision': self.revision}}
+        self._tell(kind, {'object': gone, 'tombstone': True})
+        return gone
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.events.clear()
+        self.oldest = self.revision
+
+    def since(self, kind: str, revision: int) -> list[dict[str, Any]]:
+        """Return the events of a kind after ``revision``."""
+        return [
+            event
+            for event in self.events.get(kind, ())
+            if event['object']['metadata']['revision'] > revision
+        ]
+
+    async def wait(self, wait_s: float) -> None:
+        """Wait for any change."""
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _tell(self, kind: str, event: dict[str, Any]) -> None:
+        self.events.setdefault(kind, []).append(event)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+class _StoreHandler(RequestHandler):
+    def initialize(self, *, store: PlatformStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls.append((self.request.method or '', self.request.uri or ''))
+        match self.store.mode:
+            case 'busy':
+                self.set_status(503)
+                self.finish()
+            case 'reset':
+                drop_connection(self)
+                self.finish()
+            case 'silent':
+                await asyncio.sleep(_SILENT_S)
+                self.finish()
+
+    def answer(self, status: int, body: Any) -> None:
+        if self.store.losing and self.request.method != 'GET':
+            drop_connection(self)
+            return
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps({**body, 'storeRevision': self.store.revision}))
+
+    def changes(self, name: str, known: dict[str, Any] | None, revision: Any) -> bool:
+        """Return whether a write may go on; answer 409 if its condition does not hold."""
+        if revision is None or (known and known['metadata']['revision'] == int(revision)):
+            return True
+        self.answer(409, known or {})
+        return False
+
+
+class _KindHandler(_StoreHandler):
+    async def get(self, kind: str) -> None:
+        watched = self.get_query_argument('watch', '')
+        if watched:
+            await self._watch(kind, int(watched))
+            return
+        after = self.get_query_argument('after', '')
+        found = sorted(self.store.objects.get(kind, {}).items())
+        page = [stored for name, stored in found if name > after]
+        self.answer(200, {'items': page[:_PAGE], 'hasMore': len(page) > _PAGE})
+
+    async def post(self, kind: str) -> None:
+        body = json.loads(self.request.body)
+        name = body['metadata']['name']
+        known = self.store.objects.get(kind, {}).get(name)
+        if known is not None:
+            self.answer(409, known)
+            return
+        self.answer(201, self.store.put(kind, name, body.get('spec')))
+
+    async def _watch(self, kind: str, revision: int) -> None:
+        wait_until = time.monotonic() + int(self.get_query_argument('waitMs', '0')) / 1_000
+        while revision >= self.store.oldest and not self.store.since(kind, revision):
+            left_s = wait_until - time.monotonic()
+            if left_s <= 0:
+                break
+            await self.store.wait(left_s)
+        if self.store.mode == 'silent':
+            await asyncio.sleep(_SILENT_S)
+        if revision < self.store.oldest:
+            self.answer(410, {})
+        else:
+            self.answer(200, {'events': self.store.since(kind, revision)})
+
+
+class _ObjectHandler(_StoreHandler):
+    async def get(self, kind: str, name: str) -> None:
+        known = self.store.objects.get(kind, {}).get(name)
+        self.answer(404 if known is None else 200, known or {})
+
+    async def put(self, kind: str, name: str) -> None:
+        body = json.loads(self.request.body)
+        known = self.store.objects.get(kind, {}).get(name)
+        if not self.changes(name, known, body['metadata'].get('revision')):
+            return
+        if known is not None and known['spec'] == body.get('spec'):
+            self.answer(200, known)
+            return
+        self.answer(200, self.store.put(kind, name, body.get('spec')))
+
+    async def delete(self, kind: str, name: str) -> None:
+        known = self.store.objects.get(kind, {}).get(name)
+        if known is None:
+            self.answer(404, {})
+        elif self.changes(name, known, self.get_query_argument('revision', None)):
+            self.answer(200, self.store.remove(kind, name))
