Write the log without waiting for its reader

Cause: each event was written to standard output at once; a reader that is stuck fills the pipe, and the next line stops the whole host. Change: LogBuffer gathers lines for 0.05 s and writes as much as the descriptor takes without waiting; lines beyond 1 MB are dropped, counted and told of. Used by balsamrail entry. Ruled out: a non-blocking standard output, which would change the terminal or file of whoever shares it; a writing thread, which costs a switch for each line.

--- a/src/balsamrail/cli/entry_command.py
+++ b/src/balsamrail/cli/entry_command.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import sys
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Annotated
 
@@ -39,9 +40,16 @@
     from balsamrail.entry import EntryHost
     from balsamrail.environment import Environment
     from balsamrail.host import LibraryLogHandler
+    from balsamrail.log_buffer import LogBuffer
+    from balsamrail.logs import Log
 
-    environment = Environment.create(settings=settings)
+    lines = LogBuffer(descriptor=sys.stdout.fileno())
+    log = Log(host=settings.host, output=lines)
+    environment = Environment.create(settings=settings, log=log)
     logging.getLogger().addHandler(LibraryLogHandler(log=environment.log))
     host = EntryHost(environment=environment, settings_path=path)
     host.stop_on_signal()
-    await host.run()
+    try:
+        await host.run()
+    finally:
+        lines.close()
