Let a watcher's listing remove what is gone, the newest object too

Cause: a follower that missed a message gets everything anew, with the revision of the newest object that exists. If the newest one had just been removed and that message was lost, the listing counted as older than the object, and the follower kept a target that had left until something else changed. A region of up to three hosts has no followers, so the standard sites don't show it. Change: a view knows up to which revision it is complete (listings and watches of the store, listings of watchers), and that is what it tells. Ruled out: keeping the highest revision of any event, which says nothing of the events in between that may have been lost.

--- a/src/balsamrail/catalog/feed.py
+++ b/src/balsamrail/catalog/feed.py
@@ -110,6 +110,7 @@
             self._watch = None
         self._revision = answer.revision
         self._view.apply_events(answer.events)
+        self._view.note_complete(answer.revision)
         if answer.events:
             await asyncio.sleep(_GATHER_S)
 
--- a/src/balsamrail/catalog/object_view.py
+++ b/src/balsamrail/catalog/object_view.py
@@ -20,11 +20,20 @@
         view.apply_listing(listing)
     """
 
-    __slots__ = ('_removed_by_name', '_subscribers', 'is_listed', 'kind', 'objects_by_name')
+    __slots__ = (
+        '_removed_by_name',
+        '_subscribers',
+        'complete_to',
+        'is_listed',
+        'kind',
+        'objects_by_name',
+    )
 
     def __init__(self, *, kind: str) -> None:
         self.kind = kind
         self.is_listed = False
+        # Every change up to this revision of the store is known.
+        self.complete_to = 0
         self.objects_by_name: dict[str, StoreObject] = {}
         self._removed_by_name: dict[str, int] = {}
         self._subscribers: list[Callable[[list[ObjectEvent]], None]] = []
@@ -44,6 +53,11 @@
         ]
         found = [ObjectEvent(stored=stored, is_removal=False) for stored in listing.objects]
         self.apply_events([*gone, *found])
+        self.note_complete(listing.revision)
+
+    def note_complete(self, revision: int) -> None:
+        """Note that all changes up to a revision have been applied."""
+        self.complete_to = max(self.complete_to, revision)
 
     def apply_events(self, events: Iterable[ObjectEvent]) -> None:
         """Take over changes that are news."""
--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -135,7 +135,7 @@
         number=0,
         kind=view.kind,
         is_listing=True,
-        revision=max((one.revision for one in stored), default=0),
+        revision=view.complete_to,
         written=[pack_object(one) for one in stored],
         removed=[],
     )
