Name a host again that started with its clock set back

Cause: an incarnation is the time of the start. A host that was gone and starts again with an earlier time of day says an incarnation below the one that the others hold as gone, so they ignored it and never named it; a host that comes back before it is gone is not affected. Found by a new scenario of entry.feature, which failed first (clock set back by a minute, away for 6 s). Change: an entry host that hears of a newer start of itself that is not alive takes an incarnation above it. balsamrail node doesn't, since it holds shares and claims in the name of its incarnation. Ruled out: a counter in the store, which is a write at each start and is not there when the store is down; yielding to a start that is alive, since two processes of one name would overtake each other for ever. After: the scenario passes, membership as before.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -62,3 +62,10 @@
     Given a host with a settings file
     When the file gets another bound, then a fault, and SIGHUP arrives each time
     Then the bound is in force and the faulty file is logged and not taken over
+
+  Scenario: A host that starts again with its clock set back is named again
+    This guards against a host that is unknown to the others until it starts once more.
+
+    Given 2 hosts in attiki and 1 in makedonia with targets in both
+    When a host ends and starts again 6 s later with its clock set back by a minute
+    Then the others name it within 4 s of its start
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -118,7 +118,7 @@
         await self.until(lambda: all(host.status()['is_ready'] for host in self.hosts.values()))
         await self.until(self._knows_all)
 
-    def start_host(self, host):
+    def start_host(self, host, *, set_back_ms=0):
         caller, ready, lookup, peer, operator = self.addresses[host]
         zone = self.zone_by_host[host]
         environment = platform_helpers.make_environment(
@@ -136,6 +136,8 @@
             store=StoreSettings(address=self.store.address, timeout_s=1),
             seeds=[addresses[3] for addresses in list(self.addresses.values())[:3]],
         )
+        started_ms, random_part = environment.incarnation[:12], environment.incarnation[12:]
+        environment.incarnation = f'{int(started_ms, 16) - set_back_ms:012x}{random_part}'
         self.hosts[host] = EntryHost(environment=environment)
         self.tasks[host] = asyncio.create_task(self.hosts[host].run())
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -316,3 +316,28 @@
 def step_reloaded(context):
     assert context.settings.bounds.drain_s == 7
     assert any('settings_rejected' in line for line in context.lines.lines)
+
+
+@when('a host ends and starts again 6 s later with its clock set back by a minute')
+def step_back(context):
+    async def play(fleet):
+        address = fleet.addresses['attiki-1'][0]
+        await fleet.kill('attiki-1')
+        await asyncio.sleep(6)
+        fleet.start_host('attiki-1', set_back_ms=60_000)
+        started = asyncio.get_running_loop().time()
+
+        async def is_named():
+            found = await fleet.look_up('makedonia-0', 'attiki')
+            return address in json.loads(found.body)['addresses']
+
+        await fleet.until(lambda: fleet.hosts['attiki-1'].status()['is_ready'])
+        await asyncio.sleep(max(0, started + 4 - asyncio.get_running_loop().time()))
+        context.is_named = await is_named()
+
+    _play(context, play)
+
+
+@then('the others name it within 4 s of its start')
+def step_named_again(context):
+    assert context.is_named
--- a/src/balsamrail/membership/members.py
+++ b/src/balsamrail/membership/members.py
@@ -16,6 +16,8 @@
 
 # An observer says gone first. The others follow on their own if its message was lost.
 _FOLLOW_S = 3
+# Digits of an incarnation that tell the time of its start.
+_TIME_DIGITS = 12
 
 
 class Members:
@@ -30,6 +32,9 @@
     :param panic_rule: whether a majority of gone members stays nameable.
     :param needs_agreement: whether a host unknown here has to be unknown to a peer as well before
         its absence from the list proves it gone.
+    :param overtakes: whether this host takes a newer incarnation when the others know one of it
+        that is newer, as after a start with the clock set back. Only for hosts that hold nothing
+        in the name of their incarnation.
     """
 
     __slots__ = (
@@ -38,6 +43,7 @@
         '_environment',
         '_nameable',
         '_observers_needed',
+        '_overtakes',
         '_own',
         '_panic_rule',
         '_table',
@@ -54,11 +60,13 @@
         observers_needed: int = 2,
         panic_rule: bool = True,
         needs_agreement: bool = True,
+        overtakes: bool = False,
     ) -> None:
         settings = environment.settings
         self._environment = environment
         self._observers_needed = observers_needed
         self._panic_rule = panic_rule
+        self._overtakes = overtakes
         self._own = Member(
             host=settings.host,
             incarnation=environment.incarnation,
@@ -228,12 +236,26 @@
         self.publish(make_update(self._own, observer=self._own.host))
 
     def _refute(self, update: MemberUpdate) -> None:
+        is_newer = update.incarnation > self._own.incarnation
+        # While the other one is alive, two processes have this host's name, and neither yields.
+        if self._overtakes and is_newer and update.state != 'alive':
+            self._overtake(update.incarnation)
+            return
         if update.incarnation != self._own.incarnation or self._own.state == 'gone':
             return
         if update.state in {'suspect', 'gone'} and update.refutation >= self._own.refutation:
             self._environment.log.event('suspicion_refuted', observer=update.observer)
             self._say(self._own.state, update.refutation + 1)
 
+    def _overtake(self, incarnation: str) -> None:
+        started_ms = int(incarnation[:_TIME_DIGITS], 16) + 1
+        own = self._own.incarnation
+        overtaking = f'{started_ms:0{_TIME_DIGITS}x}{own[_TIME_DIGITS:]}'
+        self._environment.log.event('start_overtaken', known=incarnation, own=overtaking)
+        self._environment.incarnation = overtaking
+        self._own = replace(self._own, incarnation=overtaking)
+        self._say(self._own.state, 0)
+
     def _is_judged_gone(self, entry: MemberEntry, now: float) -> bool:
         suspected_at = entry.suspected_at_by_observer
         wait_s = self._environment.settings.limits.gone_after_s
