--- a/src/balsamrail/placement/object_order.py
+++ b/src/balsamrail/placement/object_order.py
@@ -26,15 +26,17 @@
     def __init__(
         self, entries: Iterable[TargetEntry], *, regions: Iterable[str], own: str
     ) -> None:
-        weights: dict[str, dict[str, float]] = {region: {} for region in (own, *regions)}
+        weights_by_region: dict[str, dict[str, float]] = {region: {} for region in (own, *regions)}
         for entry in entries:
-            weights.setdefault(entry.region, {})[entry.target_id] = entry.slots
-        slots = {region: int(sum(by_id.values())) for region, by_id in weights.items()}
-        self._regions = Ranking(weight_by_id=plan_regions(slots, own=own))
+            weights_by_region.setdefault(entry.region, {})[entry.target_id] = entry.slots
+        slots_by_region = {
+            region: int(sum(by_id.values())) for region, by_id in weights_by_region.items()
+        }
+        self._regions = Ranking(weight_by_id=plan_regions(slots_by_region, own=own))
         self._own = own
-        self._all_regions = Ranking(weight_by_id=dict.fromkeys(weights, 1))
+        self._all_regions = Ranking(weight_by_id=dict.fromkeys(weights_by_region, 1))
         self._ranking_by_region = {
-            region: Ranking(weight_by_id=by_id) for region, by_id in weights.items()
+            region: Ranking(weight_by_id=by_id) for region, by_id in weights_by_region.items()
         }
 
     def candidates(self, object_key: str, *, in_region: int) -> Iterator[str]:
--- a/src/balsamrail/placement/ranking.py
+++ b/src/balsamrail/placement/ranking.py
@@ -32,7 +32,7 @@
         ranking.best('object 17', count=2)
     """
 
-    __slots__ = ('_cache', '_weights')
+    __slots__ = ('_best_by_key', '_weights')
 
     _longest_cache = 4_096
 
@@ -40,16 +40,16 @@
         self._weights = [
             (target_id, hash_text(target_id), weight) for target_id, weight in weight_by_id.items()
         ]
-        self._cache: dict[str, Sequence[str]] = {}
+        self._best_by_key: dict[str, Sequence[str]] = {}
 
     def best(self, key: str, *, count: int) -> Sequence[str]:
         """Return the ``count`` targets that ``key`` prefers, the first one first."""
-        found = self._cache.get(key)
+        found = self._best_by_key.get(key)
         if found is None or len(found) < min(count, len(self._weights)):
-            if len(self._cache) >= self._longest_cache:
-                self._cache.clear()
+            if len(self._best_by_key) >= self._longest_cache:
+                self._best_by_key.clear()
             found = self._rank(hash_text(key), count)
-            self._cache[key] = found
+            self._best_by_key[key] = found
         return found[:count]
 
     def size(self) -> int:
--- a/src/balsamrail/placement/region_plan.py
+++ b/src/balsamrail/placement/region_plan.py
@@ -25,14 +25,14 @@
         return {}
     asked = total * _PLANNED_USE / len(slots_by_region)
     kept = min(1.0, slots_by_region.get(own, 0) / asked)
-    spare = {
+    spare_by_region = {
         region: slots - asked
         for region, slots in slots_by_region.items()
         if region != own and slots > asked
     }
-    all_spare = sum(spare.values())
-    parts = {own: kept} if kept else {}
+    all_spare = sum(spare_by_region.values())
+    part_by_region = {own: kept} if kept else {}
     if kept < 1 and all_spare:
-        for region, amount in spare.items():
-            parts[region] = (1 - kept) * amount / all_spare
-    return parts
+        for region, amount in spare_by_region.items():
+            part_by_region[region] = (1 - kept) * amount / all_spare
+    return part_by_region
