Share the stream, its checks and the probe of a connection

UpstreamStream serves both now, with the probes of an idle peer as an option, and probe_presence tells accepting, refusing and silent apart.

--- a/src/balsamrail/delivery/crash_watch.py
+++ b/src/balsamrail/delivery/crash_watch.py
@@ -2,16 +2,15 @@
 
 import asyncio
 
-from balsamrail.delivery.http_connection import HttpConnection
+from balsamrail.delivery.connect_probe import Presence, probe_presence
 from balsamrail.environment import Environment
-from balsamrail.errors import CrashesTargetsError, ExchangeError, QuarantinedError
+from balsamrail.errors import CrashesTargetsError, QuarantinedError
 from balsamrail.forwarding.crash_register import CrashRegister
 from balsamrail.placement.target_state import TargetState
 
 # A request like it may crash so many targets until it is refused.
 _LIMIT = 3
 _CONNECT_S = 0.5
-_ANSWER_BYTES = 65_536
 _RETRY_AFTER_S = 5.0
 
 
@@ -53,20 +52,11 @@
         check.add_done_callback(self._checks.discard)
 
     async def _look(self, fingerprint: bytes, state: TargetState) -> None:
-        connection = HttpConnection(
-            clock=self._environment.clock,
-            address=state.entry.address,
-            user_timeout_s=_CONNECT_S,
-            answer_bytes=_ANSWER_BYTES,
+        presence = await probe_presence(
+            clock=self._environment.clock, address=state.entry.address, limit_s=_CONNECT_S
         )
-        deadline = self._environment.clock.monotonic() + _CONNECT_S
-        try:
-            await connection.connect(deadline=deadline)
-        except ExchangeError as error:
-            # A machine without power is silent, and no request does that.
-            if not error.has_timed_out:
-                self._register.report(
-                    fingerprint, service=state.entry.service, target=state.entry.target_id
-                )
-        finally:
-            connection.close()
+        # A machine without power is silent, and no request does that.
+        if presence is Presence.refusing:
+            self._register.report(
+                fingerprint, service=state.entry.service, target=state.entry.target_id
+            )
--- a/src/balsamrail/delivery/http_connection.py
+++ b/src/balsamrail/delivery/http_connection.py
@@ -1,27 +1,21 @@
 """A connection that carries one request after another."""
 
 import asyncio
-import ipaddress
-import socket
 from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPInputError, HTTPOutputError, RequestStartLine
-from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from balsamrail.clock import Clock
 from balsamrail.delivery.answer_reader import AnswerReader
 from balsamrail.delivery.http_message import HttpAnswer, HttpRequest
 from balsamrail.errors import ExchangeError
+from balsamrail.forwarding.upstream_stream import UpstreamStream
 from balsamrail.settings.address import split_address
 
-_MS_IN_S = 1_000
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 _HEADER_BYTES = 65_536
-# A silent connection is given up after about three seconds: one of idleness, two probes.
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
 _STREAM_FAULTS = (
     HTTPInputError,
     HTTPOutputError,
@@ -63,7 +57,12 @@
     ) -> None:
         self._clock = clock
         self._answer_bytes = answer_bytes
-        self._stream = _stream(address, user_timeout_s, answer_bytes + _HEADER_BYTES)
+        self._stream = UpstreamStream.unconnected(
+            address=address,
+            user_timeout_s=user_timeout_s,
+            buffer_bytes=answer_bytes + _HEADER_BYTES,
+            is_probed=True,
+        )
         self.address = address
         self.opened_at = clock.monotonic()
         self.last_used = self.opened_at
@@ -94,17 +93,7 @@
 
     def is_quiet(self) -> bool:
         """Return whether the connection is open with nothing left to read or write."""
-        stream = self._stream
-        if stream.closed() or stream.writing() or stream.unread_bytes():
-            return False
-        try:
-            stream.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        # Either unread bytes or the end of the stream.
-        return False
+        return self._stream.is_quiet()
 
     def idle_s(self) -> float:
         """Return for how many seconds the connection has been idle."""
@@ -184,28 +173,6 @@
                 return None
 
 
-class _QuietStream(IOStream):
-    """An :class:`IOStream` that tells how many read bytes wait on it."""
-
-    def unread_bytes(self) -> int:
-        return int(self._read_buffer_size)
-
-
-def _stream(address: str, user_timeout_s: float, buffer_bytes: int) -> _QuietStream:
-    number, _ = split_address(address)
-    version = ipaddress.ip_address(number).version
-    family = socket.AF_INET if version == 4 else socket.AF_INET6
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    timeout_ms = int(user_timeout_s * _MS_IN_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
-    return _QuietStream(sock, max_buffer_size=buffer_bytes)
-
-
 def _write(connection: HTTP1Connection, request: HttpRequest) -> None:
     body = request.body
     if body or request.method in _METHODS_WITH_BODY:
--- a/src/balsamrail/delivery/silence_watch.py
+++ b/src/balsamrail/delivery/silence_watch.py
@@ -3,9 +3,8 @@
 import asyncio
 from typing import Any
 
-from balsamrail.delivery.http_connection import HttpConnection
+from balsamrail.delivery.connect_probe import Presence, probe_presence
 from balsamrail.environment import Environment
-from balsamrail.errors import ExchangeError
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.placement.target_state import TargetState
 
@@ -17,7 +16,6 @@
 # One packet in some thirty may be lost on a bad link.
 _FAILURES = 2
 _PAUSE_S = 0.5
-_ANSWER_BYTES = 65_536
 
 
 class SilenceWatch:
@@ -73,18 +71,8 @@
 
     async def _accepts(self, address: str) -> bool:
         self._environment.metrics.count('target_silence_checks')
-        connection = HttpConnection(
-            clock=self._environment.clock,
-            address=address,
-            user_timeout_s=_CONNECT_S,
-            answer_bytes=_ANSWER_BYTES,
+        presence = await probe_presence(
+            clock=self._environment.clock, address=address, limit_s=_CONNECT_S
         )
-        deadline = self._environment.clock.monotonic() + _CONNECT_S
-        try:
-            await connection.connect(deadline=deadline)
-        except ExchangeError as error:
-            # A refusal is an answer too, and the next request finds out what it means.
-            return not error.has_timed_out
-        finally:
-            connection.close()
-        return True
+        # A refusal is an answer too, and the next request finds out what it means.
+        return presence is not Presence.silent
--- a/src/balsamrail/forwarding/upstream_stream.py
+++ b/src/balsamrail/forwarding/upstream_stream.py
@@ -8,6 +8,9 @@
 from balsamrail.settings.address import split_address
 
 _MS_IN_S = 1_000
+_PROBE_IDLE_S = 1
+_PROBE_INTERVAL_S = 1
+_PROBES = 2
 
 
 class UpstreamStream(IOStream):
@@ -15,12 +18,20 @@
 
     @classmethod
     def unconnected(
-        cls, *, address: str, user_timeout_s: float, buffer_bytes: int
+        cls,
+        *,
+        address: str,
+        user_timeout_s: float,
+        buffer_bytes: int,
+        is_probed: bool = False,
     ) -> 'UpstreamStream':
         """Make a stream with the socket options of upstream connections.
 
         ``TCP_USER_TIMEOUT`` ends a connection whose peer stopped acknowledging, so that a silent
         one is found without an answer from the other side.
+
+        :param is_probed: whether the system asks an idle peer each second whether it is there,
+            and ends the connection after two questions without an answer.
         """
         number, _ = split_address(address)
         version = ipaddress.ip_address(number).version
@@ -28,6 +39,10 @@
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        if is_probed:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
         timeout_ms = int(user_timeout_s * _MS_IN_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
         return cls(sock, max_buffer_size=buffer_bytes)
