--- a/tools/run_behave.py
+++ b/tools/run_behave.py
@@ -13,9 +13,12 @@
 import tempfile
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+# Characters of a failed step's message.
+_SHOWN = 4_000
 
 
 def read_known_red() -> set[tuple[str, str]]:
@@ -26,6 +29,16 @@
     return {(entry[0], entry[1]) for entry in entries}
 
 
+def show_failure(scenario: dict[str, Any]) -> None:
+    """Print what the failed step said, which the progress format leaves out."""
+    for step in scenario.get('steps', []):
+        result = step.get('result', {})
+        if result.get('status') in {'failed', 'error'}:
+            lines = result.get('error_message', [])
+            text = lines if isinstance(lines, str) else '\n'.join(lines)
+            print(f'{scenario["name"]}: {step["name"]}\n{text[-_SHOWN:]}', flush=True)
+
+
 def run_scenarios(arguments: list[str]) -> list[tuple[str, str, str]]:
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
@@ -37,6 +50,9 @@
         if not report.exists() or not report.read_text().strip():
             sys.exit(completed.returncode or 1)
         features = json.loads(report.read_text())
+    for feature in features:
+        for element in feature.get('elements', []):
+            show_failure(element)
     return [
         (feature['location'].rsplit(':', 1)[0], element['name'], element['status'])
         for feature in features
