--- a/features/entry.feature
+++ b/features/entry.feature
@@ -6,6 +6,13 @@
     Then each request is answered by a target
     And each look-up names exactly the hosts of its region
 
+  Scenario: Hosts are named when they have the manifest
+    This guards against look-ups that send callers to a host that can only refuse them.
+
+    Given 2 hosts in attiki and 1 in makedonia with targets in both
+    When all hosts know each other and the operator writes the first manifest only then
+    Then no look-up named a host before, and all are named within 1 s of it
+
   Scenario: Few hosts of a large region ask the store
     This guards against calls to the store that grow with the fleet.
 
--- a/features/fleet_changes.feature
+++ b/features/fleet_changes.feature
@@ -15,6 +15,13 @@
       | count |
       | 1     |
 
+  Scenario: Hosts that are slow to start are not named before they serve
+    Guards against callers who are sent to a host that has joined the fleet but has not learnt the
+    declaration, and against callers of this test that use a look-up beyond its time to live.
+    Given 9 host processes whose look-ups live 1.5 s
+    When 3 hosts at a time are stopped as planned and paused for 2.5 s as soon as they listen again
+    Then every stop ended with exit code 0 and no request was cut off
+
   Scenario: Upstreams leave
     Guards against new work for a target that is leaving, on whichever host (R6).
     Given 9 host processes
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -27,6 +27,18 @@
     And every host is alive everywhere within 1 s
     And only host 7 was ever gone
 
+  Scenario: A host that has started is named when it can serve
+    # Guards against look-ups that send callers to a host which has not learnt what it serves.
+    Given a fleet of 12 hosts
+    When 5 s pass
+    And host 7 starts again and is not ready
+    And 3 s pass
+    Then host 7 is starting everywhere and named nowhere
+    When host 7 is ready
+    Then host 7 is named everywhere within 1 s
+    When host 8 starts again, knows the table and meets host 7 by its greeting alone
+    Then host 8 names host 7
+
   Scenario: A silent connection is replaced and the peer stays alive
     # Guards against a live peer being blamed for a connection that went silent for good.
     Given a fleet of 12 hosts
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -97,9 +97,15 @@
         self.answers = []
 
     async def start(self):
+        await self.start_hosts()
+        await self.until(lambda: all(host.status()['is_ready'] for host in self.hosts.values()))
+        await self.until(self._knows_all)
+
+    async def start_hosts(self, *, with_manifest=True):
         self.store = PlatformStore()
         await self.store.start()
-        self.store.put('config', 'main', manifest(3))
+        if with_manifest:
+            self.store.put('config', 'main', manifest(3))
         self.targets = [
             Target(f'{service}-{zone}', zone=zone, service=service)
             for service in ('lepu', 'mora')
@@ -115,8 +121,6 @@
         }
         for host in self.zone_by_host:
             self.start_host(host)
-        await self.until(lambda: all(host.status()['is_ready'] for host in self.hosts.values()))
-        await self.until(self._knows_all)
 
     def start_host(self, host, *, set_back_ms=0):
         caller, ready, lookup, peer, operator = self.addresses[host]
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -77,6 +77,34 @@
     _play(context, play)
 
 
+@when('all hosts know each other and the operator writes the first manifest only then')
+def step_first_manifest(context):
+    async def play():
+        fleet = context.fleet
+        await fleet.start_hosts(with_manifest=False)
+        try:
+            hosts = fleet.hosts.values()
+            count = len(fleet.hosts)
+            await fleet.until(lambda: all(len(host.members.alive()) == count for host in hosts))
+            context.named_before = [
+                host.directory.addresses(name=NAME, region='') for host in hosts
+            ]
+            fleet.store.put('config', 'main', manifest(3))
+            written = asyncio.get_running_loop().time()
+            await fleet.until(lambda: all(len(host.members.nameable()) == count for host in hosts))
+            context.named_after_s = asyncio.get_running_loop().time() - written
+        finally:
+            await fleet.stop()
+
+    run_real(play(), limit_s=RUN_S)
+
+
+@then('no look-up named a host before, and all are named within {limit:g} s of it')
+def step_named_then(context, limit):
+    assert not any(context.named_before), context.named_before
+    assert context.named_after_s <= limit, context.named_after_s
+
+
 @then('at most {count:d} hosts of attiki watch the store')
 def step_watchers(context, count):
     assert 1 <= len(context.watching) <= count, context.watching
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -4,6 +4,7 @@
 import json
 import random
 import signal
+import socket
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -135,6 +136,41 @@
     '{count:d} hosts at a time are stopped as planned until each was, while callers follow look-ups'
 )
 def step_stops(context, count):
+    stop_in_groups(context, count, lambda group: None)
+
+
+@when(
+    '{count:d} hosts at a time are stopped as planned and paused for {seconds:g} s'
+    ' as soon as they listen again'
+)
+def step_slow_starts(context, count, seconds):
+    fleet = context.fleet_run.fleet
+
+    def pause(group):
+        for host in group:
+            wait_until_listening(fleet.settings_by_host[host]['caller_address'])
+            fleet.signal(host, signal.SIGSTOP)
+        time.sleep(seconds)
+        for host in group:
+            fleet.signal(host, signal.SIGCONT)
+
+    stop_in_groups(context, count, pause)
+
+
+def wait_until_listening(address, limit_s=20):
+    number, port = address.split(':')
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        try:
+            socket.create_connection((number, int(port)), timeout=0.2).close()
+        except OSError:
+            time.sleep(0.002)
+        else:
+            return
+    raise AssertionError(f'{address} does not listen within {limit_s} s')
+
+
+def stop_in_groups(context, count, after_start):
     run, fleet = context.fleet_run, context.fleet_run.fleet
     hosts = sorted(fleet.hosts, key=lambda host: (host.split('-')[1:], host))
     groups = [hosts[first : first + count] for first in range(0, len(hosts), count)]
@@ -147,6 +183,7 @@
             context.stops += pool.map(fleet.terminate, group)
         for host in group:
             fleet.start_host(host)
+        after_start(group)
         fleet.wait_ready()
 
 
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -6,7 +6,7 @@
 import async_solipsism
 from behave import given, then, when
 
-from balsamrail.membership.updates import make_update
+from balsamrail.membership.updates import hello_of, make_update, update_from_hello
 from features.steps.memory_fleet import MemoryFleet, run, wait_until
 
 OPTIONS = {}
@@ -66,6 +66,65 @@
     run(context, kill(context.fleet.hosts[number]))
 
 
+@when('host {number:d} starts again and is not ready')
+def step_start_unready(context, number):
+    async def restart():
+        context.fleet.restart(number, options={'members': {'is_ready': False}})
+
+    run(context, restart())
+
+
+def others(context, number):
+    return [host for index, host in enumerate(context.fleet.hosts) if index != number]
+
+
+def names(host, other):
+    return other.name in {member.host for member in host.members.nameable()}
+
+
+@then('host {number:d} is starting everywhere and named nowhere')
+def step_starting(context, number):
+    started = context.fleet.hosts[number]
+    states = {host.state_of(started.name) for host in others(context, number)}
+    assert states == {'starting'}, states
+    assert not [host.name for host in context.fleet.hosts if names(host, started)]
+    for host in others(context, number):
+        assert started.name in {member.host for member in host.members.alive()}
+
+
+@when('host {number:d} is ready')
+def step_ready(context, number):
+    async def serve():
+        context.fleet.hosts[number].members.serve()
+
+    run(context, serve())
+
+
+@then('host {number:d} is named everywhere within {limit:d} s')
+def step_named_everywhere(context, number, limit):
+    started = context.fleet.hosts[number]
+    run(
+        context,
+        wait_until(lambda: all(names(host, started) for host in context.fleet.hosts), limit),
+    )
+
+
+@when('host 8 starts again, knows the table and meets host 7 by its greeting alone')
+def step_greeting(context):
+    async def greet():
+        greeting = hello_of(context.fleet.hosts[7].members.own())
+        newcomer = context.fleet.restart(8)
+        newcomer.members.apply(update_from_hello(greeting))
+        context.newcomer = newcomer
+
+    run(context, greet())
+
+
+@then('host 8 names host 7')
+def step_newcomer_names(context):
+    assert names(context.newcomer, context.fleet.hosts[7])
+
+
 @when('host {number:d} loses power')
 def step_power(context, number):
     host = context.fleet.hosts[number]
--- a/features/steps/peer_streams_steps.py
+++ b/features/steps/peer_streams_steps.py
@@ -70,6 +70,7 @@
         caller_address='127.0.0.1:9',
         region='r',
         availability_zone='r-a',
+        state='alive',
     )
     writer.write(encode_message(hello))
     await wait_until(lambda: host.members.get('fake'), 2)
--- a/features/steps/product_fakes.py
+++ b/features/steps/product_fakes.py
@@ -44,6 +44,9 @@
     def own(self):
         return self.by_host['attiki-a-0']
 
+    def serve(self):
+        self.serves = True
+
     def leave(self):
         self.left = True
 
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -147,6 +147,7 @@
     def _catalog_changed(self) -> None:
         self.delivery.book.refresh(now=self._environment.clock.monotonic())
         if self.catalog.manifest is not None:
+            self.members.serve()
             limits = self.catalog.manifest.limits
             self.callers.limits = limits
             self._listeners.set_idle(limits.idle_timeout_s)
--- a/src/balsamrail/entry/store_parts.py
+++ b/src/balsamrail/entry/store_parts.py
@@ -23,7 +23,9 @@
         self.store = ObjectStore(environment=environment)
         self.catalog = Catalog(environment=environment)
         registry = HostRegistry(environment=environment, store=self.store)
-        self.members = Members(environment=environment, panic_rule=False, overtakes=True)
+        self.members = Members(
+            environment=environment, panic_rule=False, is_ready=False, overtakes=True
+        )
         self.network = PeerNetwork(environment=environment, members=self.members, store=registry)
         self.announcer = Announcer(environment=environment, members=self.members, store=registry)
         reader = CatalogReader(
--- a/src/balsamrail/host/assembly.py
+++ b/src/balsamrail/host/assembly.py
@@ -24,7 +24,7 @@
     """Make all parts of a host and connect them; none of them runs yet."""
     tracker = Tracker(environment=environment)
     store = HttpStore(environment=environment)
-    members = Members(environment=environment)
+    members = Members(environment=environment, is_ready=False)
     network = PeerNetwork(environment=environment, members=members, store=store)
     common: dict[str, Any] = {
         'environment': environment,
--- a/src/balsamrail/host/parts.py
+++ b/src/balsamrail/host/parts.py
@@ -43,6 +43,9 @@
     def own(self) -> Member:
         """Return this host."""
 
+    def serve(self) -> None:
+        """Say that this host is ready."""
+
     def leave(self) -> None:
         """Say that this host is leaving."""
 
--- a/src/balsamrail/membership/member.py
+++ b/src/balsamrail/membership/member.py
@@ -9,7 +9,8 @@
 
     ``incarnation`` is 20 hexadecimal digits, the wall time of the start in milliseconds and a
     random number, so that a later start of the same host compares higher. ``state`` is one of
-    ``alive``, ``suspect``, ``leaving`` and ``gone``.
+    ``starting``, ``alive``, ``suspect``, ``leaving`` and ``gone``; a host that is starting runs but
+    has not learnt yet what it serves.
     """
 
     host: str
--- a/src/balsamrail/membership/member_gossip.py
+++ b/src/balsamrail/membership/member_gossip.py
@@ -68,7 +68,7 @@
         if known is None:
             return
         # The sender may be cut off from the flood of the refutation.
-        refuted = known is self._members.own() and update.state != 'alive'
+        refuted = known is self._members.own() and update.state != known.state
         # Digests leave gone members out, so they do not tell the sender of this one.
         outdated = known.state == 'gone' and update_order(update) < update_order(known)
         if refuted or outdated:
--- a/src/balsamrail/membership/members.py
+++ b/src/balsamrail/membership/members.py
@@ -32,6 +32,8 @@
     :param panic_rule: whether a majority of gone members stays nameable.
     :param needs_agreement: whether a host unknown here has to be unknown to a peer as well before
         its absence from the list proves it gone.
+    :param is_ready: whether this host serves from the start; otherwise it is named only after
+        :meth:`serve`.
     :param overtakes: whether this host takes a newer incarnation when the others know one of it
         that is newer, as after a start with the clock set back. Only for hosts that hold nothing
         in the name of their incarnation.
@@ -60,6 +62,7 @@
         observers_needed: int = 2,
         panic_rule: bool = True,
         needs_agreement: bool = True,
+        is_ready: bool = True,
         overtakes: bool = False,
     ) -> None:
         settings = environment.settings
@@ -71,7 +74,7 @@
             host=settings.host,
             incarnation=environment.incarnation,
             refutation=0,
-            state='alive',
+            state='alive' if is_ready else 'starting',
             peer_address=settings.peer_address,
             caller_address=settings.caller_address,
             region=settings.region,
@@ -110,7 +113,10 @@
         return [entry.member for entry in self._table.entries()]
 
     def alive(self) -> list[Member]:
-        """Return members that are alive or only suspected, this host included, by host name."""
+        """Return members that run, starting and suspected ones included, by host name.
+
+        This host is one of them.
+        """
         if self._alive is None:
             live = [member for member in (self._own, *self.known()) if _is_live(member)]
             self._alive = sorted(live, key=lambda member: member.host)
@@ -124,7 +130,7 @@
         """
         if self._nameable is None:
             self._nameable = choose_nameable(
-                live=self.alive(),
+                live=[member for member in self.alive() if member.state != 'starting'],
                 entries=self._table.entries(),
                 host_list=self.host_list,
                 now=self._environment.clock.monotonic(),
@@ -161,6 +167,11 @@
         """Call ``changed`` after each change of the table."""
         self._changed.append(changed)
 
+    def serve(self) -> None:
+        """Say that this host is ready, so that it is named; later calls change nothing."""
+        if self._own.state == 'starting':
+            self._say('alive', self._own.refutation)
+
     def leave(self) -> None:
         """Say that this host is leaving; it is no longer named."""
         self._say('leaving', self._own.refutation)
@@ -273,4 +284,4 @@
 
 
 def _is_live(member: Member) -> bool:
-    return member.state in {'alive', 'suspect'}
+    return member.state in {'starting', 'alive', 'suspect'}
--- a/src/balsamrail/membership/updates.py
+++ b/src/balsamrail/membership/updates.py
@@ -5,7 +5,7 @@
 from balsamrail.membership.member import Member
 from balsamrail.messages import Hello, MemberUpdate
 
-_RANK_BY_STATE = {'alive': 0, 'suspect': 1, 'leaving': 2, 'gone': 3}
+_RANK_BY_STATE = {'starting': 0, 'alive': 1, 'suspect': 2, 'leaving': 3, 'gone': 4}
 _MEMBER_FIELDS = tuple(field.name for field in fields(Member))
 _HELLO_FIELDS = tuple(field.name for field in fields(Hello))
 
@@ -20,7 +20,7 @@
 
 
 def is_valid_state(state: str) -> bool:
-    """Tell whether ``state`` is one of the four states of a member."""
+    """Tell whether ``state`` is one of the states of a member."""
     return state in _RANK_BY_STATE
 
 
@@ -40,7 +40,7 @@
 def update_from_hello(hello: Hello) -> MemberUpdate:
     """Return what a host says of itself by opening a stream; any refutation is told separately."""
     values = {name: getattr(hello, name) for name in _HELLO_FIELDS}
-    return MemberUpdate(refutation=0, state='alive', observer=hello.host, **values)
+    return MemberUpdate(refutation=0, observer=hello.host, **values)
 
 
 def hello_of(own: Member) -> Hello:
--- a/src/balsamrail/messages/hello.py
+++ b/src/balsamrail/messages/hello.py
@@ -5,7 +5,7 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Hello:
-    """The first message on a peer stream: who the sender is."""
+    """The first message on a peer stream: who the sender is and in which state."""
 
     host: str
     incarnation: str
@@ -13,3 +13,4 @@
     caller_address: str
     region: str
     availability_zone: str
+    state: str
--- a/src/balsamrail/node.py
+++ b/src/balsamrail/node.py
@@ -16,6 +16,7 @@
 from balsamrail.settings.address import split_address
 
 _LISTEN_BACKLOG = 1_024
+_READY_CHECK_S = 0.05
 
 
 class Node:
@@ -71,6 +72,7 @@
             for name, part in self._parts.named():
                 if hasattr(part, 'run'):
                     self._supervisor.start(name, part.run)
+            self._supervisor.start('readiness', self._tell_when_ready)
             self._state = 'serving'
             self._environment.log.event('node_started', incarnation=self._environment.incarnation)
             await self._stopping.wait()
@@ -108,6 +110,12 @@
             'in_flight': self._in_flight(),
         }
 
+    async def _tell_when_ready(self) -> None:
+        while not self._parts.record_sync.ready():  # noqa: ASYNC110 - it is ready only once
+            await asyncio.sleep(_READY_CHECK_S)
+        self._parts.members.serve()
+        await self._stopping.wait()
+
     async def _drain(self) -> int:
         stop = PlannedStop(
             environment=self._environment,
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -25,6 +25,8 @@
 TIMEOUT_S = 4
 PAUSE_S = 0.25
 LOOKUP_S = 1
+# A host that has just started listens before it answers.
+LOOKUP_TIMEOUT_S = 1
 PROBLEM = 'application/problem+json'
 
 
@@ -42,7 +44,11 @@
 
 
 class Caller:
-    """Looks up, books and reads at a fixed rate, whatever the answers are."""
+    """Looks up, books and reads at a fixed rate, whatever the answers are.
+
+    A look-up is used until its time to live is over and no longer: without a newer one, requests
+    wait, since a host may stop once the look-ups that name it have run out.
+    """
 
     def __init__(self, *, addresses: list[str], options: argparse.Namespace) -> None:
         self.addresses = addresses
@@ -51,6 +57,7 @@
         self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MOST_CONNECTIONS)
         self.sends: list[Send] = []
         self.hosts: list[dict[str, str]] = []
+        self.hosts_until = 0.0
         self.named = asyncio.Event()
 
     async def run(self) -> None:
@@ -70,15 +77,28 @@
     async def keep_looking_up(self) -> None:
         while True:
             address = self.random.choice(self.addresses)
-            status, _, body = await self.fetch(address, f'/lookup/{self.options.service}')
+            asked_at = asyncio.get_running_loop().time()
+            status, _, body = await self.fetch(
+                address, f'/lookup/{self.options.service}', timeout_s=LOOKUP_TIMEOUT_S
+            )
             if status == 200:
-                self.hosts = json.loads(body)['hosts']
-                self.named.set()
+                self.take_lookup(json.loads(body), asked_at)
                 await asyncio.sleep(LOOKUP_S)
             await asyncio.sleep(0.05)
 
+    def take_lookup(self, answer: dict[str, Any], asked_at: float) -> None:
+        self.hosts = answer['hosts']
+        self.hosts_until = asked_at + answer['ttl_s']
+        self.named.set()
+
+    async def named_hosts(self) -> list[dict[str, str]]:
+        while asyncio.get_running_loop().time() >= self.hosts_until:
+            self.named.clear()
+            await self.named.wait()
+        return self.hosts
+
     async def book(self, number: int) -> None:
-        first = self.random.choice(self.hosts)
+        first = self.random.choice(await self.named_hosts())
         own = self.random.random() < self.options.own_keys
         caller_part = f'{self.options.seed}-{number}'
         key = f'own-{caller_part}' if own else f'{first["key_prefix"]}.{caller_part}'
@@ -92,7 +112,7 @@
             await asyncio.sleep(self.random.uniform(0, 2 * self.options.pause))
 
     async def read(self, number: int) -> None:
-        address = self.random.choice(self.hosts)['address']
+        address = self.random.choice(await self.named_hosts())['address']
         path = f'{self.options.path}?read={self.options.seed}-{number}'
         send = Send(key=path, address=address, called=asyncio.get_running_loop().time())
         self.sends.append(send)
@@ -119,10 +139,12 @@
         elif status:
             send.told, send.code = 'unknown', str(status)
 
-    async def fetch(self, address: str, path: str, **options: Any) -> tuple[int, str, bytes]:
+    async def fetch(
+        self, address: str, path: str, *, timeout_s: float = TIMEOUT_S, **options: Any
+    ) -> tuple[int, str, bytes]:
         """Return status, media type and body, or status 0 if no complete answer arrived."""
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 response = await self.client.fetch(
                     f'http://{address}{path}', raise_error=False, **options
                 )
