--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -56,3 +56,14 @@
     Guards against free text between the key=value lines of a host.
     When tornado logs "bad request" while the host's log takes the messages of libraries
     Then the line of the host's log has "event=library_log" and "text=\"bad request\""
+
+  Scenario: An entry host imports only what it uses
+    Guards against slow restarts: hosts are small, and what is imported is most of their start.
+    When the module that starts an entry host is imported in a process of its own
+    Then neither the command line nor the parts of a node are imported with it
+
+  Scenario: The module that starts an entry host is given a wrong file
+    Guards against a host that ends without a word or with another code than the command line.
+    Given the files of an operator
+    When the module that starts an entry host is run with "bad-settings.json" and with "none.json"
+    Then it ends with the exit codes 3 and 2 and one line for each fault
--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -16,7 +16,7 @@
 from balsamrail.delivery.silence_watch import SilenceWatch
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.delivery.target_pool import TargetPool
-from balsamrail.forwarding.crash_register import CrashRegister
+from balsamrail.exchange.crash_register import CrashRegister
 from balsamrail.placement.chooser import Chooser
 from balsamrail.placement.cold_gate import ColdGate
 from balsamrail.placement.retry_budgets import RetryBudgets
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -9,7 +9,7 @@
 from platform_helpers import run_real
 
 from balsamrail.errors import RequestError
-from balsamrail.forwarding.fingerprint import fingerprint_of
+from balsamrail.exchange.fingerprint import fingerprint_of
 
 FINGERPRINT = fingerprint_of(service='lepu', method='GET', path='/read/popular', body=b'')
 
--- a/features/steps/upstream_framing_steps.py
+++ b/features/steps/upstream_framing_steps.py
@@ -9,10 +9,10 @@
 from forwarding_parts import RawUpstream, make_environment, whole
 
 from balsamrail.configuration import Target
+from balsamrail.exchange.upstream_stream import UpstreamStream
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.forwarding.connection_pool import ConnectionPool
 from balsamrail.forwarding.outgoing import Outgoing
-from balsamrail.forwarding.upstream_stream import UpstreamStream
 
 
 def unescaped(text):
--- a/src/balsamrail/catalog/catalog.py
+++ b/src/balsamrail/catalog/catalog.py
@@ -1,5 +1,6 @@
 """The state that a host routes by."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
     __slots__ = (
         '_environment',
         '_is_changed',
+        '_is_published',
         '_subscribers',
         '_targets_by_service',
         'entries_by_id',
@@ -31,6 +33,7 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self._targets_by_service: dict[str, list[TargetEntry]] = {}
         self._is_changed = False
+        self._is_published = False
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, changed: Callable[[], None]) -> None:
@@ -58,6 +61,10 @@
         if known == entry:
             return
         self.entries_by_id[entry.target_id] = entry
+        self._is_changed = True
+        if not self._is_published:
+            # The targets of the first listing are counted in one line.
+            return
         self._environment.log.event(
             'target_known',
             target=entry.target_id,
@@ -68,7 +75,6 @@
             cold_left_s=entry.cold_left_s,
             born_ms=entry.born_ms,
         )
-        self._is_changed = True
 
     def drop_target(self, target_id: str, *, reason: str) -> None:
         """Forget a target; see :meth:`publish`."""
@@ -78,8 +84,12 @@
 
     def publish(self) -> None:
         """Tell the subscribers of changed targets, once for all changes since the last call."""
-        if self._is_changed:
-            self._changed()
+        if not self._is_changed:
+            return
+        if not self._is_published:
+            self._is_published = True
+            self._log_first_targets()
+        self._changed()
 
     def set_evacuated(self, zones: frozenset[str]) -> None:
         """Replace the set of evacuated availability zones."""
@@ -115,6 +125,17 @@
             'evacuated_zones': sorted(self.evacuated_zones),
         }
 
+    def _log_first_targets(self) -> None:
+        count_by_service = Counter(entry.service for entry in self.entries_by_id.values())
+        draining = [entry.target_id for entry in self.entries_by_id.values() if entry.is_draining]
+        self._environment.log.event(
+            'targets_listed',
+            targets=','.join(
+                f'{service}:{count}' for service, count in sorted(count_by_service.items())
+            ),
+            draining=','.join(draining),
+        )
+
     def _changed(self) -> None:
         self._is_changed = False
         self._targets_by_service.clear()
--- a/src/balsamrail/cli/node_command.py
+++ b/src/balsamrail/cli/node_command.py
@@ -37,9 +37,9 @@
 
 async def _serve(settings: 'Settings') -> None:
     from balsamrail.environment import Environment
-    from balsamrail.host import LibraryLogHandler
     from balsamrail.host.assembly import assemble
     from balsamrail.node import Node
+    from balsamrail.process.library_logs import LibraryLogHandler
 
     environment = Environment.create(settings=settings)
     logging.getLogger().addHandler(LibraryLogHandler(log=environment.log))
--- a/src/balsamrail/delivery/answer_reader.py
+++ b/src/balsamrail/delivery/answer_reader.py
@@ -11,7 +11,7 @@
 )
 
 from balsamrail.delivery.http_message import HttpAnswer
-from balsamrail.forwarding.hop_headers import connection_options
+from balsamrail.exchange.hop_headers import connection_options
 
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
--- a/src/balsamrail/delivery/crash_watch.py
+++ b/src/balsamrail/delivery/crash_watch.py
@@ -5,7 +5,7 @@
 from balsamrail.delivery.connect_probe import Presence, probe_presence
 from balsamrail.environment import Environment
 from balsamrail.errors import CrashesTargetsError, QuarantinedError
-from balsamrail.forwarding.crash_register import CrashRegister
+from balsamrail.exchange.crash_register import CrashRegister
 from balsamrail.placement.target_state import TargetState
 
 # A request like it may crash so many targets until it is refused.
--- a/src/balsamrail/delivery/http_connection.py
+++ b/src/balsamrail/delivery/http_connection.py
@@ -11,7 +11,7 @@
 from balsamrail.delivery.answer_reader import AnswerReader
 from balsamrail.delivery.http_message import HttpAnswer, HttpRequest
 from balsamrail.errors import ExchangeError
-from balsamrail.forwarding.upstream_stream import UpstreamStream
+from balsamrail.exchange.upstream_stream import UpstreamStream
 from balsamrail.settings.address import split_address
 
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
--- a/src/balsamrail/delivery/request_run.py
+++ b/src/balsamrail/delivery/request_run.py
@@ -18,7 +18,7 @@
     RequestError,
     TargetFailedError,
 )
-from balsamrail.forwarding.fingerprint import fingerprint_of
+from balsamrail.exchange.fingerprint import fingerprint_of
 from balsamrail.placement.chooser import Chooser
 from balsamrail.placement.retry_budget import RetryBudget
 from balsamrail.placement.target_state import TargetState
--- a/src/balsamrail/entry/delivery_parts.py
+++ b/src/balsamrail/entry/delivery_parts.py
@@ -10,7 +10,7 @@
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.delivery.target_pool import TargetPool
 from balsamrail.environment import Environment
-from balsamrail.forwarding.crash_register import CrashRegister
+from balsamrail.exchange.crash_register import CrashRegister
 from balsamrail.membership import Members, PeerNetwork
 from balsamrail.placement.chooser import Chooser
 from balsamrail.placement.cold_gate import ColdGate
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -4,8 +4,6 @@
 import signal
 from typing import Any
 
-from tornado.web import Application
-
 from balsamrail.entry.delivery_parts import DeliveryParts
 from balsamrail.entry.entry_stop import EntryStop
 from balsamrail.entry.listeners import Listeners
@@ -13,11 +11,11 @@
 from balsamrail.entry.store_parts import StoreParts
 from balsamrail.environment import Environment
 from balsamrail.fleet.directory import Directory
-from balsamrail.host import Supervisor
-from balsamrail.host.operator_handlers import operator_routes
 from balsamrail.membership import PeerServer
 from balsamrail.platform.caller_server import CallerServer
-from balsamrail.platform.lookup_server import lookup_application
+from balsamrail.platform.lookup_server import lookup_pages
+from balsamrail.process.operator_pages import operator_pages
+from balsamrail.process.supervisor import Supervisor
 
 _LOOKUP_TTL_S = 1.0
 _SWEEP_S = 1.0
@@ -50,14 +48,11 @@
         self._listeners = Listeners(
             environment=environment,
             callers=self.callers,
-            lookups=lookup_application(
+            lookups=lookup_pages(
                 look_up=self.directory.addresses, is_ready=self._is_ready, ttl_s=_LOOKUP_TTL_S
             ),
-            operators=Application(
-                operator_routes(
-                    dump=self.dump, status=self.status, metrics=environment.metrics.page
-                ),
-                log_function=lambda handler: None,
+            operators=operator_pages(
+                dump=self.dump, status=self.status, metrics=environment.metrics.page
             ),
             peers=PeerServer(environment=environment, accept=self.shared.network.accept),
         )
--- a/src/balsamrail/entry/listeners.py
+++ b/src/balsamrail/entry/listeners.py
@@ -4,12 +4,12 @@
 
 from tornado.httpserver import HTTPServer
 from tornado.tcpserver import TCPServer
-from tornado.web import Application
 
 from balsamrail.catalog.caller_limits import CallerLimits
 from balsamrail.environment import Environment
 from balsamrail.membership import PeerServer
 from balsamrail.platform.caller_server import CallerServer
+from balsamrail.process.page_server import PageServer
 from balsamrail.settings.address import split_address
 
 _BACKLOG = 1_024
@@ -33,8 +33,8 @@
         *,
         environment: Environment,
         callers: CallerServer,
-        lookups: Application,
-        operators: Application,
+        lookups: PageServer,
+        operators: PageServer,
         peers: PeerServer,
     ) -> None:
         self._environment = environment
--- a/src/balsamrail/entry/store_parts.py
+++ b/src/balsamrail/entry/store_parts.py
@@ -7,11 +7,11 @@
 from balsamrail.fleet.feed_follower import FeedFollower
 from balsamrail.fleet.feed_hub import FeedHub
 from balsamrail.fleet.store_watch import StoreWatch
-from balsamrail.host.announcer import Announcer
 from balsamrail.membership import Members, PeerNetwork
 from balsamrail.platform.catalog_reader import EVACUATIONS, CatalogReader
 from balsamrail.platform.host_registry import HostRegistry
 from balsamrail.platform.object_store import ObjectStore
+from balsamrail.process.announcer import Announcer
 
 
 class StoreParts:
--- /dev/null
+++ b/src/balsamrail/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of an HTTP exchange that both kinds of host use."""
--- a/src/balsamrail/forwarding/problem.py
+++ b/src/balsamrail/exchange/problem.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from balsamrail.errors import RequestError
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
 
 _TITLE_BY_OUTCOME = {
     'not_run': 'The request did not run',
--- a/src/balsamrail/forwarding/__init__.py
+++ b/src/balsamrail/forwarding/__init__.py
@@ -1,15 +1,15 @@
 """Forwarding of requests to upstreams, at most once where that is asked for."""
 
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
+from balsamrail.exchange.crash_register import CrashRegister
+from balsamrail.exchange.problem import problem_answer
 from balsamrail.forwarding.bound_key import BoundKey, make_key_prefix
 from balsamrail.forwarding.caller_request import CallerRequest
 from balsamrail.forwarding.claims import Claims
 from balsamrail.forwarding.connection_pool import ConnectionPool
-from balsamrail.forwarding.crash_register import CrashRegister
 from balsamrail.forwarding.forward_handler import ForwardHandler
 from balsamrail.forwarding.forwarder import Forwarder
 from balsamrail.forwarding.key_table import KeyTable
-from balsamrail.forwarding.problem import problem_answer
 from balsamrail.forwarding.server_arguments import server_arguments
 from balsamrail.forwarding.unknown_path_handler import UnknownPathHandler
 
--- a/src/balsamrail/forwarding/answer_collector.py
+++ b/src/balsamrail/forwarding/answer_collector.py
@@ -8,8 +8,8 @@
     ResponseStartLine,
 )
 
-from balsamrail.forwarding.answer import Answer
-from balsamrail.forwarding.hop_headers import connection_options
+from balsamrail.exchange.answer import Answer
+from balsamrail.exchange.hop_headers import connection_options
 
 _BODYLESS_STATUSES = frozenset((204, 304))
 
--- a/src/balsamrail/forwarding/attempts.py
+++ b/src/balsamrail/forwarding/attempts.py
@@ -6,11 +6,11 @@
 
 from balsamrail.environment import Environment
 from balsamrail.errors import DeadlineExpiredError, NoTargetError, NotRunError
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
+from balsamrail.exchange.crash_register import CrashRegister
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.forwarding.collaborators import Admissions, Admitted
 from balsamrail.forwarding.connection_pool import ConnectionPool
-from balsamrail.forwarding.crash_register import CrashRegister
 from balsamrail.forwarding.outgoing import make_outgoing
 from balsamrail.forwarding.plan import Plan
 from balsamrail.forwarding.pool_full_error import PoolFullError
--- a/src/balsamrail/forwarding/connection_pool.py
+++ b/src/balsamrail/forwarding/connection_pool.py
@@ -6,7 +6,7 @@
 
 from balsamrail.configuration import Target
 from balsamrail.environment import Environment
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.forwarding.outgoing import Outgoing
 from balsamrail.forwarding.pool_full_error import PoolFullError
--- a/src/balsamrail/forwarding/executor.py
+++ b/src/balsamrail/forwarding/executor.py
@@ -7,13 +7,13 @@
 from balsamrail.configuration import Target
 from balsamrail.environment import Environment
 from balsamrail.errors import KeyClaimError, KeyInvalidError, OutcomeUnknownError
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
+from balsamrail.exchange.hop_headers import passed_on
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.forwarding.bound_key import BoundKey
 from balsamrail.forwarding.claims import Claims
 from balsamrail.forwarding.collaborators import KnownMembers
 from balsamrail.forwarding.connection_pool import ConnectionPool
-from balsamrail.forwarding.hop_headers import passed_on
 from balsamrail.forwarding.key_table import KeyTable
 from balsamrail.forwarding.outgoing import Outgoing
 from balsamrail.forwarding.plan import Plan
--- a/src/balsamrail/forwarding/forward_handler.py
+++ b/src/balsamrail/forwarding/forward_handler.py
@@ -14,10 +14,10 @@
     RequestError,
     TooLargeError,
 )
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
+from balsamrail.exchange.problem import problem_answer
 from balsamrail.forwarding.caller_request import CallerRequest
 from balsamrail.forwarding.forwarder import Forwarder
-from balsamrail.forwarding.problem import problem_answer
 
 _MS_IN_S = 1_000
 _LONGEST_DEADLINE_DIGITS = 9
--- a/src/balsamrail/forwarding/forwarder.py
+++ b/src/balsamrail/forwarding/forwarder.py
@@ -13,16 +13,16 @@
     RequestError,
     UnknownServiceError,
 )
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
+from balsamrail.exchange.crash_register import CrashRegister
+from balsamrail.exchange.fingerprint import fingerprint_of
+from balsamrail.exchange.hop_headers import passed_on
 from balsamrail.forwarding.attempts import Attempts
 from balsamrail.forwarding.caller_request import CallerRequest
 from balsamrail.forwarding.claims import Claims
 from balsamrail.forwarding.collaborators import Admissions, Declarations, Judge, KnownMembers
 from balsamrail.forwarding.connection_pool import ConnectionPool
-from balsamrail.forwarding.crash_register import CrashRegister
 from balsamrail.forwarding.executor import Executor
-from balsamrail.forwarding.fingerprint import fingerprint_of
-from balsamrail.forwarding.hop_headers import passed_on
 from balsamrail.forwarding.plan import Plan
 from balsamrail.forwarding.retrieve import retrieve_error
 from balsamrail.membership.network import Network
--- a/src/balsamrail/forwarding/key_record.py
+++ b/src/balsamrail/forwarding/key_record.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/balsamrail/forwarding/key_table.py
+++ b/src/balsamrail/forwarding/key_table.py
@@ -13,7 +13,7 @@
     OverloadedError,
     RequestError,
 )
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
 from balsamrail.forwarding.key_record import KeyRecord
 from balsamrail.forwarding.retrieve import retrieve_error
 
--- a/src/balsamrail/forwarding/outgoing.py
+++ b/src/balsamrail/forwarding/outgoing.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from balsamrail.forwarding.hop_headers import passed_on
+from balsamrail.exchange.hop_headers import passed_on
 from balsamrail.forwarding.plan import Plan
 
 _MS_IN_S = 1_000
--- a/src/balsamrail/forwarding/unknown_path_handler.py
+++ b/src/balsamrail/forwarding/unknown_path_handler.py
@@ -3,7 +3,7 @@
 from tornado.web import RequestHandler
 
 from balsamrail.errors import UnknownServiceError
-from balsamrail.forwarding.problem import problem_answer
+from balsamrail.exchange.problem import problem_answer
 
 
 class UnknownPathHandler(RequestHandler):
--- a/src/balsamrail/forwarding/upstream_connection.py
+++ b/src/balsamrail/forwarding/upstream_connection.py
@@ -7,11 +7,11 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from balsamrail.environment import Environment
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
+from balsamrail.exchange.upstream_stream import UpstreamStream
 from balsamrail.forwarding.answer_collector import AnswerCollector
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.forwarding.outgoing import Outgoing
-from balsamrail.forwarding.upstream_stream import UpstreamStream
 from balsamrail.settings.address import split_address
 
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
--- a/src/balsamrail/forwarding/verdicts.py
+++ b/src/balsamrail/forwarding/verdicts.py
@@ -8,7 +8,7 @@
     OverloadedError,
     RequestError,
 )
-from balsamrail.forwarding.answer import Answer
+from balsamrail.exchange.answer import Answer
 from balsamrail.forwarding.plan import Plan
 from balsamrail.forwarding.progress import Progress
 from balsamrail.forwarding.shed_error import ShedError
--- a/src/balsamrail/host/assembly.py
+++ b/src/balsamrail/host/assembly.py
@@ -10,10 +10,10 @@
 from balsamrail.errors import NotReadyError
 from balsamrail.forwarding import Forwarder, ForwardHandler
 from balsamrail.forwarding.claim_desk import ClaimDesk
-from balsamrail.host.announcer import Announcer
 from balsamrail.host.parts import Parts
 from balsamrail.lookup import BlockSync, LookupHandler, LookupTable
 from balsamrail.membership import HeartbeatStatus, Members, PeerNetwork
+from balsamrail.process.announcer import Announcer
 from balsamrail.steering import Router
 from balsamrail.store import HttpStore
 
--- a/src/balsamrail/node.py
+++ b/src/balsamrail/node.py
@@ -6,13 +6,15 @@
 
 from tornado.httpserver import HTTPServer
 from tornado.tcpserver import TCPServer
-from tornado.web import Application
 
 from balsamrail.environment import Environment
 from balsamrail.errors import NotReadyError
 from balsamrail.forwarding import server_arguments
-from balsamrail.host import CallerApplication, Parts, PlannedStop, Supervisor, operator_routes
+from balsamrail.host import CallerApplication, Parts, PlannedStop
 from balsamrail.membership import PeerServer
+from balsamrail.process.operator_pages import operator_pages
+from balsamrail.process.page_server import PageServer
+from balsamrail.process.supervisor import Supervisor
 from balsamrail.settings.address import split_address
 
 _LISTEN_BACKLOG = 1_024
@@ -127,13 +129,12 @@
     def _in_flight(self) -> int:
         return max(self._callers.in_flight, self._parts.forwarder.in_flight())
 
-    def _operators(self) -> Application:
-        routes = operator_routes(
+    def _operators(self) -> PageServer:
+        return operator_pages(
             dump=self.dump, status=self.status, metrics=self._environment.metrics.page
         )
-        return Application(routes)
 
-    def _http_server(self, application: Application) -> HTTPServer:
+    def _http_server(self, application: CallerApplication | PageServer) -> HTTPServer:
         return HTTPServer(application, **server_arguments(self._environment.settings.limits))
 
     def _listen(self, server: TCPServer, address: str) -> None:
--- a/src/balsamrail/platform/caller_server.py
+++ b/src/balsamrail/platform/caller_server.py
@@ -21,8 +21,8 @@
     RequestError,
     TooLargeError,
 )
-from balsamrail.forwarding.hop_headers import passed_on
-from balsamrail.forwarding.problem import problem_answer
+from balsamrail.exchange.hop_headers import passed_on
+from balsamrail.exchange.problem import problem_answer
 from balsamrail.platform import headers
 
 _MS_IN_S = 1_000
--- a/src/balsamrail/platform/lookup_server.py
+++ b/src/balsamrail/platform/lookup_server.py
@@ -2,55 +2,44 @@
 
 import json
 from collections.abc import Callable
+from http import HTTPStatus
 
-from tornado.web import Application, RequestHandler
+from tornado.httputil import HTTPServerRequest
+
+from balsamrail.process.page import Page
+from balsamrail.process.page_server import PageServer
 
 READY_PATH = '/balsamrail/readyz'
 LOOKUP_PATH = '/balsamrail/resolve'
 
 
-class ReadyHandler(RequestHandler):
-    """Answers 200 while the host takes callers, 503 otherwise."""
-
-    def initialize(self, *, is_ready: Callable[[], bool]) -> None:
-        """Take the collaborators, as tornado hands them over."""
-        self._is_ready = is_ready
-
-    def get(self) -> None:
-        """Answer the check."""
-        self.set_status(200 if self._is_ready() else 503)
-        self.finish()
-
-
-class LookupHandler(RequestHandler):
-    """Tells callers where to connect."""
-
-    def initialize(self, *, look_up: Callable[..., list[str]], ttl_s: float) -> None:
-        """Take the collaborators, as tornado hands them over."""
-        self._look_up = look_up
-        self._ttl_s = ttl_s
-
-    def get(self) -> None:
-        """Answer the look-up."""
-        addresses = self._look_up(
-            name=self.get_query_argument('name', ''),
-            region=self.get_query_argument('region', ''),
-            zone=self.get_query_argument('zone', ''),
+def lookup_pages(
+    *, look_up: Callable[..., list[str]], is_ready: Callable[[], bool], ttl_s: float
+) -> PageServer:
+    """Return the server of the readiness and the look-up listeners.
+
+    :param look_up: names the hosts that a caller should use.
+    :param ttl_s: for how long a look-up may be kept, in seconds.
+    """
+
+    def answer_check(_: HTTPServerRequest) -> Page:
+        status = HTTPStatus.OK if is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        return Page(body='', media_type='text/plain', status=status)
+
+    def answer_lookup(request: HTTPServerRequest) -> Page:
+        addresses = look_up(
+            name=_argument(request, 'name'),
+            region=_argument(request, 'region'),
+            zone=_argument(request, 'zone'),
+        )
+        return Page(
+            body=json.dumps({'addresses': addresses, 'ttlS': ttl_s}),
+            status=HTTPStatus.OK if addresses else HTTPStatus.SERVICE_UNAVAILABLE,
         )
-        if not addresses:
-            self.set_status(503)
-        self.set_header('Content-Type', 'application/json')
-        self.finish(json.dumps({'addresses': addresses, 'ttlS': self._ttl_s}))
 
+    return PageServer(make_by_path={READY_PATH: answer_check, LOOKUP_PATH: answer_lookup})
 
-def lookup_application(
-    *, look_up: Callable[..., list[str]], is_ready: Callable[[], bool], ttl_s: float
-) -> Application:
-    """Return the application for the readiness and the look-up listeners."""
-    return Application(
-        [
-            (READY_PATH, ReadyHandler, {'is_ready': is_ready}),
-            (LOOKUP_PATH, LookupHandler, {'look_up': look_up, 'ttl_s': ttl_s}),
-        ],
-        log_function=lambda handler: None,
-    )
+
+def _argument(request: HTTPServerRequest, name: str) -> str:
+    values = request.query_arguments.get(name)
+    return values[-1].decode(errors='replace') if values else ''
--- a/src/balsamrail/platform/target_protocol.py
+++ b/src/balsamrail/platform/target_protocol.py
@@ -7,7 +7,7 @@
 from balsamrail.delivery.health_report import HealthReport
 from balsamrail.delivery.http_message import HttpAnswer, HttpRequest
 from balsamrail.delivery.target_answer import TargetAnswer
-from balsamrail.forwarding.hop_headers import passed_on
+from balsamrail.exchange.hop_headers import passed_on
 from balsamrail.placement.reported_load import ReportedLoad
 from balsamrail.platform import headers
 
--- /dev/null
+++ b/src/balsamrail/process/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that every process of the product has."""
--- /dev/null
+++ b/src/balsamrail/process/operator_pages.py
@@ -0,0 +1,28 @@
+"""The operators' pages."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from balsamrail.process.page import Page
+from balsamrail.process.page_server import PageServer
+
+
+def operator_pages(
+    *,
+    dump: Callable[[], dict[str, Any]],
+    status: Callable[[], dict[str, Any]],
+    metrics: Callable[[], str],
+) -> PageServer:
+    """Return the server of ``/dump``, ``/status`` and ``/metrics``."""
+    return PageServer(
+        make_by_path={
+            '/dump': lambda _: Page(body=_json(dump())),
+            '/status': lambda _: Page(body=_json(status())),
+            '/metrics': lambda _: Page(body=metrics(), media_type='text/plain'),
+        }
+    )
+
+
+def _json(state: dict[str, Any]) -> str:
+    return json.dumps(state, indent=1, default=str, sort_keys=True)
--- a/tools/mutants/forwarding.py
+++ b/tools/mutants/forwarding.py
@@ -69,7 +69,7 @@
     ),
     Mutant(
         mechanism='hop-by-hop headers stay on their connection',
-        file='src/balsamrail/forwarding/hop_headers.py',
+        file='src/balsamrail/exchange/hop_headers.py',
         old='if name.lower() not in dropped:',
         new='if name.lower() not in without:',
         feature='features/forwarding.feature',
@@ -77,7 +77,7 @@
     ),
     Mutant(
         mechanism='a request that crashed targets is refused',
-        file='src/balsamrail/forwarding/crash_register.py',
+        file='src/balsamrail/exchange/crash_register.py',
         old='        if len(self._crashes.get(fingerprint, ())) < limit:\n            return\n        left_s',
         new='        if len(self._crashes.get(fingerprint, ())) < 9 * limit:\n            return\n        left_s',
         feature='features/forwarding.feature',
@@ -85,7 +85,7 @@
     ),
     Mutant(
         mechanism='crashes are told to all hosts',
-        file='src/balsamrail/forwarding/crash_register.py',
+        file='src/balsamrail/exchange/crash_register.py',
         old='            self._network.flood(report, topic=topic, version=(wall_s,))\n',
         new='',
         feature='features/forwarding.feature',
@@ -93,7 +93,7 @@
     ),
     Mutant(
         mechanism='two suspects do not share a target',
-        file='src/balsamrail/forwarding/crash_register.py',
+        file='src/balsamrail/exchange/crash_register.py',
         old='if self.is_suspect(fingerprint) and any(map(self.is_suspect, in_flight)):',
         new='if False:',
         feature='features/forwarding.feature',
@@ -125,7 +125,7 @@
     ),
     Mutant(
         mechanism='a connection with unread bytes is not used',
-        file='src/balsamrail/forwarding/upstream_stream.py',
+        file='src/balsamrail/exchange/upstream_stream.py',
         old='        # Either unread bytes or the end of the stream.\n        return False\n',
         new='        # Either unread bytes or the end of the stream.\n        return True\n',
         feature='features/upstream_framing.feature',
@@ -181,7 +181,7 @@
     ),
     Mutant(
         mechanism='a silent connection is noticed by the kernel',
-        file='src/balsamrail/forwarding/upstream_stream.py',
+        file='src/balsamrail/exchange/upstream_stream.py',
         old='        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)\n',
         new='',
         feature='features/upstream_framing.feature',
--- a/tools/mutants/host.py
+++ b/tools/mutants/host.py
@@ -69,7 +69,7 @@
     ),
     Mutant(
         mechanism='a part that fails is started again',
-        file='src/balsamrail/host/supervisor.py',
+        file='src/balsamrail/process/supervisor.py',
         old='            await asyncio.sleep(_RESTART_S)\n',
         new='            return\n',
         feature='features/planned_stop.feature',
