Place objects with large exchanges in each zone, and play load on the decisions

Change: a route whose exchanges have a mean of 2.7 KB or more places its objects on targets of the caller's zone, as far as these carry the zone's part of the region; the region of an object stays as it was, so no traffic shifts. standins/load_play plays callers, targets with slots, queues and remembered objects under virtual time on the product's catalog, placement and budgets.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -32,6 +32,20 @@
     When any targets in any regions and zones are ordered for a confined route
     Then every candidate is in an allowed region and in no evacuated zone
 
+  Scenario: Objects with large exchanges stay in their zone as far as its targets carry them
+    This guards against bytes that cross availability zones for want of a target nearby.
+
+    Given 300 objects and targets of 6, 3 and 3 slots in the zones of a region
+    When each zone places the objects of a route with large exchanges
+    Then the zone of 6 slots keeps all, and each other one three quarters and gives the rest to it
+    And each object has the same region as without large exchanges
+
+  Scenario: Exchanges count as large by their mean size
+    This guards against a decision by one unusual answer.
+
+    When a route's exchanges of 400 bytes include one of 6,000, and another's have 3,000 each
+    Then the first is small and the second large after the fifth exchange
+
   Scenario: A full target is passed over and then refused
     This guards against queues in which answers come too late.
 
--- a/features/steps/placement_parts.py
+++ b/features/steps/placement_parts.py
@@ -17,6 +17,7 @@
 REGION_BY_ZONE = {
     'attiki-a': 'attiki',
     'attiki-b': 'attiki',
+    'attiki-c': 'attiki',
     'makedonia-a': 'makedonia',
     'kriti-a': 'kriti',
 }
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -13,9 +13,10 @@
 from balsamrail.catalog.service_part import ServicePart
 from balsamrail.placement.chooser import Refused
 from balsamrail.placement.cold_gate import ColdGate
+from balsamrail.placement.exchange_sizes import ExchangeSizes
 from balsamrail.placement.part_picker import PartPicker
+from balsamrail.placement.place_plan import plan_places
 from balsamrail.placement.ranking import Ranking
-from balsamrail.placement.region_plan import plan_regions
 from balsamrail.placement.retry_budgets import RetryBudgets
 from balsamrail.settings.bounds import Bounds
 
@@ -90,7 +91,7 @@
     @for_all(SLOTS_BY_REGION)
     def check(slots_by_region):
         for own in slots_by_region:
-            parts = plan_regions(slots_by_region, own=own)
+            parts = plan_places(slots_by_region, own=own)
             if any(slots_by_region.values()):
                 assert math.isclose(sum(parts.values()), 1), parts
             assert all(slots_by_region[region] for region in parts), parts
@@ -105,7 +106,7 @@
         asked = sum(slots_by_region.values()) / len(slots_by_region)
         for own, slots in slots_by_region.items():
             if asked:
-                kept = plan_regions(slots_by_region, own=own).get(own, 0)
+                kept = plan_places(slots_by_region, own=own).get(own, 0)
                 assert math.isclose(kept, min(1, slots / asked)), (own, kept)
 
     check()
@@ -118,7 +119,7 @@
         asked = sum(slots_by_region.values()) / len(slots_by_region)
         taken = Counter()
         for own in slots_by_region:
-            for region, part in plan_regions(slots_by_region, own=own).items():
+            for region, part in plan_places(slots_by_region, own=own).items():
                 taken[region] += part * asked
         for region, slots in slots_by_region.items():
             assert taken[region] <= slots * (1 + 1e-9), (region, taken)
@@ -157,6 +158,65 @@
     check()
 
 
+@given('300 objects and targets of 6, 3 and 3 slots in the zones of a region')
+def step_zones(context):
+    context.objects = [f'object {number}' for number in range(300)]
+    context.entries = [
+        make_entry('a-1', availability_zone='attiki-a', slots=3),
+        make_entry('a-2', availability_zone='attiki-a', slots=3),
+        make_entry('b-1', availability_zone='attiki-b', slots=3),
+        make_entry('c-1', availability_zone='attiki-c', slots=3),
+        make_entry('m-1', availability_zone='makedonia-a', slots=6),
+    ]
+
+
+@when('each zone places the objects of a route with large exchanges')
+def step_place_near(context):
+    context.first_by_zone = {}
+    for zone in ('attiki-a', 'attiki-b', 'attiki-c'):
+        placement = Placement(*context.entries, availability_zone=zone, region='attiki')
+        order = placement.book.order_of('lepu', allowed_regions=frozenset())
+        context.first_by_zone[zone] = [
+            (
+                next(order.candidates(name, in_region=2)),
+                next(order.candidates(name, in_region=2, stays_near=True)),
+            )
+            for name in context.objects
+        ]
+
+
+@then('the zone of 6 slots keeps all, and each other one three quarters and gives the rest to it')
+def step_kept(context):
+    for zone, kept in (('attiki-a', 1), ('attiki-b', 0.75), ('attiki-c', 0.75)):
+        near = [first for _, first in context.first_by_zone[zone] if not first.startswith('m')]
+        own = [first for first in near if first.startswith(zone[-1])]
+        assert abs(len(own) / len(near) - kept) < 0.06, (zone, len(own), len(near))
+        others = {first[0] for first in near if first not in own}
+        assert others <= {'a'}, others
+
+
+@then('each object has the same region as without large exchanges')
+def step_same_region(context):
+    for firsts in context.first_by_zone.values():
+        for far, near in firsts:
+            assert far.startswith('m') == near.startswith('m')
+
+
+@when("a route's exchanges of 400 bytes include one of 6,000, and another's have 3,000 each")
+def step_exchanges(context):
+    sizes = ExchangeSizes()
+    context.large = []
+    for number in range(6):
+        sizes.note('small', sent_bytes=0, received_bytes=6_000 if number == 2 else 400)
+        sizes.note('large', sent_bytes=500, received_bytes=2_500)
+        context.large.append((sizes.are_large('small'), sizes.are_large('large')))
+
+
+@then('the first is small and the second large after the fifth exchange')
+def step_sizes(context):
+    assert context.large == [(False, False)] * 4 + [(False, True)] * 2, context.large
+
+
 @given('an object whose two targets have two slots each')
 def step_two_targets(context):
     context.placement = Placement(make_entry('i-1'), make_entry('i-2'))
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -15,6 +15,7 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import NotReadyError, UnknownRouteError
 from balsamrail.placement.chooser import Chooser
+from balsamrail.placement.exchange_sizes import ExchangeSizes
 from balsamrail.placement.part_picker import PartPicker
 from balsamrail.placement.retry_budgets import RetryBudgets
 
@@ -33,6 +34,7 @@
         '_environment',
         '_exchange',
         '_parts',
+        '_sizes',
     )
 
     def __init__(
@@ -52,6 +54,7 @@
         self._exchange = exchange
         self._budgets = budgets
         self._parts = PartPicker()
+        self._sizes = ExchangeSizes()
         self._background: set[asyncio.Task[HttpAnswer]] = set()
 
     async def handle(self, request: EntryRequest) -> HttpAnswer:
@@ -86,6 +89,7 @@
             chooser=self._chooser,
             crashes=self._crashes,
             budget=budget,
+            sizes=self._sizes,
             route=route,
             place=Place.of(route, service, request),
             request=request,
--- a/src/balsamrail/delivery/request_run.py
+++ b/src/balsamrail/delivery/request_run.py
@@ -20,6 +20,7 @@
 )
 from balsamrail.exchange.fingerprint import fingerprint_of
 from balsamrail.placement.chooser import Chooser
+from balsamrail.placement.exchange_sizes import ExchangeSizes
 from balsamrail.placement.retry_budget import RetryBudget
 from balsamrail.placement.target_state import TargetState
 
@@ -49,6 +50,7 @@
         '_request',
         '_route',
         '_sent',
+        '_sizes',
         '_unreached',
     )
 
@@ -60,6 +62,7 @@
         chooser: Chooser,
         crashes: CrashWatch,
         budget: RetryBudget,
+        sizes: ExchangeSizes,
         route: ManifestRoute,
         place: Place,
         request: EntryRequest,
@@ -70,6 +73,7 @@
         self._chooser = chooser
         self._crashes = crashes
         self._budget = budget
+        self._sizes = sizes
         self._route = route
         self._place = place
         self._request = request
@@ -115,6 +119,7 @@
             object_key=self._place.object_key,
             tried=[*self._sent, *self._unreached],
             now=self._now(),
+            stays_near=self._sizes.are_large(self._route.name),
         )
         if isinstance(choice, TargetState):
             return choice
@@ -139,6 +144,11 @@
         if not _is_final(answer):
             return _failure_of(answer)
         self._crashes.note_answer(self._fingerprint)
+        self._sizes.note(
+            self._route.name,
+            sent_bytes=len(self._request.body),
+            received_bytes=len(answer.http.body),
+        )
         return answer.http
 
     def _may_try_again(self, failure: ExchangeError, target_id: str) -> bool:
--- a/src/balsamrail/placement/chooser.py
+++ b/src/balsamrail/placement/chooser.py
@@ -6,6 +6,7 @@
 
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.placement.cold_gate import ColdGate
+from balsamrail.placement.object_order import ObjectOrder
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.placement.target_state import TargetState
 
@@ -60,12 +61,15 @@
         object_key: str,
         tried: Sequence[str],
         now: float,
+        stays_near: bool = False,
     ) -> TargetState | Refused:
         """Return where a request goes.
 
         :param tried: the targets to which it was sent before.
+        :param stays_near: see :meth:`ObjectOrder.candidates`.
         """
-        usable = self._usable(route, service, object_key, tried, now)
+        order = self._book.order_of(service, allowed_regions=route.allowed_regions)
+        usable = self._usable(order, object_key, tried, now=now, stays_near=stays_near)
         if not usable:
             return Refused(reason='no_target', retry_after_s=_RETRY_S)
         full = max(_LOWEST_FULL, _FULL - _PRIORITY_STEP * route.priority)
@@ -78,14 +82,16 @@
 
     def _usable(
         self,
-        route: ManifestRoute,
-        service: str,
+        order: ObjectOrder,
         object_key: str,
         tried: Sequence[str],
+        *,
         now: float,
+        stays_near: bool,
     ) -> list[TargetState]:
-        order = self._book.order_of(service, allowed_regions=route.allowed_regions)
-        candidates = order.candidates(object_key, in_region=_TARGETS_OF_OBJECT + len(tried))
+        candidates = order.candidates(
+            object_key, in_region=_TARGETS_OF_OBJECT + len(tried), stays_near=stays_near
+        )
         usable = islice(self._usable_of(candidates, tried, now), _TARGETS_OF_OBJECT)
         resorts = self._usable_of(order.last_resorts(object_key), tried, now)
         return list(usable) or list(islice(resorts, 1))
--- a/src/balsamrail/placement/target_book.py
+++ b/src/balsamrail/placement/target_book.py
@@ -17,19 +17,20 @@
     """
 
     __slots__ = (
-        '_bounds',
         '_catalog',
         '_orders_by_scope',
-        '_own_region',
-        '_regions',
+        '_region_by_zone',
+        '_settings',
         'states_by_id',
     )
 
     def __init__(self, *, catalog: Catalog, settings: Settings) -> None:
         self._catalog = catalog
-        self._bounds = settings.bounds
-        self._own_region = settings.region
-        self._regions = sorted({settings.region, *settings.region_by_availability_zone.values()})
+        self._settings = settings
+        self._region_by_zone = {
+            settings.availability_zone: settings.region,
+            **settings.region_by_availability_zone,
+        }
         self.states_by_id: dict[str, TargetState] = {}
         self._orders_by_scope: dict[tuple[str, frozenset[str]], ObjectOrder] = {}
 
@@ -52,7 +53,7 @@
         manifest = self._catalog.manifest
         spec = manifest.services.get(service) if manifest else None
         rate = spec.warmup_per_s if spec else 0
-        return rate * self._bounds.cold_overage + self._bounds.cold_slack
+        return rate * self._settings.bounds.cold_overage + self._settings.bounds.cold_slack
 
     def order_of(self, service: str, *, allowed_regions: frozenset[str]) -> ObjectOrder:
         """Return the order of a service's targets that may be used in some regions.
@@ -64,8 +65,9 @@
         if order is None:
             order = ObjectOrder(
                 self._usable_entries(service, allowed_regions),
-                regions=self._regions,
-                own=self._own_region,
+                region_by_zone=self._region_by_zone,
+                own_zone=self._settings.availability_zone,
+                own_region=self._settings.region,
             )
             self._orders_by_scope[scope] = order
         return order
--- /dev/null
+++ b/standins/load_play/play.py
@@ -0,0 +1,190 @@
+"""Plays a deployment's load on the product's decisions."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+
+from balsamrail.catalog.target_entry import TargetEntry
+from balsamrail.environment import Environment
+from balsamrail.logs import Log
+from balsamrail.placement.chooser import Chooser
+from balsamrail.placement.cold_gate import ColdGate
+from balsamrail.placement.target_book import TargetBook
+from balsamrail.settings import Settings, StoreSettings
+from balsamrail.settings.address import Address
+from balsamrail.settings.bounds import Bounds
+from standins.load_play.agenda import Agenda
+from standins.load_play.callers import Callers
+from standins.load_play.host import PlayedHost
+from standins.load_play.site import Change, Site
+from standins.load_play.tally import Tally
+from standins.load_play.target import PlayedTarget
+
+_NO_ADDRESS = Address('127.0.0.1:1')
+_COLD_S = 3.0
+
+
+class _NoLog:
+    def write(self, text: str, /) -> None:
+        """Drop a line."""
+
+
+def play(
+    site: Site,
+    *,
+    seed: int,
+    length_s: float,
+    make_chooser: Callable[[TargetBook, ColdGate], Chooser] | None = None,
+    keeps_near: bool = True,
+) -> Tally:
+    """Return what callers got in ``length_s`` seconds of load.
+
+    :param make_chooser: the way of deciding that is played, the product's by default.
+    :param keeps_near: whether objects with large exchanges are placed in each zone.
+    """
+    make = make_chooser or _default_chooser
+    return asyncio.run(_play(site, seed, length_s, make, keeps_near=keeps_near))
+
+
+async def _play(
+    site: Site,
+    seed: int,
+    length_s: float,
+    make_chooser: Callable[[TargetBook, ColdGate], Chooser],
+    *,
+    keeps_near: bool,
+) -> Tally:
+    random_source = random.Random(seed)
+    agenda, tally = Agenda(), Tally()
+    targets = _make_targets(site, agenda, random_source)
+    names = [f'{zone.name}-{number}' for zone in site.zones for number in range(zone.hosts)]
+    hosts_by_zone: dict[str, list[PlayedHost]] = {zone.name: [] for zone in site.zones}
+    entries = _entries(site, random_source)
+    for zone in site.zones:
+        for number in range(zone.hosts):
+            host = PlayedHost(
+                environment=_environment(site, zone.name, f'{zone.name}-{number}'),
+                site=site,
+                agenda=agenda,
+                targets_by_id=targets,
+                tally=tally,
+                hosts=frozenset(names),
+                make_chooser=make_chooser,
+                keeps_near=keeps_near,
+            )
+            _put(host, entries, 0)
+            hosts_by_zone[zone.name].append(host)
+    all_hosts = [host for hosts in hosts_by_zone.values() for host in hosts]
+    for change in site.changes:
+        chosen = [entry for entry in entries if entry.service == change.service]
+        chosen = random_source.sample(chosen, max(1, round(len(chosen) * change.share)))
+        begin = partial(_begin, change, chosen, targets)
+        end = partial(_end, change, chosen, targets, all_hosts, agenda)
+        agenda.after(change.at_s, begin)
+        agenda.after(change.at_s + change.for_s, end)
+    Callers(
+        site=site,
+        agenda=agenda,
+        tally=tally,
+        random_source=random.Random(seed + 1),
+        hosts_by_zone=hosts_by_zone,
+        length_s=length_s,
+    ).begin()
+    agenda.run()
+    for target in targets.values():
+        tally.sends.update(target.runs)
+    return tally
+
+
+def _default_chooser(book: TargetBook, gate: ColdGate) -> Chooser:
+    return Chooser(book=book, gate=gate)
+
+
+def _make_targets(
+    site: Site, agenda: Agenda, random_source: random.Random
+) -> dict[str, PlayedTarget]:
+    return {
+        f'{service.name}-{zone}-{number}': PlayedTarget(
+            target_id=f'{service.name}-{zone}-{number}',
+            size=service,
+            agenda=agenda,
+            random_source=random_source,
+        )
+        for service in site.services
+        for zone, count in service.targets_by_zone.items()
+        for number in range(count)
+    }
+
+
+def _entries(site: Site, random_source: random.Random) -> list[TargetEntry]:
+    regions = site.region_by_zone()
+    return [
+        TargetEntry(
+            target_id=f'{service.name}-{zone}-{number}',
+            service=service.name,
+            address=_NO_ADDRESS,
+            availability_zone=zone,
+            region=regions[zone],
+            version='1',
+            slots=service.slots,
+            is_draining=False,
+            cold_left_s=0,
+            born_ms=1,
+        )
+        for service in site.services
+        for zone, count in service.targets_by_zone.items()
+        for number in range(count)
+    ]
+
+
+def _environment(site: Site, zone: str, host: str) -> Environment:
+    regions = site.region_by_zone()
+    settings = Settings(
+        deployment=site.name,
+        host=host,
+        region=regions[zone],
+        availability_zone=zone,
+        region_by_availability_zone=regions,
+        caller_address=_NO_ADDRESS,
+        peer_address=_NO_ADDRESS,
+        operator_address=_NO_ADDRESS,
+        store=StoreSettings(address=_NO_ADDRESS),
+        bounds=Bounds(retry_slack=58, cold_overage=1.5, cold_slack=5),
+    )
+    return Environment.create(settings=settings, log=Log(host=host, output=_NoLog()))
+
+
+def _put(host: PlayedHost, entries: list[TargetEntry], now: float) -> None:
+    for entry in entries:
+        host.catalog.put_target(entry)
+    host.book.refresh(now=now)
+
+
+def _begin(change: Change, chosen: list[TargetEntry], targets: dict[str, PlayedTarget]) -> None:
+    for entry in chosen:
+        target = targets[entry.target_id]
+        if change.factor:
+            target.factor = change.factor
+        else:
+            target.crash()
+        target.refusing = change.refusing
+        target.losing = change.losing
+
+
+def _end(
+    change: Change,
+    chosen: list[TargetEntry],
+    targets: dict[str, PlayedTarget],
+    hosts: list[PlayedHost],
+    agenda: Agenda,
+) -> None:
+    for entry in chosen:
+        target = targets[entry.target_id]
+        target.factor, target.refusing, target.losing = 1.0, 0.0, 0.0
+        target.is_up = True
+    if not change.factor:
+        started = [replace(entry, born_ms=2, cold_left_s=_COLD_S) for entry in chosen]
+        for host in hosts:
+            _put(host, started, agenda.now)
--- /dev/null
+++ b/standins/load_play/sites.py
@@ -0,0 +1,191 @@
+"""Deployments of the sizes that the two users described."""
+
+from standins.load_play.site import KindSize, ServiceSize, Site, ZoneSize
+
+_HOSTS = (2, 2, 2, 1, 1, 1)
+
+
+def _zones(names: str, hosts: tuple[int, ...] = _HOSTS) -> tuple[ZoneSize, ...]:
+    pairs = (name.split('/') for name in names.split())
+    return tuple(
+        ZoneSize(region=region, name=name, hosts=count)
+        for (region, name), count in zip(pairs, hosts, strict=True)
+    )
+
+
+def _targets(zones: tuple[ZoneSize, ...], *counts: int) -> dict[str, int]:
+    return {zone.name: count for zone, count in zip(zones, counts, strict=True)}
+
+
+def selokosmos(*, load: float = 1, fleet: int = 1) -> Site:
+    """Return the size of Selokosmos.
+
+    :param load: the factor on the rates.
+    :param fleet: the factor on hosts, targets, objects and rates.
+    """
+    zones = _zones(
+        'attiki/athina-a makedonia/thess-a peloponnisos/patra-a'
+        ' attiki/athina-b makedonia/thess-b peloponnisos/patra-b',
+        tuple(count * fleet for count in _HOSTS),
+    )
+    diary = _targets(zones, *(count * fleet for count in (3, 4, 1, 3, 4, 1)))
+    others = _targets(zones, *(count * fleet for count in (2, 3, 1, 2, 3, 1)))
+    rate = load * fleet
+    return Site(
+        name='selokosmos',
+        zones=zones,
+        services=(
+            ServiceSize(name='diary', targets_by_zone=diary, slots=6, kept_objects=34),
+            ServiceSize(name='bookings', targets_by_zone=others, slots=3, kept_objects=25),
+            ServiceSize(name='shopfront', targets_by_zone=others, slots=3, kept_objects=50),
+        ),
+        kinds=(
+            KindSize(
+                name='diary-look',
+                service='diary',
+                rate=176 * rate,
+                work_s=0.64,
+                aim_s=0.4,
+                timeout_s=1,
+                patience_s=3,
+                worth=1,
+                late_worth=0.2,
+                priority=2,
+                objects=44 * fleet,
+                is_idempotent=True,
+                exchange_bytes=900,
+            ),
+            KindSize(
+                name='visit-book',
+                service='bookings',
+                rate=61.8 * rate,
+                work_s=0.84,
+                aim_s=0.6,
+                timeout_s=1.2,
+                patience_s=4,
+                worth=2,
+                late_worth=0.4,
+                priority=1,
+                objects=24 * fleet,
+                is_idempotent=False,
+                exchange_bytes=2_300,
+            ),
+            KindSize(
+                name='deposit-take',
+                service='shopfront',
+                rate=43.3 * rate,
+                work_s=0.44,
+                aim_s=0.3,
+                timeout_s=0.8,
+                patience_s=2,
+                worth=3,
+                late_worth=0.6,
+                priority=0,
+                objects=24 * fleet,
+                is_idempotent=False,
+                exchange_bytes=5_800,
+            ),
+            KindSize(
+                name='stock-look',
+                service='shopfront',
+                rate=46.4 * rate,
+                work_s=0.256,
+                aim_s=0.25,
+                timeout_s=0.8,
+                patience_s=1.2,
+                worth=2,
+                late_worth=0.4,
+                priority=1,
+                objects=24 * fleet,
+                is_idempotent=True,
+                exchange_bytes=2_000,
+            ),
+        ),
+        zone_delay_s=0.005,
+        region_delay_s=0.012,
+    )
+
+
+def suryatap(*, load: float = 1, fleet: int = 1) -> Site:
+    """Return the size of Suryatap; see :func:`selokosmos`."""
+    zones = _zones(
+        'saurashtra/rajkot-a kutch/bhuj-a north-guj/mehsana-a'
+        ' saurashtra/junagadh-b kutch/anjar-b north-guj/palanpur-b',
+        tuple(count * fleet for count in (2, 2, 1, 1, 1, 1)),
+    )
+    ovens = _targets(zones, *(count * fleet for count in (3, 1, 3, 3, 1, 3)))
+    others = _targets(zones, *(count * fleet for count in (3, 1, 2, 3, 1, 2)))
+    rate = load * fleet
+    return Site(
+        name='suryatap',
+        zones=zones,
+        services=(
+            ServiceSize(name='ovenwatch', targets_by_zone=ovens, slots=3, kept_objects=21),
+            ServiceSize(name='panelbook', targets_by_zone=others, slots=3, kept_objects=25),
+            ServiceSize(name='flourdesk', targets_by_zone=others, slots=3, kept_objects=50),
+        ),
+        kinds=(
+            KindSize(
+                name='status-read',
+                service='ovenwatch',
+                rate=59.2 * rate,
+                work_s=0.88,
+                aim_s=0.6,
+                timeout_s=1.5,
+                patience_s=4,
+                worth=1,
+                late_worth=0.2,
+                priority=2,
+                objects=24 * fleet,
+                is_idempotent=True,
+                exchange_bytes=900,
+            ),
+            KindSize(
+                name='panel-swap',
+                service='panelbook',
+                rate=19.3 * rate,
+                work_s=1.16,
+                aim_s=0.8,
+                timeout_s=2,
+                patience_s=6,
+                worth=2,
+                late_worth=0.4,
+                priority=1,
+                objects=24 * fleet,
+                is_idempotent=False,
+                exchange_bytes=6_700,
+            ),
+            KindSize(
+                name='flour-order',
+                service='flourdesk',
+                rate=17.1 * rate,
+                work_s=0.6,
+                aim_s=0.5,
+                timeout_s=1.2,
+                patience_s=3,
+                worth=3,
+                late_worth=0.6,
+                priority=0,
+                objects=24 * fleet,
+                is_idempotent=False,
+                exchange_bytes=3_200,
+            ),
+            KindSize(
+                name='batch-read',
+                service='flourdesk',
+                rate=14.8 * rate,
+                work_s=0.352,
+                aim_s=0.3,
+                timeout_s=0.8,
+                patience_s=2,
+                worth=2,
+                late_worth=0.4,
+                priority=1,
+                objects=24 * fleet,
+                is_idempotent=True,
+                exchange_bytes=5_500,
+            ),
+        ),
+        zone_delay_s=0.0035,
+        region_delay_s=0.035,
+    )
--- /dev/null
+++ b/standins/load_play/tally.py
@@ -0,0 +1,56 @@
+"""What callers got in a play."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+_WINDOW_S = 2.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Tally:
+    """Counts credit and outcomes.
+
+    :param outcomes: in_aim, late, refused or failed, by kind of request.
+    :param sends: known (the target knew the object), new or rejected.
+    """
+
+    owed_by_kind: Counter[str] = field(default_factory=Counter)
+    earned_by_kind: Counter[str] = field(default_factory=Counter)
+    owed_by_zone: Counter[str] = field(default_factory=Counter)
+    earned_by_zone: Counter[str] = field(default_factory=Counter)
+    owed_by_window: Counter[int] = field(default_factory=Counter)
+    earned_by_window: Counter[int] = field(default_factory=Counter)
+    outcomes: dict[str, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    sends: Counter[str] = field(default_factory=Counter)
+    zone_bytes: int = 0
+    region_bytes: int = 0
+
+    def add(
+        self, *, kind: str, zone: str, at: float, owed: float, earned: float, outcome: str
+    ) -> None:
+        """Count a request that has ended."""
+        window = int(at / _WINDOW_S)
+        self.owed_by_kind[kind] += owed  # type: ignore[assignment]
+        self.earned_by_kind[kind] += earned  # type: ignore[assignment]
+        self.owed_by_zone[zone] += owed  # type: ignore[assignment]
+        self.earned_by_zone[zone] += earned  # type: ignore[assignment]
+        self.owed_by_window[window] += owed  # type: ignore[assignment]
+        self.earned_by_window[window] += earned  # type: ignore[assignment]
+        self.outcomes[kind][outcome] += 1
+
+    def credit(self) -> float:
+        """Return the part of the credit that was earned over everything."""
+        return sum(self.earned_by_kind.values()) / max(1, sum(self.owed_by_kind.values()))
+
+    def worst_zone(self) -> float:
+        """Return the part of the credit that the worst-served zone earned."""
+        return min(self.earned_by_zone[zone] / owed for zone, owed in self.owed_by_zone.items())
+
+    def worst_kind(self) -> float:
+        """Return the part of the credit that the worst-served kind of request earned."""
+        return min(self.earned_by_kind[kind] / owed for kind, owed in self.owed_by_kind.items())
+
+    def share(self, outcome: str) -> float:
+        """Return the part of all requests that had an outcome."""
+        total = sum(counts.total() for counts in self.outcomes.values())
+        return sum(counts[outcome] for counts in self.outcomes.values()) / max(1, total)
