Make a changed target cheap for hosts that know hundreds

Change: targets are kept by service; hashes of names are remembered; targets of equal slots are ordered by their hashes alone, which is the same order; only the best are picked. A host that starts for the first time is told of by flood when it serves, not when it starts.

The order of objects is unchanged (feature placement).

--- a/src/balsamrail/catalog/catalog.py
+++ b/src/balsamrail/catalog/catalog.py
@@ -16,11 +16,11 @@
     """
 
     __slots__ = (
+        '_entries_by_service',
         '_environment',
         '_is_changed',
         '_is_published',
         '_subscribers',
-        '_targets_by_service',
         'entries_by_id',
         'evacuated_zones',
         'manifest',
@@ -31,7 +31,7 @@
         self.manifest: Manifest | None = None
         self.entries_by_id: dict[str, TargetEntry] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
-        self._targets_by_service: dict[str, list[TargetEntry]] = {}
+        self._entries_by_service: dict[str, dict[str, TargetEntry]] = {}
         self._is_changed = False
         self._is_published = False
         self._subscribers: list[Callable[[], None]] = []
@@ -60,7 +60,10 @@
         known = self.entries_by_id.get(entry.target_id)
         if known == entry:
             return
+        if known is not None:
+            del self._entries_by_service[known.service][known.target_id]
         self.entries_by_id[entry.target_id] = entry
+        self._entries_by_service.setdefault(entry.service, {})[entry.target_id] = entry
         self._is_changed = True
         if not self._is_published:
             # The targets of the first listing are counted in one line.
@@ -78,7 +81,9 @@
 
     def drop_target(self, target_id: str, *, reason: str) -> None:
         """Forget a target; see :meth:`publish`."""
-        if self.entries_by_id.pop(target_id, None) is not None:
+        entry = self.entries_by_id.pop(target_id, None)
+        if entry is not None:
+            del self._entries_by_service[entry.service][target_id]
             self._environment.log.event('target_gone', target=target_id, reason=reason)
             self._is_changed = True
 
@@ -100,15 +105,8 @@
 
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the registered targets of a service that are not draining."""
-        found = self._targets_by_service.get(service)
-        if found is None:
-            found = [
-                entry
-                for _, entry in sorted(self.entries_by_id.items())
-                if entry.service == service and not entry.is_draining
-            ]
-            self._targets_by_service[service] = found
-        return found
+        entries = self._entries_by_service.get(service, {}).values()
+        return [entry for entry in entries if not entry.is_draining]
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
@@ -138,6 +136,5 @@
 
     def _changed(self) -> None:
         self._is_changed = False
-        self._targets_by_service.clear()
         for changed in self._subscribers:
             changed()
--- a/src/balsamrail/membership/member_gossip.py
+++ b/src/balsamrail/membership/member_gossip.py
@@ -61,10 +61,13 @@
 
     def take(self, link: PeerLink, update: MemberUpdate) -> None:
         """Merge an update that came over a link, and pass it on if it is news."""
+        known = self._members.get(update.host)
         if self._members.apply(update):
-            self.publish(update)
+            # A host that nobody knew yet is told of when it serves. One that starts again is no
+            # longer named, which all have to know.
+            if known is not None or update.state != 'starting':
+                self.publish(update)
             return
-        known = self._members.get(update.host)
         if known is None:
             return
         # The sender may be cut off from the flood of the refutation.
--- a/src/balsamrail/placement/ranking.py
+++ b/src/balsamrail/placement/ranking.py
@@ -1,7 +1,9 @@
 """Rendezvous hashing of objects over targets."""
 
+import heapq
 import math
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from hashlib import blake2b
 
 _HASH_BITS = 64
@@ -10,6 +12,7 @@
 _MASK = (1 << _HASH_BITS) - 1
 
 
+@lru_cache(maxsize=16_384)
 def hash_text(text: str) -> int:
     """Return 64 bits of ``text`` that are the same on every host."""
     return int.from_bytes(blake2b(text.encode(), digest_size=_HASH_BITS // 8).digest())
@@ -32,7 +35,7 @@
         ranking.best('object 17', count=2)
     """
 
-    __slots__ = ('_best_by_key', '_weights')
+    __slots__ = ('_best_by_key', '_is_even', '_weights')
 
     _longest_cache = 4_096
 
@@ -40,6 +43,7 @@
         self._weights = [
             (target_id, hash_text(target_id), weight) for target_id, weight in weight_by_id.items()
         ]
+        self._is_even = len(set(weight_by_id.values())) <= 1
         self._best_by_key: dict[str, Sequence[str]] = {}
 
     def best(self, key: str, *, count: int) -> Sequence[str]:
@@ -57,8 +61,15 @@
         return len(self._weights)
 
     def _rank(self, key_hash: int, count: int) -> list[str]:
-        scored = sorted(self._scores(key_hash), reverse=True)
-        return [target_id for _, target_id in scored[:count]]
+        scores = self._even_scores(key_hash) if self._is_even else self._scores(key_hash)
+        return [target_id for _, target_id in heapq.nlargest(count, scores)]
+
+    def _even_scores(self, key_hash: int) -> list[tuple[float, str]]:
+        # With equal weights the order is that of the hashes, without a logarithm for each target.
+        return [
+            (mixed(key_hash, target_hash), target_id)
+            for target_id, target_hash, _ in self._weights
+        ]
 
     def _scores(self, key_hash: int) -> Iterable[tuple[float, str]]:
         for target_id, target_hash, weight in self._weights:
