Prefer other targets to those that are slow or lose answers

Change: TargetState counts each request from its sending to its end. An answer's time is compared with the usual time of its route, times the requests that were ahead of it, only for objects that the host sent there before; two requests that are overdue show a slow target before it answers. Three lost answers in a row, errors and refusals with room included, count too. Evidence fades with a half-life of 3 and 4 s, then the target is tried again. If both targets of an object are bad, a third or fourth one with room takes it.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -60,6 +60,54 @@
     When requests of priority 3 for it arrive and none ends
     Then the first target takes 3, the second 2, and the next is refused as overloaded
 
+  Scenario: A slow target comes after the other one for a while
+    This guards against requests that wait at a target which has become slow.
+
+    Given an object whose two targets have two slots each
+    And answers of both that took 0.2 s
+    When three answers of the first target take 1.0 s
+    Then the second target is chosen, and the first one again 8 s later
+
+  Scenario: Requests that are overdue show a slow target before it answers
+    This guards against a target that takes all of an object's requests until they time out.
+
+    Given an object whose two targets have two slots each
+    And answers of both that took 0.2 s
+    When two requests have been at the first target for 0.6 s
+    Then the second target is chosen
+
+  Scenario: A target with a queue isn't taken for slow
+    This guards against moving objects away from a target that only has much to do.
+
+    Given an object whose two targets have two slots each
+    And answers of both that took 0.2 s
+    When requests that found four others at the first target take 0.5 s
+    Then the first target is chosen
+
+  Scenario: Runs of new objects aren't taken for slow ones
+    This guards against a target that is avoided because it gets objects that it does not know.
+
+    Given an object whose two targets have two slots each
+    And answers of both that took 0.2 s
+    When the first target takes 0.7 s for each of ten new objects
+    Then the first target is chosen
+
+  Scenario: One lost answer is no reason to avoid a target, three in a row are
+    This guards against runs of new objects elsewhere that cost more than a lost answer.
+
+    Given an object whose two targets have two slots each
+    And answers of both that took 0.2 s
+    When the first target loses an answer
+    Then the first target is chosen
+    When the first target loses two more answers
+    Then the second target is chosen
+
+  Scenario: An object whose targets are both slow goes to a further one with room
+    Given an object with four targets of two slots each
+    And answers of all that took 0.2 s
+    When three answers of its first two targets take 1.0 s
+    Then its third target is chosen, and its first one when the others have no room
+
   Scenario: A target that is down or was tried is not chosen
     This guards against a second attempt at the same target.
 
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -18,6 +18,7 @@
 from balsamrail.placement.place_plan import plan_places
 from balsamrail.placement.ranking import Ranking
 from balsamrail.placement.retry_budgets import RetryBudgets
+from balsamrail.placement.sending import Ending
 from balsamrail.settings.bounds import Bounds
 
 SLOTS_BY_ID = st.dictionaries(
@@ -239,7 +240,7 @@
         if isinstance(choice, Refused):
             context.refused = choice
             return
-        choice.in_flight += 1
+        choice.begin(route='r1', object_key='x', now=0)
         context.taken.append(choice.entry.target_id)
 
 
@@ -406,3 +407,104 @@
     assert context.first.entry.region == 'attiki', context.first
     assert isinstance(context.second, Refused) or context.second.entry.region == 'makedonia'
     assert not isinstance(context.second, Refused), context.second
+
+
+def _answers(context, target_id, *, took_s, count=1, ending=Ending.answered, object_key='x'):
+    """Let a target end ``count`` requests one after the other."""
+    state = context.placement.book.state_of(target_id)
+    for _ in range(count):
+        sending = state.begin(route='r1', object_key=object_key, now=context.now)
+        context.now += took_s
+        state.end(sending, ending, now=context.now)
+
+
+@given('answers of {which} that took {took:g} s')
+def step_usual(context, which, took):
+    context.now = 0
+    context.order = _order(context)
+    for target_id in context.order:
+        # The first run of an object is not counted, since it is new to the target.
+        _answers(context, target_id, took_s=took, count=10)
+
+
+def _order(context):
+    order = context.placement.book.order_of('lepu', allowed_regions=frozenset())
+    return list(order.candidates('x', in_region=4))
+
+
+def _chosen(context, at):
+    return context.placement.choose(now=at).entry.target_id
+
+
+@when('three answers of the first target take {took:g} s')
+def step_slow(context, took):
+    _answers(context, context.order[0], took_s=took, count=3)
+
+
+@when('two requests have been at the first target for {age:g} s')
+def step_overdue(context, age):
+    state = context.placement.book.state_of(context.order[0])
+    for _ in range(2):
+        state.begin(route='r1', object_key='x', now=context.now)
+    context.now += age
+
+
+@when('requests that found four others at the first target take {took:g} s')
+def step_queued(context, took):
+    state = context.placement.book.state_of(context.order[0])
+    for _ in range(5):
+        others = [state.begin(route='r1', object_key='x', now=context.now) for _ in range(4)]
+        _answers(context, context.order[0], took_s=took)
+        for sending in others:
+            state.end(sending, Ending.abandoned, now=context.now)
+
+
+@when('the first target takes {took:g} s for each of ten new objects')
+def step_new_objects(context, took):
+    for number in range(10):
+        _answers(context, context.order[0], took_s=took, object_key=f'new {number}')
+
+
+@when('the first target loses an answer')
+def step_lost(context):
+    _answers(context, context.order[0], took_s=0.1, ending=Ending.failed)
+
+
+@when('the first target loses two more answers')
+def step_lost_more(context):
+    _answers(context, context.order[0], took_s=0.1, count=2, ending=Ending.failed)
+
+
+@then('the {position} target is chosen')
+def step_chosen(context, position):
+    expected = context.order[('first', 'second').index(position)]
+    assert _chosen(context, context.now) == expected, context.placement.book.dump()
+
+
+@then('the second target is chosen, and the first one again {later:g} s later')
+def step_chosen_again(context, later):
+    assert _chosen(context, context.now) == context.order[1]
+    assert _chosen(context, context.now + later) == context.order[0]
+
+
+@given('an object with four targets of two slots each')
+def step_four(context):
+    context.placement = Placement(*(make_entry(f'i-{number}') for number in range(4)))
+
+
+@when('three answers of its first two targets take {took:g} s')
+def step_both_slow(context, took):
+    started = context.now
+    for target_id in context.order[:2]:
+        context.now = started
+        _answers(context, target_id, took_s=took, count=3)
+
+
+@then('its third target is chosen, and its first one when the others have no room')
+def step_third(context):
+    assert _chosen(context, context.now) == context.order[2]
+    for target_id in context.order[2:]:
+        state = context.placement.book.state_of(target_id)
+        for _ in range(2):
+            state.begin(route='r1', object_key='y', now=context.now)
+    assert _chosen(context, context.now) == context.order[0]
--- a/src/balsamrail/delivery/request_run.py
+++ b/src/balsamrail/delivery/request_run.py
@@ -24,7 +24,6 @@
 from balsamrail.placement.retry_budget import RetryBudget
 from balsamrail.placement.target_state import TargetState
 
-_FIRST_ERROR_STATUS = 400
 # Targets that cannot be connected to do not count as attempts, but are not tried for ever.
 _MOST_UNREACHED = 6
 _RETRY_AFTER_S = 0.1
@@ -132,6 +131,8 @@
             answer = await self._exchange.send(
                 self._request,
                 state,
+                route=self._route.name,
+                object_key=self._place.object_key,
                 is_fresh=not self._route.is_idempotent,
                 deadline=self._deadline,
             )
@@ -141,7 +142,7 @@
                 self._crashes.note_cut(self._fingerprint, state)
             return error
         self._sent.append(target_id)
-        if not _is_final(answer):
+        if not answer.is_final:
             return _failure_of(answer)
         self._crashes.note_answer(self._fingerprint)
         self._sizes.note(
@@ -186,12 +187,6 @@
         return self._environment.clock.monotonic()
 
 
-def _is_final(answer: TargetAnswer) -> bool:
-    return not answer.is_not_run and (
-        answer.is_signed or answer.http.status >= _FIRST_ERROR_STATUS
-    )
-
-
 def _failure_of(answer: TargetAnswer) -> ExchangeError:
     if answer.is_not_run:
         return ExchangeError(
--- a/src/balsamrail/delivery/target_answer.py
+++ b/src/balsamrail/delivery/target_answer.py
@@ -5,6 +5,8 @@
 from balsamrail.delivery.http_message import HttpAnswer
 from balsamrail.placement.reported_load import ReportedLoad
 
+_FIRST_ERROR_STATUS = 400
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class TargetAnswer:
@@ -20,3 +22,9 @@
     is_not_run: bool
     is_misdirected: bool
     load: ReportedLoad | None
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the caller gets it: the target's own success, or an error of its own."""
+        is_error = self.http.status >= _FIRST_ERROR_STATUS
+        return not self.is_not_run and (self.is_signed or is_error)
--- a/src/balsamrail/delivery/target_exchange.py
+++ b/src/balsamrail/delivery/target_exchange.py
@@ -6,6 +6,7 @@
 from balsamrail.delivery.target_wire import TargetWire
 from balsamrail.environment import Environment
 from balsamrail.errors import DeadlineExpiredError, ExchangeError
+from balsamrail.placement.sending import Ending
 from balsamrail.placement.target_state import TargetState
 
 # A target stops a little before the caller is answered, so that its own answer still arrives.
@@ -13,6 +14,7 @@
 _SHORTEST_WORK_S = 0.02
 # A target that refused a connection is checked after this time.
 _FIRST_CHECK_S = 0.25
+_FIRST_FAULT_STATUS = 500
 
 
 class TargetExchange:
@@ -30,30 +32,35 @@
         request: EntryRequest,
         state: TargetState,
         *,
+        route: str,
+        object_key: str,
         is_fresh: bool,
         deadline: float,
     ) -> TargetAnswer:
         """Return the target's complete answer.
 
+        :param route: the name of the request's route.
+        :param object_key: names the object that the request is about.
         :param is_fresh: take a connection that the target does not close just now.
         :param deadline: the loop's time in seconds at which the caller is answered.
         :raises ExchangeError: if there is none.
         :raises DeadlineExpiredError: if no time is left for the target.
         """
         clock = self._environment.clock
-        is_heard = False
-        state.begin(now=clock.monotonic())
+        ending = Ending.abandoned
+        sending = state.begin(route=route, object_key=object_key, now=clock.monotonic())
         try:
             answer = await self._send(request, state, is_fresh=is_fresh, deadline=deadline)
-            is_heard = True
+            if answer.load is not None:
+                state.note_load(answer.load, now=clock.monotonic())
+            ending = _ending_of(answer)
         except ExchangeError as error:
+            ending = _ending_of_failure(error)
             self._note_failure(request, state, error)
             raise
         finally:
-            state.end(is_heard=is_heard, now=clock.monotonic())
+            state.end(sending, ending, now=clock.monotonic())
         state.failures = 0
-        if answer.load is not None:
-            state.note_load(answer.load, now=clock.monotonic())
         return answer
 
     async def _send(
@@ -95,3 +102,17 @@
         if not error.may_have_run:
             self._pool.drop(state.entry.target_id)
             state.note_down(check_at=self._environment.clock.monotonic() + _FIRST_CHECK_S)
+
+
+def _ending_of(answer: TargetAnswer) -> Ending:
+    if answer.is_not_run:
+        return Ending.refused
+    if not answer.is_final or answer.http.status >= _FIRST_FAULT_STATUS:
+        return Ending.failed
+    return Ending.answered
+
+
+def _ending_of_failure(error: ExchangeError) -> Ending:
+    if not error.may_have_run:
+        return Ending.abandoned
+    return Ending.timed_out if error.has_timed_out else Ending.failed
--- a/src/balsamrail/placement/chooser.py
+++ b/src/balsamrail/placement/chooser.py
@@ -12,6 +12,8 @@
 
 # An object is handled by so many targets at most; further ones would not know it.
 _TARGETS_OF_OBJECT = 2
+# So many are looked at for a good one if these are slow or lose answers.
+_FURTHER_TARGETS = 4
 # Requests at a target, running and waiting, in proportion to its slots. Beyond the first bound an
 # answer would be late. A target that does not know the object takes it only into a free slot,
 # since the run is slow and would hold up the objects that the target knows.
@@ -92,9 +94,22 @@
         candidates = order.candidates(
             object_key, in_region=_TARGETS_OF_OBJECT + len(tried), stays_near=stays_near
         )
-        usable = islice(self._usable_of(candidates, tried, now), _TARGETS_OF_OBJECT)
-        resorts = self._usable_of(order.last_resorts(object_key), tried, now)
-        return list(usable) or list(islice(resorts, 1))
+        usable = list(islice(self._usable_of(candidates, tried, now), _TARGETS_OF_OBJECT))
+        if not usable:
+            resorts = self._usable_of(order.last_resorts(object_key), tried, now)
+            return list(islice(resorts, 1))
+        good = [state for state in usable if not state.is_bad(now=now)]
+        if not good:
+            further = order.candidates(
+                object_key, in_region=_FURTHER_TARGETS + len(tried), stays_near=stays_near
+            )
+            good = [
+                state
+                for state in self._usable_of(further, tried, now)
+                if not state.is_bad(now=now) and state.fill(now=now) < _SPARE
+            ][:1]
+        # Targets that are slow or lose answers come last; the order stays otherwise.
+        return [*good, *(state for state in usable if state not in good)]
 
     def _usable_of(
         self, target_ids: Iterable[str], tried: Sequence[str], now: float
--- a/src/balsamrail/placement/target_book.py
+++ b/src/balsamrail/placement/target_book.py
@@ -6,6 +6,7 @@
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.catalog.target_entry import TargetEntry
 from balsamrail.placement.object_order import ObjectOrder
+from balsamrail.placement.route_times import RouteTimes
 from balsamrail.placement.target_state import TargetState
 from balsamrail.settings import Settings
 
@@ -18,9 +19,11 @@
 
     __slots__ = (
         '_catalog',
+        '_evacuated_zones',
         '_orders_by_scope',
         '_region_by_zone',
         '_settings',
+        '_times',
         'states_by_id',
     )
 
@@ -31,18 +34,26 @@
             settings.availability_zone: settings.region,
             **settings.region_by_availability_zone,
         }
+        self._evacuated_zones: frozenset[str] = frozenset()
+        self._times = RouteTimes()
         self.states_by_id: dict[str, TargetState] = {}
         self._orders_by_scope: dict[tuple[str, frozenset[str]], ObjectOrder] = {}
 
     def refresh(self, *, now: float) -> None:
         """Take over what the catalog says of the targets."""
-        self._orders_by_scope.clear()
         entries = self._catalog.entries_by_id
-        for target_id in list(self.states_by_id):
-            if target_id not in entries:
-                del self.states_by_id[target_id]
+        changed = {
+            self.states_by_id.pop(target_id).entry.service
+            for target_id in self.states_by_id.keys() - entries.keys()
+        }
         for target_id, entry in entries.items():
-            self._refresh_one(target_id, entry, now)
+            state = self.states_by_id.get(target_id)
+            if state is None or entry is not state.entry:
+                changed.add(entry.service)
+                if state is not None:
+                    changed.add(state.entry.service)
+                self._refresh_one(target_id, entry, now)
+        self._drop_orders(changed)
 
     def state_of(self, target_id: str) -> TargetState | None:
         """Return what is known of a target, ``None`` if it is not registered."""
@@ -78,20 +89,30 @@
             target_id: {
                 'in_flight': state.in_flight,
                 'failures': state.failures,
+                'slowness': round(state.evidence.slowness, 2),
+                'losses': round(state.evidence.losses, 2),
                 'cold_until': state.cold_until,
                 'is_down': state.is_down,
             }
             for target_id, state in self.states_by_id.items()
         }
 
+    def _drop_orders(self, services: set[str]) -> None:
+        if self._catalog.evacuated_zones != self._evacuated_zones:
+            self._evacuated_zones = self._catalog.evacuated_zones
+            self._orders_by_scope.clear()
+        for scope in list(self._orders_by_scope):
+            if scope[0] in services:
+                del self._orders_by_scope[scope]
+
     def _refresh_one(self, target_id: str, entry: TargetEntry, now: float) -> None:
         state = self.states_by_id.get(target_id)
         if state is None or state.entry.born_ms != entry.born_ms:
             self.states_by_id[target_id] = TargetState(
-                entry=entry, cold_until=now + entry.cold_left_s
+                entry=entry, times=self._times, cold_until=now + entry.cold_left_s
             )
             return
-        if entry.cold_left_s and entry is not state.entry:
+        if entry.cold_left_s:
             state.cold_until = max(state.cold_until, now + entry.cold_left_s)
         state.entry = entry
 
--- a/standins/load_play/host.py
+++ b/standins/load_play/host.py
@@ -14,6 +14,7 @@
 from balsamrail.placement.cold_gate import ColdGate
 from balsamrail.placement.exchange_sizes import OVERHEAD_BYTES, ExchangeSizes
 from balsamrail.placement.retry_budgets import RetryBudgets
+from balsamrail.placement.sending import Ending, Sending
 from balsamrail.placement.target_book import TargetBook
 from balsamrail.placement.target_state import TargetState
 from standins.load_play.agenda import Agenda
@@ -43,6 +44,7 @@
     is_over: bool = False
     sent: list[str] = field(default_factory=list)
     state: TargetState | None = None
+    sending: Sending | None = None
 
 
 def manifest_of(site: Site) -> Manifest:
@@ -149,7 +151,9 @@
         if isinstance(choice, Refused):
             self._end(request, 'refused', choice.retry_after_s)
             return
-        choice.begin(now=self._agenda.now)
+        request.sending = choice.begin(
+            route=route.name, object_key=request.object_key, now=self._agenda.now
+        )
         request.state = choice
         request.sent.append(choice.entry.target_id)
         self._count_bytes(request.kind, choice)
@@ -176,8 +180,8 @@
     def _answer(self, request: PlayedRequest, state: TargetState, has_run: bool) -> None:
         if request.is_over:
             return
-        self._release(request, is_heard=True)
         state.note_load(self._targets_by_id[state.entry.target_id].load(), now=self._agenda.now)
+        self._release(request, Ending.answered if has_run else Ending.refused)
         if has_run:
             self._sizes.note(
                 request.kind.name,
@@ -192,7 +196,7 @@
     def _refused_connection(self, request: PlayedRequest, state: TargetState) -> None:
         if request.is_over:
             return
-        self._release(request, is_heard=False)
+        self._release(request, Ending.abandoned)
         state.note_down(check_at=self._agenda.now)
         self._try_again(request)
 
@@ -205,12 +209,12 @@
 
     def _give_up(self, request: PlayedRequest) -> None:
         if not request.is_over:
-            self._release(request, is_heard=False)
+            self._release(request, Ending.timed_out)
             self._end(request, 'failed', 0)
 
-    def _release(self, request: PlayedRequest, *, is_heard: bool) -> None:
-        if request.state is not None:
-            request.state.end(is_heard=is_heard, now=self._agenda.now)
+    def _release(self, request: PlayedRequest, ending: Ending) -> None:
+        if request.state is not None and request.sending is not None:
+            request.state.end(request.sending, ending, now=self._agenda.now)
             request.state = None
 
     def _end(self, request: PlayedRequest, outcome: str, retry_after_s: float) -> None:
--- a/standins/load_play/tally.py
+++ b/standins/load_play/tally.py
@@ -1,6 +1,7 @@
 """What callers got in a play."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 _WINDOW_S = 2.0
@@ -42,6 +43,12 @@
         """Return the part of the credit that was earned over everything."""
         return sum(self.earned_by_kind.values()) / max(1, sum(self.owed_by_kind.values()))
 
+    def credit_in(self, windows: Iterable[int]) -> float:
+        """Return the part of the credit that was earned in windows of two seconds."""
+        chosen = list(windows)
+        owed = sum(self.owed_by_window[window] for window in chosen)
+        return sum(self.earned_by_window[window] for window in chosen) / max(1, owed)
+
     def worst_zone(self) -> float:
         """Return the part of the credit that the worst-served zone earned."""
         return min(self.earned_by_zone[zone] / owed for zone, owed in self.owed_by_zone.items())
