Let a large region pass on what its watchers hear of the store

Cause: a watcher told all hosts of its region. At design size, 92 hosts a region, it sent 3.0 KB/s for statuses alone and 14.7 KB for each changed target (docs/CAPACITY.md), above the 3 KB/s that a node may spend.

Ruled out: more watchers (calls to the store are paid for); flooding over the rings of neighbours (every host would get each change up to six times); rarer statuses (two in a row may be late before the next host steps in, and leaving targets have 2 s).

Change: the two watchers tell sixteen hosts, the next ones in the order that all agree on, and every other host follows two of these. A status says by how many hosts its sender is away from the store; what is more than one away is not believed, so that hosts that follow each other find out when nobody hears from it.

Figures: a host is followed by at most 16 others in regions of 40 and 92 hosts (91 before), so a watcher at design size sends 16 x 32.5 = 520 B/s of statuses and 2.6 KB for each changed target.

--- a/features/steps/watch_duty_steps.py
+++ b/features/steps/watch_duty_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 
 import platform_helpers
 from behave import given, then, when
@@ -131,8 +132,18 @@
 
 class _Watch:
     def __init__(self, feed, contact):
-        self.is_current = feed.is_current
-        self.up_for_s = contact.up_for_s
+        self.hears = feed.is_current
+        self.store_up_for_s = contact.up_for_s
+
+    def hops(self):
+        return 0
+
+
+class _Relay:
+    def __init__(self, follower):
+        self.hears = follower.is_current
+        self.hops = follower.hops
+        self.store_up_for_s = follower.store_up_for_s
 
 
 @given('two watchers and a follower on a network that loses and repeats messages')
@@ -200,16 +211,110 @@
     await asyncio.sleep(4)
     if view.objects_by_name != source.objects_by_name:
         context.faults.append((seed, sorted(view.objects_by_name), sorted(source.objects_by_name)))
+    await _end(tasks)
+
+
+async def _end(tasks):
     for task in tasks:
         task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _follow(follower):
+async def _follow(follower, hosts=('w-1', 'w-2')):
     while True:
-        await follower.follow(['w-1', 'w-2'])
+        await follower.follow(hosts)
         await asyncio.sleep(0.25)
 
 
 @then('the follower knows what the store holds within 4 s of the last change')
 def step_same(context):
     assert not context.faults, context.faults
+
+
+@when('regions of 40, 92 and 200 hosts know each other')
+def step_large(context):
+    context.duties_by_size = {
+        size: duties(make_members(['a', 'b', 'c', 'd'] * (size // 4))) for size in (40, 92, 200)
+    }
+
+
+@then('each host is followed by at most {limit:d} others, and by at most {most:d} in the largest')
+def step_followers(context, limit, most):
+    for size, found in context.duties_by_size.items():
+        followers = Counter(host for duty in found.values() for host in duty.followed)
+        allowed = most if size == max(context.duties_by_size) else limit
+        assert max(followers.values()) <= allowed, (size, followers.most_common(3))
+
+
+@then('each follows two hosts that are at most one host away from the store')
+def step_away(context):
+    for found in context.duties_by_size.values():
+        watchers = {host for host, duty in found.items() if duty.is_own}
+        relays = {host for host, duty in found.items() if set(duty.followed) == watchers}
+        for host, duty in found.items():
+            if host not in watchers:
+                assert len(duty.followed) == 2
+                assert set(duty.followed) <= watchers or set(duty.followed) <= relays
+
+
+@given('two watchers, two relays that follow them and a follower of the relays')
+def step_relays(context):
+    context.seeds = range(20)
+
+
+@when('objects change, and then both watchers lose the store')
+def step_relayed(context):
+    context.told = [run_virtual(_play_relays(random.Random(seed))) for seed in context.seeds]
+
+
+async def _play_relays(chance):
+    source, network, tasks = FakeSource(), LossyNetwork(chance), []
+    network.loss = 0
+    for host in ('w-1', 'w-2'):
+        environment = platform_helpers.make_environment(host=host)
+        view = ObjectView(kind='servers')
+        contact = StoreContact(environment=environment, source=source, kind='evacuations')
+        feed = Feed(environment=environment, source=source, view=view, contact=contact)
+        watch = _Watch(feed, contact)
+        hub = FeedHub(environment=environment, network=network.of(host), views=[view], watch=watch)
+        tasks += [asyncio.create_task(part.run()) for part in (contact, feed, hub)]
+    followers = {}
+    # The relays follow each other as well, as when the hosts differ on who is a relay.
+    for host, followed in (
+        ('r-1', ['w-1', 'r-2']),
+        ('r-2', ['w-2', 'r-1']),
+        ('f-1', ['r-1', 'r-2']),
+    ):
+        environment = platform_helpers.make_environment(host=host)
+        view = ObjectView(kind='servers')
+        follower = FeedFollower(environment=environment, network=network.of(host), views=[view])
+        hub = FeedHub(
+            environment=environment,
+            network=network.of(host),
+            views=[view],
+            watch=_Relay(follower),
+        )
+        followers[host] = (follower, view)
+        tasks += [
+            asyncio.create_task(hub.run()),
+            asyncio.create_task(_follow(follower, followed)),
+        ]
+    await asyncio.sleep(chance.uniform(3, 5))
+    source.write('a', 1)
+    await asyncio.sleep(1)
+    heard = {host: follower.is_current() for host, (follower, _) in followers.items()}
+    known = {host: 'a' in view.objects_by_name for host, (_, view) in followers.items()}
+    for task in tasks[:6]:
+        task.cancel()
+    await asyncio.sleep(4)
+    lost = {host: follower.is_current() for host, (follower, _) in followers.items()}
+    await _end(tasks)
+    return heard, known, lost
+
+
+@then('the follower knew of the changes, and later knows that it hears from nobody')
+def step_relay_told(context):
+    for heard, known, lost in context.told:
+        assert all(heard.values()), heard
+        assert all(known.values()), known
+        assert not any(lost.values()), lost
--- a/features/watch_duty.feature
+++ b/features/watch_duty.feature
@@ -6,6 +6,20 @@
     And each other host follows exactly these
     And in smaller regions all hosts watch
 
+  Scenario: In a large region hosts pass on what the watchers tell
+    This guards against watchers whose bytes grow with the region.
+
+    When regions of 40, 92 and 200 hosts know each other
+    Then each host is followed by at most 16 others, and by at most 40 in the largest
+    And each follows two hosts that are at most one host away from the store
+
+  Scenario: Hosts that follow each other do not keep each other current
+    This guards against hosts that believe what they hear although nobody hears from the store.
+
+    Given two watchers, two relays that follow them and a follower of the relays
+    When objects change, and then both watchers lose the store
+    Then the follower knew of the changes, and later knows that it hears from nobody
+
   Scenario: A watcher that fails is replaced
     This guards against a region that hears nothing more when its watchers are cut off.
 
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -20,6 +20,9 @@
 _SILENT_S = 1.2
 # For so long a watcher may be without word from the store until another one steps in.
 _PENDING_S = 1.0
+# A watcher and a relay. Hosts that follow each other count up to this and find that neither hears
+# from the store.
+_MOST_HOPS = 1
 _MS_IN_S = 1_000
 
 
@@ -28,6 +31,7 @@
     number: int = 0
     is_complete: bool = False
     is_current: bool = False
+    hops: int = 0
     store_up_s: float = 0
     heard_at: float = 0
     asked_at: float = 0
@@ -84,6 +88,11 @@
         """Return whether some watcher hears from the store and tells everything."""
         return any(self._is_sound(source) for source in self._sources_by_host.values())
 
+    def hops(self) -> int:
+        """Return by how many hosts this one is away from the store, if it hears of it."""
+        sound = (one.hops for one in self._sources_by_host.values() if self._is_sound(one))
+        return 1 + min(sound, default=_MOST_HOPS)
+
     def store_up_for_s(self) -> float:
         """Return for how long the store has answered the watchers, in seconds."""
         return max(
@@ -100,7 +109,8 @@
 
     def _is_sound(self, source: _Source) -> bool:
         silent_s = self._environment.clock.monotonic() - source.heard_at
-        return source.is_complete and source.is_current and silent_s < _SILENT_S
+        is_told = source.is_complete and source.is_current and source.hops <= _MOST_HOPS
+        return is_told and silent_s < _SILENT_S
 
     async def _ask(self, host: str, source: _Source) -> None:
         message = FeedSubscribe(needs_listing=not source.is_complete)
@@ -137,6 +147,7 @@
         if message.number != source.number:
             source.is_complete = False
         source.is_current = message.is_current
+        source.hops = message.hops
         source.store_up_s = message.store_up_ms / _MS_IN_S
         source.heard_at = self._environment.clock.monotonic()
         if self._is_sound(source):
--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -21,12 +21,15 @@
 
 
 class StoreWatch(Protocol):
-    """Whether this host hears from the store itself."""
+    """Whether this host hears of the store."""
 
-    def is_current(self) -> bool:
-        """Return whether all kinds are watched and the store answers."""
+    def hears(self) -> bool:
+        """Return whether this host hears of every change, from the store or from others."""
 
-    def up_for_s(self) -> float:
+    def hops(self) -> int:
+        """Return by how many hosts it is away from the store."""
+
+    def store_up_for_s(self) -> float:
         """Return for how many seconds the store has answered."""
 
 
@@ -80,8 +83,9 @@
     async def _send_status(self, host: str, subscription: _Subscription) -> None:
         status = FeedStatus(
             number=subscription.number,
-            is_current=self._watch.is_current(),
-            store_up_ms=int(self._watch.up_for_s() * _MS_IN_S),
+            is_current=self._watch.hears(),
+            hops=self._watch.hops(),
+            store_up_ms=int(self._watch.store_up_for_s() * _MS_IN_S),
         )
         if not await self._network.send(host, status):
             self._subscriptions_by_host.pop(host, None)
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -74,6 +74,14 @@
         is_watching = all(feed.is_current() for feed in self._feeds)
         return bool(self._tasks) and is_watching and self._contact.is_up()
 
+    def hears(self) -> bool:
+        """Return whether this host hears every change, from the store or from others."""
+        return self.is_current() or self._follower.is_current()
+
+    def hops(self) -> int:
+        """Return by how many hosts this one is away from the store."""
+        return 0 if self.is_current() else self._follower.hops()
+
     def up_for_s(self) -> float:
         """Return for how long the store has answered this host, in seconds."""
         return self._contact.up_for_s() if self._tasks else 0
