Soak real entry hosts under random faults

Change: python -m tools.soak plays seeds on real hosts as processes; the store, the targets, a proxy for each host's way to the store and for each target, and the callers live in the soak. Faults overlap: kills, pauses, planned stops with further signals, stops while paused, reloads, a store that is busy, resets, is silent, loses answers or forgets, proxies that reset, silence, cut one way, refuse and delay, targets that are slow, lose answers, crash, drain, vanish or hand their address to another service, manifests, evacuations. While it plays it checks what callers were told against what targets ran (MIXED, TWICE, REFUSED, DENIED, UNASKED, ROUTE), and for hosts that no fault touched DRAIN, CONFIG, EVAC and LOST, then that 95% are served within 15 s of the last fault.

Clocks are not set by it: only a start reads the time of day (feature entry, clock set back).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = src standins tools benchmarks features
 export PYTHONPATH = $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup run test format lint types schema behave bench mutants binary
+.PHONY: setup run test format lint types schema behave bench mutants binary soak
 
 setup: $(VENV)/.installed
 
@@ -44,3 +44,8 @@
 
 binary: setup
 	$(BIN)/python -m tools.build_binary
+
+SEEDS ?= fresh:5
+
+soak: setup
+	$(BIN)/python -m tools.soak --seeds $(SEEDS)
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,155 @@
+"""Callers that follow look-ups and keep using open connections until these end."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import random
+from collections.abc import Callable
+
+from tools.soak.history import History, Sent
+from tools.soak.http_head import read_head
+
+NAME = 'soak.example'
+_PATIENCE_S = 2.0
+_PAUSE_S = 0.05
+_LOOKUP_S = 0.7
+_LOOKUP_TIMEOUT_S = 1.0
+_LARGE_BODY = b'x' * 3_000
+
+
+class Caller:
+    """One caller with at most one request in flight and one connection.
+
+    :param lookup_addresses: gives the look-up addresses to try.
+    :param host_of: tells which host a caller's address belongs to.
+    """
+
+    numbers = itertools.count()
+
+    def __init__(
+        self,
+        *,
+        history: History,
+        random_source: random.Random,
+        region: str,
+        lookup_addresses: Callable[[], list[str]],
+        host_of: Callable[[str], str],
+    ) -> None:
+        self._history = history
+        self._random = random_source
+        self._region = region
+        self._lookup_addresses = lookup_addresses
+        self._host_of = host_of
+        self._named: list[str] = []
+        self._named_until = 0.0
+        self._address = ''
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        try:
+            while True:
+                await self._look_up()
+                await self._send()
+                await asyncio.sleep(self._random.expovariate(1 / _PAUSE_S))
+        finally:
+            self._hang_up()
+
+    async def _look_up(self) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() >= self._named_until:
+            asked_at = loop.time()
+            address = self._random.choice(self._lookup_addresses())
+            with contextlib.suppress(OSError, TimeoutError, ValueError, EOFError):
+                async with asyncio.timeout(_LOOKUP_TIMEOUT_S):
+                    self._named = await self._ask(address)
+                if self._named:
+                    self._named_until = asked_at + _LOOKUP_S
+                    if self._address not in self._named:
+                        self._hang_up()
+                    return
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _ask(self, address: str) -> list[str]:
+        number, port = address.split(':')
+        reader, writer = await asyncio.open_connection(number, int(port))
+        try:
+            path = f'/balsamrail/resolve?name={NAME}&region={self._region}&zone='
+            writer.write(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+            head = await read_head(reader)
+            body = await reader.readexactly(head.length())
+            addresses: list[str] = json.loads(body)['addresses']
+            return addresses
+        finally:
+            writer.close()
+
+    async def _send(self) -> None:
+        number = next(self.numbers)
+        is_idempotent = self._random.random() < 0.6
+        kind = 'read' if is_idempotent else 'book'
+        sent = Sent(
+            request_id=f'q{number}',
+            host='',
+            path=f'/{kind}/{number}',
+            is_idempotent=is_idempotent,
+            sent_at=asyncio.get_running_loop().time(),
+        )
+        with contextlib.suppress(OSError, TimeoutError, EOFError):
+            async with asyncio.timeout(_PATIENCE_S + 1):
+                await self._connect()
+                sent.host = self._host_of(self._address)
+                sent.sent_at = asyncio.get_running_loop().time()
+                self._history.sent.append(sent)
+                await self._exchange(sent)
+        sent.ended_at = asyncio.get_running_loop().time()
+        if sent.told == 'cut':
+            self._hang_up()
+
+    async def _connect(self) -> None:
+        if self._writer is not None and not self._writer.is_closing():
+            if self._reader is not None and not self._reader.at_eof():
+                return
+        self._hang_up()
+        self._address = self._random.choice(self._named)
+        number, port = self._address.split(':')
+        self._reader, self._writer = await asyncio.open_connection(number, int(port))
+
+    async def _exchange(self, sent: Sent) -> None:
+        assert self._reader is not None and self._writer is not None
+        body = b'' if sent.is_idempotent else _LARGE_BODY
+        method = 'GET' if sent.is_idempotent else 'POST'
+        lines = [
+            f'{method} {sent.path} HTTP/1.1',
+            f'Host: {NAME}',
+            f'X-Request-Id: {sent.request_id}',
+            f'X-Timeout-Ms: {int(_PATIENCE_S * 1_000)}',
+            f'Cookie: X-Affinity-Key={self._random.randrange(40)}',
+            f'Content-Length: {len(body)}',
+        ]
+        self._writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+        head = await read_head(self._reader)
+        answer = await self._reader.readexactly(head.length())
+        sent.status = int(head.start[1])
+        sent.told = _told(sent.status)
+        expected = f'{sent.request_id} {sent.path} '.encode() + body
+        signature = head.headers.get('x-response-signature')
+        if sent.told == 'done' and (answer != expected or signature != f's-{sent.request_id}'):
+            sent.fault = f'answered with {answer[:60]!r}, signature {signature}'
+        if head.headers.get('connection', '').lower() == 'close':
+            self._hang_up()
+
+    def _hang_up(self) -> None:
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+        self._address = ''
+
+
+def _told(status: int) -> str:
+    if 200 <= status < 300:
+        return 'done'
+    if status in {408, 421, 429, 503}:
+        return 'refused'
+    return 'denied' if 300 <= status < 500 else 'failed'
--- /dev/null
+++ b/tools/soak/deployment.py
@@ -0,0 +1,179 @@
+"""The store, the hosts and the targets of a run."""
+
+import asyncio
+import itertools
+import os
+import random
+from pathlib import Path
+from typing import Any
+
+from standins.platform_store import PlatformStore
+from tools.soak.callers import NAME
+from tools.soak.history import History
+from tools.soak.soak_host import SoakHost
+from tools.soak.soak_target import SoakTarget
+
+REGION_BY_ZONE = {
+    'north-a': 'north',
+    'north-b': 'north',
+    'south-a': 'south',
+    'south-b': 'south',
+}
+_SERVICES = ('reads', 'others', 'books')
+_READY_S = 20.0
+_LIMITS = {
+    'maxHeaderBytes': 8_000,
+    'maxBodyBytes': 100_000,
+    'headerTimeoutS': 3,
+    'idleTimeoutS': 9,
+}
+
+
+class Deployment:
+    """Builds everything; ``faults`` takes what went wrong apart from the promises.
+
+    :param hosts: the number of entry hosts.
+    """
+
+    def __init__(self, *, folder: Path, hosts: int, random_source: random.Random) -> None:
+        self.history = History()
+        self.faults: list[str] = []
+        self.store = PlatformStore()
+        self.zones = tuple(REGION_BY_ZONE)
+        self._random = random_source
+        self._versions = itertools.count(3, 2)
+        self._numbers = itertools.count()
+        self._busy: set[str] = set()
+        network = f'127.{60 + os.getpid() % 150}.{os.getpid() // 150 % 250}'
+        self.hosts = [
+            SoakHost(
+                name=f'{self.zones[number % 4]}-{number}',
+                zone=self.zones[number % 4],
+                number=f'{network}.{number + 1}',
+                regions=REGION_BY_ZONE,
+                folder=folder,
+            )
+            for number in range(hosts)
+        ]
+        self.targets: list[SoakTarget] = []
+
+    async def start(self) -> None:
+        """Start the store, the targets and the hosts, and wait until all are ready."""
+        await self.store.start()
+        self.change_manifest('reads')
+        for service in _SERVICES:
+            for zone in self.zones:
+                await self._add_target(service, zone)
+        seeds = [host.peer_address for host in self.hosts[:3]]
+        for host in self.hosts:
+            await host.prepare(store_address=self.store.address, seeds=seeds)
+            host.start()
+        for host in self.hosts:
+            await self.until_ready(host)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for host in self.hosts:
+            host.end()
+        for target in self.targets:
+            target.stop()
+        await self.store.stop()
+
+    async def until_ready(self, host: SoakHost) -> None:
+        """Wait until a host serves; a fault is noted if it does not in time."""
+        number = host.caller_address.partition(':')[0]
+        end = asyncio.get_running_loop().time() + _READY_S
+        while asyncio.get_running_loop().time() < end:
+            try:
+                async with asyncio.timeout(1):
+                    reader, writer = await asyncio.open_connection(number, 8001)
+                    writer.write(b'GET /balsamrail/readyz HTTP/1.1\r\nHost: x\r\n\r\n')
+                    line = await reader.readline()
+                    writer.close()
+            except (OSError, TimeoutError):
+                line = b''
+            if b' 200 ' in line:
+                return
+            await asyncio.sleep(0.05)
+        if self.store.mode == 'up':
+            self.faults.append(f'{host.name} was not ready within {_READY_S} s')
+
+    def change_manifest(self, service: str) -> None:
+        """Write a manifest that sends reads to a service."""
+        self.store.put('config', 'main', _manifest(next(self._versions), service))
+        self.history.manifests.append((asyncio.get_running_loop().time(), service))
+
+    def free_target(self, random_source: random.Random) -> SoakTarget | None:
+        """Return a target whose service has others left, and keep it for the caller."""
+        free = [
+            target
+            for target in self.targets
+            if target.target_id not in self._busy
+            and sum(
+                other.service == target.service and other.target_id not in self._busy
+                for other in self.targets
+            )
+            > 2
+        ]
+        if not free:
+            return None
+        chosen = random_source.choice(free)
+        self._busy.add(chosen.target_id)
+        return chosen
+
+    def release(self, target: SoakTarget) -> None:
+        """Let a target be chosen again."""
+        self._busy.discard(target.target_id)
+
+    async def take_over(self, gone: SoakTarget) -> None:
+        """Give the address of a target that is gone to a new one of another service."""
+        others = [service for service in _SERVICES if service != gone.service]
+        new = self._make_target(self._random.choice(others), gone.zone)
+        new.proxy = gone.proxy
+        await new.resume()
+        self.targets.remove(gone)
+        self.targets.append(new)
+        await self._add_target(gone.service, gone.zone)
+
+    async def _add_target(self, service: str, zone: str) -> None:
+        target = self._make_target(service, zone)
+        await target.start()
+        self.targets.append(target)
+
+    def _make_target(self, service: str, zone: str) -> SoakTarget:
+        return SoakTarget(
+            target_id=f'i-{next(self._numbers)}',
+            service=service,
+            zone=zone,
+            store=self.store,
+            history=self.history,
+            random_source=self._random,
+        )
+
+
+def _manifest(version: int, service: str) -> dict[str, Any]:
+    services = [
+        _resource('services', name, {'healthPath': '/health', 'maxConnections': 200})
+        for name in _SERVICES
+    ]
+    reads = _route('read', 'idempotent', service)
+    books = _route('book', 'non_idempotent', 'books')
+    limits = _resource('limits', 'limits', _LIMITS)
+    return {'version': version, 'resources': [reads, books, limits, *services]}
+
+
+def _route(kind: str, repeats: str, service: str) -> dict[str, Any]:
+    spec = {
+        'host': NAME,
+        'pathPrefix': f'/{kind}/',
+        'kind': repeats,
+        'timeoutS': 1.5,
+        'maxAttempts': 3,
+        'sticky': True,
+        'service': service,
+    }
+    return _resource('routes', kind, spec)
+
+
+def _resource(kind: str, name: str, spec: dict[str, Any]) -> dict[str, Any]:
+    return {'entryKind': kind, 'metadata': {'name': name}, 'spec': spec}
--- /dev/null
+++ b/tools/soak/fault_proxy.py
@@ -0,0 +1,105 @@
+"""A loopback proxy that harms the connections through it."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from dataclasses import dataclass, field
+
+_CHUNK = 65_536
+# Closing with this option sends a reset.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+@dataclass(slots=True, eq=False)
+class _Pipe:
+    client: asyncio.StreamWriter
+    server: asyncio.StreamWriter | None = None
+    # Directions in which nothing passes any more: 'up' to the server, 'down' from it.
+    silent: set[str] = field(default_factory=set)
+
+
+class FaultProxy:
+    """Forwards connections to ``target`` and can delay, reset, silence, cut and refuse them.
+
+    :param target: the address, ``None`` while nothing listens there.
+    """
+
+    def __init__(self, *, target: str) -> None:
+        self.target = target
+        self.address = ''
+        self.delay_s = 0.0
+        self.is_refusing = False
+        # Directions that new and open connections lose, one of them for a one-way cut.
+        self.cut: set[str] = set()
+        self._pipes: set[_Pipe] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        self.address = f'127.0.0.1:{self._server.sockets[0].getsockname()[1]}'
+
+    def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        for pipe in list(self._pipes):
+            _close(pipe, is_reset=False)
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for pipe in list(self._pipes):
+            _close(pipe, is_reset=True)
+
+    def silence(self) -> None:
+        """Let open connections go silent for good; new ones work."""
+        for pipe in self._pipes:
+            pipe.silent |= {'up', 'down'}
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        pipe = _Pipe(writer)
+        self._pipes.add(pipe)
+        try:
+            if self.is_refusing:
+                return
+            number, port = self.target.split(':')
+            with contextlib.suppress(OSError):
+                far_reader, pipe.server = await asyncio.open_connection(number, int(port))
+                await asyncio.gather(
+                    self._pump(pipe, reader, pipe.server, 'up'),
+                    self._pump(pipe, far_reader, writer, 'down'),
+                )
+        finally:
+            self._pipes.discard(pipe)
+            _close(pipe, is_reset=pipe.server is None)
+
+    async def _pump(
+        self,
+        pipe: _Pipe,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: str,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while chunk := await reader.read(_CHUNK):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if direction in pipe.silent or direction in self.cut:
+                    # What is lost in the middle cannot be made up for, so the rest is lost too.
+                    pipe.silent.add(direction)
+                    continue
+                writer.write(chunk)
+                await writer.drain()
+        if direction not in pipe.silent:
+            _close(pipe, is_reset=False)
+
+
+def _close(pipe: _Pipe, *, is_reset: bool) -> None:
+    for writer in (pipe.client, pipe.server):
+        if writer is None or writer.is_closing():
+            continue
+        raw = writer.get_extra_info('socket')
+        if is_reset and raw is not None:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        writer.close()
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,252 @@
+"""The faults of a run, drawn from its seed; they come in series and overlap."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from tools.soak.deployment import Deployment
+from tools.soak.history import Span
+from tools.soak.soak_host import SoakHost
+
+# A host ends within its grace of 6 s after SIGTERM.
+_GRACE_S = 6.0
+_PAUSE_S = (0.2, 1.5)
+
+
+class Faults:
+    """Injects faults until told to stop, then lets everything recover."""
+
+    def __init__(self, *, deployment: Deployment, random_source: random.Random) -> None:
+        self._deployment = deployment
+        self._history = deployment.history
+        self._random = random_source
+        self.played: list[str] = []
+        self._kinds: tuple[Callable[[], Awaitable[None]], ...] = (
+            self._kill,
+            self._pause,
+            self._planned_stop,
+            self._planned_stop,
+            self._stop_while_paused,
+            self._reload,
+            self._store_mode,
+            self._store_loses,
+            self._store_forgets,
+            self._host_loses_store,
+            self._target_connections,
+            self._target_slow,
+            self._target_loses,
+            self._target_crashes,
+            self._target_drains,
+            self._target_is_replaced,
+            self._manifest_changes,
+            self._zone_is_evacuated,
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Play faults for some seconds and wait until all of them have ended."""
+        end = asyncio.get_running_loop().time() + seconds
+        async with asyncio.TaskGroup() as group:
+            while asyncio.get_running_loop().time() < end:
+                fault = self._random.choice(self._kinds)
+                self.played.append(fault.__name__.strip('_'))
+                group.create_task(fault())
+                await asyncio.sleep(self._random.uniform(*_PAUSE_S))
+
+    def _span(self, kind: str, host: str) -> Span:
+        span = Span(kind=kind, host=host, begin=asyncio.get_running_loop().time())
+        self._history.spans.append(span)
+        return span
+
+    def _end(self, span: Span) -> None:
+        span.end = asyncio.get_running_loop().time()
+
+    async def _sleep(self, least_s: float, most_s: float) -> None:
+        await asyncio.sleep(self._random.uniform(least_s, most_s))
+
+    def _host(self) -> SoakHost | None:
+        """Return a host that may be disturbed; one is always left alone."""
+        free = [host for host in self._deployment.hosts if host.name not in self._busy()]
+        return self._random.choice(free) if len(free) > 1 else None
+
+    def _busy(self) -> set[str]:
+        return {span.host for span in self._history.spans if span.end == float('inf')} | {
+            stop.host for stop in self._history.stops if stop.end == float('inf')
+        }
+
+    async def _kill(self) -> None:
+        host = self._host()
+        if host is None:
+            return
+        span = self._span('kill', host.name)
+        host.signal(signal.SIGKILL)
+        await host.wait(_GRACE_S)
+        await self._sleep(0, 2)
+        host.start()
+        await self._deployment.until_ready(host)
+        self._end(span)
+
+    async def _pause(self) -> None:
+        host = self._host()
+        if host is None:
+            return
+        span = self._span('pause', host.name)
+        host.signal(signal.SIGSTOP)
+        await self._sleep(0.2, 5)
+        host.signal(signal.SIGCONT)
+        self._end(span)
+
+    async def _planned_stop(self) -> None:
+        host = self._host()
+        if host is None:
+            return
+        stop = Span(kind='stop', host=host.name, begin=asyncio.get_running_loop().time())
+        self._history.stops.append(stop)
+        host.signal(signal.SIGTERM)
+        if self._random.random() < 0.3:
+            # Signals come in series.
+            await self._sleep(0, 0.5)
+            host.signal(self._random.choice((signal.SIGHUP, signal.SIGTERM)))
+        code = await host.wait(_GRACE_S)
+        self._end(stop)
+        if code != 0:
+            self._deployment.faults.append(f'{host.name} ended with {code} after SIGTERM')
+            host.signal(signal.SIGKILL)
+            await host.wait(_GRACE_S)
+        start = self._span('start', host.name)
+        await self._sleep(0, 1)
+        host.start()
+        await self._deployment.until_ready(host)
+        self._end(start)
+
+    async def _stop_while_paused(self) -> None:
+        host = self._host()
+        if host is None:
+            return
+        span = self._span('stop while paused', host.name)
+        host.signal(signal.SIGSTOP)
+        await self._sleep(0.1, 1)
+        host.signal(signal.SIGTERM)
+        await self._sleep(0.1, 1)
+        host.signal(signal.SIGCONT)
+        if await host.wait(_GRACE_S) is None:
+            self._deployment.faults.append(f'{host.name} did not end after SIGTERM and a pause')
+            host.signal(signal.SIGKILL)
+            await host.wait(_GRACE_S)
+        host.start()
+        await self._deployment.until_ready(host)
+        self._end(span)
+
+    async def _reload(self) -> None:
+        host = self._host()
+        if host is not None:
+            host.signal(signal.SIGHUP)
+
+    async def _store_mode(self) -> None:
+        span = self._span('store', '')
+        self._deployment.store.mode = self._random.choice(('busy', 'reset', 'silent'))
+        await self._sleep(0.5, 6)
+        self._deployment.store.mode = 'up'
+        self._end(span)
+
+    async def _store_loses(self) -> None:
+        span = self._span('store loses answers', '')
+        self._deployment.store.losing = True
+        await self._sleep(0.5, 3)
+        self._deployment.store.losing = False
+        self._end(span)
+
+    async def _store_forgets(self) -> None:
+        span = self._span('store forgets', '')
+        self._deployment.store.forget()
+        await self._sleep(0, 0.5)
+        self._end(span)
+
+    async def _host_loses_store(self) -> None:
+        host = self._host()
+        if host is None:
+            return
+        proxy = host.store_proxy
+        span = self._span('store proxy', host.name)
+        match self._random.randrange(5):
+            case 0:
+                proxy.reset()
+            case 1:
+                proxy.silence()
+            case 2:
+                proxy.cut = {self._random.choice(('up', 'down'))}
+            case 3:
+                proxy.is_refusing = True
+                proxy.reset()
+            case 4:
+                proxy.delay_s = 0.3
+        await self._sleep(0.2, 5)
+        proxy.cut, proxy.is_refusing, proxy.delay_s = set(), False, 0.0
+        self._end(span)
+
+    async def _target_connections(self) -> None:
+        target = self._random.choice(self._deployment.targets)
+        if self._random.random() < 0.5:
+            target.proxy.reset()
+        else:
+            target.proxy.silence()
+
+    async def _target_slow(self) -> None:
+        target = self._random.choice(self._deployment.targets)
+        target.work_s, target.proxy.delay_s = 0.5, 0.05
+        await self._sleep(0.5, 4)
+        target.work_s, target.proxy.delay_s = 0.03, 0.0
+
+    async def _target_loses(self) -> None:
+        target = self._random.choice(self._deployment.targets)
+        target.losing = 0.5
+        await self._sleep(0.5, 3)
+        target.losing = 0.0
+
+    async def _target_crashes(self) -> None:
+        target = self._deployment.free_target(self._random)
+        if target is None:
+            return
+        target.crash()
+        await self._sleep(0.2, 3)
+        if self._random.random() < 0.5:
+            target.unregister()
+        await target.resume()
+        self._deployment.release(target)
+
+    async def _target_drains(self) -> None:
+        target = self._deployment.free_target(self._random)
+        if target is None:
+            return
+        if self._random.random() < 0.7:
+            target.register('draining')
+        else:
+            target.unregister()
+        await self._sleep(3, 5)
+        target.register('ready')
+        self._deployment.release(target)
+
+    async def _target_is_replaced(self) -> None:
+        """Another service takes over the address of a target that is gone."""
+        target = self._deployment.free_target(self._random)
+        if target is None:
+            return
+        target.register('draining')
+        await self._sleep(2.5, 4)
+        target.unregister()
+        target.crash()
+        await self._deployment.take_over(target)
+
+    async def _manifest_changes(self) -> None:
+        self._deployment.change_manifest(self._random.choice(('reads', 'others')))
+
+    async def _zone_is_evacuated(self) -> None:
+        zone = self._random.choice(sorted(self._deployment.zones))
+        if any(span.end == float('inf') for span in self._history.evacuated):
+            return
+        span = Span(kind='evacuation', host=zone, begin=asyncio.get_running_loop().time())
+        self._deployment.store.put('evacuations', zone, {})
+        self._history.evacuated.append(span)
+        await self._sleep(1, 8)
+        self._deployment.store.remove('evacuations', zone)
+        self._end(span)
--- /dev/null
+++ b/tools/soak/http_head.py
@@ -0,0 +1,29 @@
+"""Reads heads of requests and answers as they stand on a connection."""
+
+import asyncio
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True)
+class Head:
+    """A start line and headers, by lower-case name."""
+
+    start: list[str]
+    headers: dict[str, str]
+
+    def length(self) -> int:
+        """Return the length of the body in bytes."""
+        return int(self.headers.get('content-length', '0'))
+
+
+async def read_head(reader: asyncio.StreamReader) -> Head:
+    """Read one head.
+
+    :raises asyncio.IncompleteReadError: if the connection ends before it is complete.
+    """
+    lines = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').split('\r\n')
+    pairs = (line.partition(':') for line in lines[1:] if line)
+    return Head(
+        start=lines[0].split(' ', 2),
+        headers={name.strip().lower(): value.strip() for name, _, value in pairs},
+    )
--- /dev/null
+++ b/tools/soak/run.py
@@ -0,0 +1,97 @@
+"""One run of the soak."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tools.soak.callers import Caller
+from tools.soak.deployment import REGION_BY_ZONE, Deployment
+from tools.soak.faults import Faults
+from tools.soak.promises import broken, outcomes, served_share
+
+# After the last fault everything is served again within this time.
+_RECOVERY_S = 15.0
+_CALM_S = 3.0
+_SERVED = 0.95
+# Requests that were sent within this time may still be on their way.
+_LONGEST_S = 1.0
+_CHECK_S = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Report:
+    """What one run showed.
+
+    :param broken: a line for each broken promise or other fault.
+    """
+
+    seed: int
+    broken: list[str]
+    outcomes: dict[str, int]
+    faults: dict[str, int] = field(default_factory=dict)
+
+    def line(self) -> str:
+        """Return the report in one line."""
+        verdict = 'broken' if self.broken else 'ok'
+        return f'seed {self.seed}: {verdict}, {self.outcomes}, faults {self.faults}'
+
+
+async def run_seed(*, seed: int, folder: Path, seconds: float, hosts: int, callers: int) -> Report:
+    """Play the faults of a seed; logs of the hosts are left in ``folder``."""
+    random_source = random.Random(seed)
+    deployment = Deployment(folder=folder, hosts=hosts, random_source=random.Random(seed + 1))
+    faults = Faults(deployment=deployment, random_source=random_source)
+    tasks: list[asyncio.Task[None]] = []
+    try:
+        await deployment.start()
+        tasks = _start_callers(deployment, callers, seed)
+        await asyncio.sleep(_CALM_S)
+        playing = asyncio.create_task(faults.run(seconds))
+        while not playing.done():
+            await asyncio.wait([playing], timeout=_CHECK_S)
+            if broken(deployment.history):
+                break
+        else:
+            await playing
+            await _check_recovery(deployment)
+        playing.cancel()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await deployment.stop()
+    return Report(
+        seed=seed,
+        broken=[*broken(deployment.history), *deployment.faults],
+        outcomes=outcomes(deployment.history),
+        faults=dict(Counter(faults.played)),
+    )
+
+
+def _start_callers(deployment: Deployment, count: int, seed: int) -> list[asyncio.Task[None]]:
+    host_by_address = {host.caller_address: host.name for host in deployment.hosts}
+    regions = sorted(set(REGION_BY_ZONE.values()))
+    callers = [
+        Caller(
+            history=deployment.history,
+            random_source=random.Random(seed * 1_000 + number),
+            region=regions[number % len(regions)],
+            lookup_addresses=lambda: [host.lookup_address for host in deployment.hosts],
+            host_of=lambda address: host_by_address.get(address, address),
+        )
+        for number in range(count)
+    ]
+    return [asyncio.create_task(caller.run()) for caller in callers]
+
+
+async def _check_recovery(deployment: Deployment) -> None:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + _RECOVERY_S
+    share = 0.0
+    while share < _SERVED and loop.time() < end:
+        await asyncio.sleep(_CALM_S)
+        share = served_share(deployment.history, loop.time() - _CALM_S, loop.time() - _LONGEST_S)
+    if share < _SERVED:
+        deployment.faults.append(f'RECOVER only {share:.3f} were served at the end')
--- /dev/null
+++ b/tools/soak/soak_host.py
@@ -0,0 +1,111 @@
+"""A real entry host as a process of its own."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from tools.soak.fault_proxy import FaultProxy
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+BOUNDS = {
+    'contact_s': 3,
+    'drain_s': 2,
+    'config_apply_s': 2,
+    'evacuate_s': 5,
+    'stop_grace_s': 6,
+    'retry_ratio': 0.2,
+    'retry_slack': 58,
+    'retry_window_s': 10,
+    'cold_overage': 1.5,
+    'cold_slack': 5,
+    'lookup_ttl_s': 5,
+    'max_shift': 0.15,
+}
+
+
+class SoakHost:
+    """Starts, signals and ends one process; it reaches the store through a proxy of its own."""
+
+    def __init__(
+        self, *, name: str, zone: str, number: str, regions: dict[str, str], folder: Path
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.region = regions[zone]
+        self.caller_address = f'{number}:8000'
+        self.lookup_address = f'{number}:8002'
+        self.peer_address = f'{number}:8003'
+        self.store_proxy = FaultProxy(target='')
+        self.process: subprocess.Popen[bytes] | None = None
+        self.is_paused = False
+        self._regions = regions
+        self._number = number
+        self._settings = folder / f'{name}.json'
+        self._log = folder / f'{name}.log'
+
+    async def prepare(self, *, store_address: str, seeds: list[str]) -> None:
+        """Start the proxy and write the settings."""
+        self.store_proxy.target = store_address
+        await self.store_proxy.start()
+        self.write_settings(seeds=seeds)
+
+    def write_settings(self, *, seeds: list[str]) -> None:
+        """Write the settings file."""
+        document: dict[str, Any] = {
+            'deployment': 'soak',
+            'host': self.name,
+            'region': self.region,
+            'availability_zone': self.zone,
+            'region_by_availability_zone': self._regions,
+            'caller_address': self.caller_address,
+            'readiness_address': f'{self._number}:8001',
+            'lookup_address': self.lookup_address,
+            'peer_address': self.peer_address,
+            'operator_address': f'{self._number}:8004',
+            'seeds': seeds,
+            'store': {'address': self.store_proxy.address, 'timeout_s': 1.5},
+            'bounds': BOUNDS,
+            'limits': {'heartbeat_s': 0.5, 'suspect_after_s': 1.5, 'gone_after_s': 0.5},
+        }
+        self._settings.write_text(json.dumps(document))
+
+    def start(self) -> None:
+        """Start the process; its log is appended to."""
+        with self._log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'balsamrail.entry', str(self._settings)],
+                cwd=ROOT,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, 'PYTHONPATH': f'{ROOT / "src"}'},
+            )
+
+    def is_running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait(self, limit_s: float) -> int | None:
+        """Return the exit code, ``None`` if the process did not end in time."""
+        end = asyncio.get_running_loop().time() + limit_s
+        while self.process is not None and self.process.poll() is None:
+            if asyncio.get_running_loop().time() >= end:
+                return None
+            await asyncio.sleep(0.02)
+        return self.process.returncode if self.process is not None else 0
+
+    def end(self) -> None:
+        """Kill the process and close the proxy."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.store_proxy.stop()
