Spread routes without objects to the emptier of two targets

Cause: requests of routes without sticky objects were placed by their id alone, so a full target refused beside an empty one ("not built" in docs/platform.md).

Change: of the two targets that the id names, the emptier one takes the request, up to the same bound.

Scenario "Without objects the emptier target is taken" failed before (4 and 2 requests, then refused).

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -60,6 +60,13 @@
     When requests of priority 3 for it arrive and none ends
     Then the first target takes 3, the second 2, and the next is refused as overloaded
 
+  Scenario: Without objects the emptier target is taken
+    This guards against a full target beside an empty one on routes where any target will do.
+
+    Given an object whose two targets have two slots each
+    When requests of a route without objects arrive and none ends
+    Then both targets take 4 in turn, and the next is refused as overloaded
+
   Scenario: A slow target comes after the other one for a while
     This guards against requests that wait at a target which has become slow.
 
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -233,6 +233,19 @@
     _fill(context, make_route(priority=priority))
 
 
+@when('requests of a route without objects arrive and none ends')
+def step_arrive_without_objects(context):
+    _fill(context, make_route(is_sticky=False))
+
+
+@then('both targets take {count:d} in turn, and the next is refused as {why}')
+def step_in_turn(context, count, why):
+    assert Counter(context.taken) == {'i-1': count, 'i-2': count}, context.taken
+    pairs = zip(context.taken[::2], context.taken[1::2], strict=True)
+    assert all(first != second for first, second in pairs), context.taken
+    assert context.refused.reason == why
+
+
 def _fill(context, route):
     context.taken = []
     while True:
--- a/src/balsamrail/placement/chooser.py
+++ b/src/balsamrail/placement/chooser.py
@@ -45,6 +45,9 @@
     that spilling to further targets makes all of them slower. A request therefore goes to one of
     the first targets of its object or is refused; to another one only if none of these is up.
 
+    On routes where a target is no faster for known objects, the emptier one of two targets that
+    the request's id names is taken.
+
     It answers the load of bursts and of lost targets: what cannot be answered in time is refused
     at once, and known objects go before unknown ones.
     """
@@ -75,8 +78,11 @@
         if not usable:
             return Refused(reason='no_target', retry_after_s=_RETRY_S)
         full = max(_LOWEST_FULL, _FULL - _PRIORITY_STEP * route.priority)
+        if not route.is_sticky:
+            # Any target serves as well as another, so the emptier one of two is best.
+            usable.sort(key=lambda state: (state.is_bad(now=now), state.fill(now=now)))
         for position, state in enumerate(usable):
-            if state.fill(now=now) < (_SPARE if position else full):
+            if state.fill(now=now) < (_SPARE if position and route.is_sticky else full):
                 if state.is_cold(now=now):
                     self._gate.note_sent(state.entry.target_id, now=now)
                 return state
