--- a/src/balsamrail/delivery/http_connection.py
+++ b/src/balsamrail/delivery/http_connection.py
@@ -10,9 +10,8 @@
 from balsamrail.clock import Clock
 from balsamrail.delivery.answer_reader import AnswerReader
 from balsamrail.delivery.http_message import HttpAnswer, HttpRequest
-from balsamrail.errors import ExchangeError
+from balsamrail.errors import ConnectError, ExchangeError
 from balsamrail.exchange.upstream_stream import UpstreamStream
-from balsamrail.settings.address import split_address
 
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 _HEADER_BYTES = 65_536
@@ -76,20 +75,11 @@
         :raises ExchangeError: if it is refused or not open by then.
         """
         try:
-            async with asyncio.timeout_at(deadline):
-                await self._stream.connect(split_address(self.address))
-        except TimeoutError:
-            self.close()
+            await self._stream.open(address=self.address, deadline=deadline)
+        except ConnectError as error:
             raise ExchangeError(
-                detail='connecting took too long', may_have_run=False, has_timed_out=True
-            )
-        except (OSError, StreamClosedError) as error:
-            self.close()
-            cause = getattr(error, 'real_error', None) or error
-            raise ExchangeError(detail=f'cannot connect: {cause}', may_have_run=False)
-        except BaseException:
-            self.close()
-            raise
+                detail=error.detail, may_have_run=False, has_timed_out=error.has_timed_out
+            ) from error
 
     def is_quiet(self) -> bool:
         """Return whether the connection is open with nothing left to read or write."""
--- a/src/balsamrail/errors.py
+++ b/src/balsamrail/errors.py
@@ -32,6 +32,21 @@
     code = 'entry_invalid'
 
 
+class ConnectError(BalsamrailError):
+    """A connection could not be opened.
+
+    :param detail: one sentence for a person.
+    :param has_timed_out: whether there was no answer in time; otherwise it was refused.
+    """
+
+    code = 'connect_failed'
+
+    def __init__(self, *, detail: str, has_timed_out: bool) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.has_timed_out = has_timed_out
+
+
 class ExchangeError(BalsamrailError):
     """A request on a connection ended without a complete answer.
 
--- a/src/balsamrail/exchange/upstream_stream.py
+++ b/src/balsamrail/exchange/upstream_stream.py
@@ -1,10 +1,12 @@
 """The stream below a connection to an upstream."""
 
+import asyncio
 import ipaddress
 import socket
 
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 
+from balsamrail.errors import ConnectError
 from balsamrail.settings.address import split_address
 
 _MS_IN_S = 1_000
@@ -47,6 +49,26 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
         return cls(sock, max_buffer_size=buffer_bytes)
 
+    async def open(self, *, address: str, deadline: float) -> None:
+        """Connect, or close the stream.
+
+        :param deadline: the loop's time in seconds at which the attempt is given up.
+        :raises ConnectError: if it is refused or not open by then.
+        """
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self.connect(split_address(address))
+        except TimeoutError:
+            self.close()
+            raise ConnectError(detail='connecting took too long', has_timed_out=True)
+        except (OSError, StreamClosedError) as error:
+            self.close()
+            cause = getattr(error, 'real_error', None) or error
+            raise ConnectError(detail=f'cannot connect: {cause}', has_timed_out=False)
+        except BaseException:
+            self.close()
+            raise
+
     def is_quiet(self) -> bool:
         """Return whether the stream is open with nothing left to read or write."""
         if self.closed() or self.writing() or self._read_buffer_size:
--- a/src/balsamrail/forwarding/upstream_connection.py
+++ b/src/balsamrail/forwarding/upstream_connection.py
@@ -7,12 +7,12 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from balsamrail.environment import Environment
+from balsamrail.errors import ConnectError
 from balsamrail.exchange.answer import Answer
 from balsamrail.exchange.upstream_stream import UpstreamStream
 from balsamrail.forwarding.answer_collector import AnswerCollector
 from balsamrail.forwarding.attempt_error import AttemptError
 from balsamrail.forwarding.outgoing import Outgoing
-from balsamrail.settings.address import split_address
 
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 # A small body goes out in one segment with the headers; a larger one is not copied for that.
@@ -55,20 +55,11 @@
         :raises AttemptError: if it is refused or not open by then.
         """
         try:
-            async with asyncio.timeout_at(deadline):
-                await self._stream.connect(split_address(self.address))
-        except TimeoutError:
-            self.close()
+            await self._stream.open(address=self.address, deadline=deadline)
+        except ConnectError as error:
             raise AttemptError(
-                detail='connecting took too long', may_have_run=False, timed_out=True
-            )
-        except (OSError, StreamClosedError) as error:
-            self.close()
-            cause = getattr(error, 'real_error', None) or error
-            raise AttemptError(detail=f'cannot connect: {cause}', may_have_run=False)
-        except BaseException:
-            self.close()
-            raise
+                detail=error.detail, may_have_run=False, timed_out=error.has_timed_out
+            ) from error
 
     def is_usable(self) -> bool:
         """Return whether another request may be written."""
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -36,6 +36,8 @@
             self._target_connections,
             self._target_slow,
             self._target_loses,
+            self._target_loses,
+            self._target_garbles,
             self._target_crashes,
             self._target_drains,
             self._target_is_replaced,
@@ -203,6 +205,12 @@
         await self._sleep(0.5, 3)
         target.losing = 0.0
 
+    async def _target_garbles(self) -> None:
+        target = self._random.choice(self._deployment.targets)
+        target.garbling = 0.3
+        await self._sleep(0.5, 3)
+        target.garbling = 0.0
+
     async def _target_crashes(self) -> None:
         target = self._deployment.free_target(self._random)
         if target is None:
--- a/tools/soak/soak_target.py
+++ b/tools/soak/soak_target.py
@@ -33,6 +33,8 @@
         self.zone = zone
         self.work_s = 0.03
         self.losing = 0.0
+        self.garbling = 0.0
+        self._last_answer = b''
         self.proxy = FaultProxy(target='127.0.0.1:1')
         self._born = 1
         self._store = store
@@ -147,7 +149,12 @@
         answer = f'{request_id} {path} '.encode() + body
         headers = {'X-Request-Id': request_id, 'X-Response-Signature': f's-{request_id}'}
         headers['X-Server-Load'] = f'{min(self._running, _SLOTS)},0,{_SLOTS}'
-        writer.write(_message(200, answer, headers))
+        whole = _message(200, answer, headers)
+        if self._random.random() < self.garbling:
+            # An answer of another request comes first, or this one twice.
+            writer.write(self._random.choice((self._last_answer, whole)))
+        self._last_answer = whole
+        writer.write(whole)
         await writer.drain()
         return True
 
