Serve metrics in the format that collectors read, with the state of an entry host

Cause: the metrics page had lines of its own form with dots in their names, in microseconds, which common collectors refuse, and nothing on what the state is now: budgets, targets, the manifest's version, the store.

Change: the text format of Prometheus: counters end in _total, latencies are summaries in seconds; an entry host adds gauges for requests in flight and at targets, second attempts left, targets known, down, cold, slow and draining by service, members by state, the manifest's version, whether and over how many hosts the store is heard and for how long it has answered.

Tests: entry "Operators see the state of a host" checks each family and eight values on six hosts; planned_stop checks the counter's new name as strictly as before.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -61,7 +61,7 @@
     Then no target sees any request but those
 
   Scenario: Operators see the state of a host
-    Given 1 hosts in attiki and 0 in makedonia with targets in both
+    Given 5 hosts in attiki and 1 in makedonia with targets in both
     When the operators' pages are read
     Then the status, the dump and the metrics tell of the manifest and the requests
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -300,7 +300,25 @@
     status = json.loads(context.pages['status'])
     assert status['is_ready'] and status['manifest_version'] == 3, status
     assert json.loads(context.pages['dump'])['catalog']['manifest_version'] == 3
-    assert 'requests_answered 1\n' in context.pages['metrics'], context.pages['metrics']
+    lines = context.pages['metrics'].splitlines()
+    samples = dict(line.rsplit(' ', 1) for line in lines if not line.startswith('#'))
+    expected = {
+        'balsamrail_requests_answered_total': 1,
+        'balsamrail_request_seconds_count': 1,
+        'balsamrail_manifest_version': 3,
+        'balsamrail_ready': 1,
+        'balsamrail_store_heard': 1,
+        'balsamrail_members{state="alive"}': 6,
+        'balsamrail_targets_known{service="lepu"}': 3,
+        'balsamrail_second_attempts_left{service="lepu"}': 0.1 + 50 / 6,
+    }
+    found = {name: float(samples.get(name, 'nan')) for name in expected}
+    assert all(abs(found[name] - value) < 0.01 for name, value in expected.items()), found
+    families = [line.split()[2] for line in lines if line.startswith('# TYPE ')]
+    assert len(families) == len(set(families))
+    for name in samples:
+        family = name.partition('{')[0].removesuffix('_sum').removesuffix('_count')
+        assert family in families, name
 
 
 @given('a host with a settings file')
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -232,7 +232,7 @@
         assert dump['judge']['runs'] == 2, dump
         assert dump['node']['tasks']['failures'] == {'judge': 2}
         page = await AsyncHTTPClient().fetch(f'http://{address}/metrics')
-        assert b'parts_restarted 2\n' in page.body
+        assert b'\nbalsamrail_parts_restarted_total 2\n' in page.body, page.body
         page = await AsyncHTTPClient().fetch(f'http://{address}/status')
         assert json.loads(page.body)['services'] == ['bookings', 'diary']
 
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -79,6 +79,10 @@
         run = self._run(route, request)
         return await (run if route.is_idempotent else self._run_on(run))
 
+    def second_attempts_left(self) -> dict[str, float]:
+        """Return how many second attempts this host may make now, by service."""
+        return self._budgets.left_by_service(now=self._environment.clock.monotonic())
+
     async def _run(self, route: ManifestRoute, request: EntryRequest) -> HttpAnswer:
         service = self._parts.pick(route)
         budget = self._budgets.of(service)
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 from balsamrail.entry.delivery_parts import DeliveryParts
+from balsamrail.entry.entry_gauges import EntryGauges
 from balsamrail.entry.entry_stop import EntryStop
 from balsamrail.entry.listeners import Listeners
 from balsamrail.entry.settings_file import SettingsFile
 from balsamrail.entry.store_parts import StoreParts
 from balsamrail.environment import Environment
 from balsamrail.fleet.directory import Directory
+from balsamrail.gauge import Gauge
 from balsamrail.membership import PeerServer
 from balsamrail.platform.caller_server import CallerServer
 from balsamrail.platform.lookup_server import lookup_pages
@@ -44,6 +46,14 @@
         )
         self.catalog.subscribe(self._catalog_changed)
         self.members.subscribe(self._members_changed)
+        self._gauges = EntryGauges(
+            clock=environment.clock,
+            catalog=self.catalog,
+            book=self.delivery.book,
+            dispatcher=self.delivery.dispatcher,
+            members=self.members,
+            watch=self.shared.watch,
+        )
         self.callers = CallerServer(environment=environment, handler=self.delivery.dispatcher)
         self._listeners = Listeners(
             environment=environment,
@@ -52,7 +62,7 @@
                 look_up=self.directory.addresses, is_ready=self._is_ready, ttl_s=_LOOKUP_TTL_S
             ),
             operators=operator_pages(
-                dump=self.dump, status=self.status, metrics=environment.metrics.page
+                dump=self.dump, status=self.status, metrics=self.metrics_page
             ),
             peers=PeerServer(environment=environment, accept=self.shared.network.accept),
         )
@@ -108,6 +118,12 @@
             'in_flight': self.callers.in_flight,
         }
 
+    def metrics_page(self) -> str:
+        """Return the counters, the latencies and the present figures for collectors."""
+        in_flight = Gauge(name='requests_in_flight', value=self.callers.in_flight)
+        is_ready = Gauge(name='ready', value=self._is_ready())
+        return self._environment.metrics.page([in_flight, is_ready, *self._gauges.read()])
+
     def dump(self) -> dict[str, Any]:
         """Return the state of all parts as plain data."""
         parts: dict[str, Any] = {
--- a/src/balsamrail/metrics.py
+++ b/src/balsamrail/metrics.py
@@ -1,15 +1,19 @@
 """Histograms and counters of one process."""
 
 from collections import Counter
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
+from balsamrail.gauge import Gauge
+
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
 _SIGNIFICANT_DIGITS = 2
 _PERCENTILES = (50, 90, 99, 99.9)
 _US_IN_S = 1_000_000
+_PREFIX = 'balsamrail_'
 
 
 class Metrics:
@@ -53,15 +57,36 @@
             },
         }
 
-    def page(self) -> str:
-        """Return the metrics as plain text, one ``name value`` line each."""
-        lines = [f'{name} {value}' for name, value in sorted(self._counter_by_name.items())]
+    def page(self, gauges: Iterable[Gauge] = ()) -> str:
+        """Return the metrics in the text format of Prometheus, version 0.0.4.
+
+        :param gauges: what is measured when the page is read.
+        """
+        lines: list[str] = []
+        for name, value in sorted(self._counter_by_name.items()):
+            lines.extend(_family(f'{_PREFIX}{name}_total', 'counter', {'': value}))
         for name, histogram in sorted(self._histogram_by_name.items()):
-            for label, value in _summary(histogram).items():
-                lines.append(f'{name}_us_{label} {value}')
+            lines.extend(_family(f'{_PREFIX}{name}_seconds', 'summary', _quantiles(histogram)))
+        for gauge in gauges:
+            lines.extend(_family(f'{_PREFIX}{gauge.name}', 'gauge', gauge.samples()))
         return '\n'.join(lines) + '\n'
 
 
+def _family(name: str, kind: str, value_by_suffix: Mapping[str, float]) -> list[str]:
+    samples = (f'{name}{suffix} {value:g}' for suffix, value in value_by_suffix.items())
+    return [f'# TYPE {name} {kind}', *samples]
+
+
+def _quantiles(histogram: Any) -> dict[str, float]:
+    samples = {
+        f'{{quantile="{percentile / 100:g}"}}': histogram.get_value_at_percentile(percentile)
+        / _US_IN_S
+        for percentile in _PERCENTILES
+    }
+    count = histogram.get_total_count()
+    return {**samples, '_sum': histogram.get_mean_value() * count / _US_IN_S, '_count': count}
+
+
 def _summary(histogram: Any) -> dict[str, int]:
     summary = {'count': histogram.get_total_count(), 'max': histogram.get_max_value()}
     for percentile in _PERCENTILES:
--- a/src/balsamrail/placement/retry_budgets.py
+++ b/src/balsamrail/placement/retry_budgets.py
@@ -34,3 +34,9 @@
             )
             self._budgets_by_service[service] = budget
         return budget
+
+    def left_by_service(self, *, now: float) -> dict[str, float]:
+        """Return what each service's budget allows now."""
+        return {
+            service: budget.left(now=now) for service, budget in self._budgets_by_service.items()
+        }
