--- a/src/balsamrail/metrics.py
+++ b/src/balsamrail/metrics.py
@@ -73,7 +73,7 @@
 
 
 def _family(name: str, kind: str, value_by_suffix: Mapping[str, float]) -> list[str]:
-    samples = (f'{name}{suffix} {value:g}' for suffix, value in value_by_suffix.items())
+    samples = (f'{name}{suffix} {value:.12g}' for suffix, value in value_by_suffix.items())
     return [f'# TYPE {name} {kind}', *samples]
 
 
