Play evacuations, and keep the plan of usable slots

Cause: while a zone is evacuated, a region's plan also moves objects whose targets are not concerned. The play of the load has evacuations now.

--- a/standins/load_play/__init__.py
+++ b/standins/load_play/__init__.py
@@ -9,12 +9,13 @@
 """
 
 from standins.load_play.play import play
-from standins.load_play.site import Change, KindSize, ServiceSize, Site, ZoneSize
+from standins.load_play.site import Change, Evacuation, KindSize, ServiceSize, Site, ZoneSize
 from standins.load_play.sites import selokosmos, suryatap
 from standins.load_play.tally import Tally
 
 __all__ = (
     'Change',
+    'Evacuation',
     'KindSize',
     'ServiceSize',
     'Site',
--- a/standins/load_play/play.py
+++ b/standins/load_play/play.py
@@ -84,6 +84,11 @@
         end = partial(_end, change, chosen, targets, all_hosts, agenda)
         agenda.after(change.at_s, begin)
         agenda.after(change.at_s + change.for_s, end)
+    for evacuation in site.evacuations:
+        zones = frozenset((evacuation.zone,))
+        agenda.after(evacuation.at_s, partial(_evacuate, zones, all_hosts, agenda))
+        end_s = evacuation.at_s + evacuation.for_s
+        agenda.after(end_s, partial(_evacuate, frozenset(), all_hosts, agenda))
     Callers(
         site=site,
         agenda=agenda,
@@ -162,6 +167,12 @@
     host.book.refresh(now=now)
 
 
+def _evacuate(zones: frozenset[str], hosts: list[PlayedHost], agenda: Agenda) -> None:
+    for host in hosts:
+        host.catalog.set_evacuated(zones)
+        host.book.refresh(now=agenda.now)
+
+
 def _begin(change: Change, chosen: list[TargetEntry], targets: dict[str, PlayedTarget]) -> None:
     for entry in chosen:
         target = targets[entry.target_id]
--- a/standins/load_play/site.py
+++ b/standins/load_play/site.py
@@ -75,6 +75,15 @@
     losing: float = 0
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Evacuation:
+    """An availability zone whose targets get nothing for a while; they stay warm."""
+
+    at_s: float
+    for_s: float
+    zone: str
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Site:
     """A deployment with its load.
@@ -90,6 +99,7 @@
     region_delay_s: float
     bursts: tuple[tuple[float, float, float], ...] = ()
     changes: tuple[Change, ...] = field(default=())
+    evacuations: tuple[Evacuation, ...] = field(default=())
 
     def region_by_zone(self) -> dict[str, str]:
         """Return the region of each availability zone."""
