Ignore signals without a gap, keep the lock of a fleet, and prove three mechanisms again

Cause: (1) remove_signal_handler restores the default action before SIG_IGN is set; a SIGHUP in between ended the process with -1. (2) The socket that reserves the addresses of a fleet closed with its launcher while its processes went on. (3) A second Ctrl-C interrupted the shutdown of 'make run'. (4) Three mutants were missed: the stop came right before a look-up, so no caller held an older one; the look-ups before the manifest asked for no region, where another check answers; the surplus bytes arrived in a read of their own. Change: signals are blocked until they are ignored; processes of a fleet inherit the lock; later signals are ignored; the scenarios stop a host right after a look-up, ask for each region, and send surplus bytes in one segment.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -42,6 +42,17 @@
     Then it prints a look-up and a booking that were answered with 200
     And all its processes have ended with exit code 0
 
+  Scenario: The demo is interrupted several times
+    Guards against a second Ctrl-C that aborts the shutdown and leaves processes behind.
+    When the demo of "selokosmos" is interrupted 3 times while it runs
+    Then all its processes have ended with exit code 0
+    And the demo ends quietly with exit code 0
+
+  Scenario: The launcher of a fleet is killed
+    Guards against a second fleet that takes addresses that the first one's processes still use.
+    When the launcher of a fleet is killed while a process of the fleet runs
+    Then the next fleet of that network takes other addresses until that process has ended
+
   Scenario: An operation takes longer than a second
     Guards against an operator who cannot distinguish a slow store from a hung command.
     When operations that take 0.5 s and 1.2 s are awaited
--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -50,6 +50,14 @@
       | at once      | 0.2   |
       | byte by byte | 0.2   |
 
+  Scenario: Surplus bytes in the same segment as a complete response
+    Guards against surplus bytes that are dropped without notice, since no further read sees them.
+
+    When a target sends a complete response and further bytes in one segment
+    Then the caller gets exactly the complete response
+    And the connection to the target is closed within 0.5 s without another request
+    And the host counts the stray bytes once and logs the address of the target
+
   Scenario: Several endless responses at once
     Guards against memory use that grows with the number of such responses.
 
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -83,3 +83,10 @@
     Given a host with a settings file
     When its process receives SIGHUP repeatedly from its start to the end of a graceful shutdown
     Then SIGHUP is ignored until the host handles it, and the process exits with code 0
+
+  Scenario: A signal at the end of a process does not terminate it
+    Guards against a default action that is in force between the removal of a handler and the
+    ignoring of its signal.
+
+    When a process ignores its signals while each arrives right after its handler was removed
+    Then the process exits with code 0
--- a/features/steps/demo_steps.py
+++ b/features/steps/demo_steps.py
@@ -1,12 +1,32 @@
 """Steps of command_line.feature for the demo."""
 
+import os
 import re
+import signal
 import subprocess
 import sys
+import tempfile
+import time
+from pathlib import Path
 
 from behave import then, when
 
 from tools.build_binary import ROOT
+from tools.fleet import Fleet
+
+# Used by no other scenario, so that the first offset is free.
+NETWORK = 77
+END_TIMEOUT_S = 60
+LAUNCHER = f"""
+import sys, time
+from pathlib import Path
+from tools.fleet import Fleet
+
+fleet = Fleet(deployment='selokosmos', folder=Path(sys.argv[1]), network={NETWORK})
+process = fleet.spawn('idle', 'http.server', '0')
+print(fleet.offset, process.pid, flush=True)
+time.sleep({END_TIMEOUT_S})
+"""
 
 
 @when('the demo of "{deployment}" is run once')
@@ -28,3 +48,59 @@
 @then('all its processes have ended with exit code 0')
 def step_demo_ended(context):
     assert '13 processes ended, exit codes [0]' in context.demo.stdout, context.demo.stdout
+
+
+@when('the demo of "{deployment}" is interrupted {count:d} times while it runs')
+def step_interrupt(context, deployment, count):
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'tools.run_demo', '--deployment', deployment],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(process.kill)
+    for line in process.stdout:
+        if line.startswith('running'):
+            break
+    for _ in range(count):
+        process.send_signal(signal.SIGINT)
+        time.sleep(0.2)
+    stdout, stderr = process.communicate(timeout=END_TIMEOUT_S)
+    context.demo = subprocess.CompletedProcess(process.args, process.returncode, stdout, stderr)
+
+
+@then('the demo ends quietly with exit code 0')
+def step_quiet(context):
+    assert not context.demo.stderr, context.demo.stderr
+    assert context.demo.returncode == 0, context.demo.returncode
+
+
+@when('the launcher of a fleet is killed while a process of the fleet runs')
+def step_kill_launcher(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    launcher = subprocess.Popen(
+        [sys.executable, '-c', LAUNCHER, folder.name], cwd=ROOT, stdout=subprocess.PIPE, text=True
+    )
+    context.offset, context.idle_pid = (int(field) for field in launcher.stdout.readline().split())
+    launcher.kill()
+    launcher.wait()
+
+
+def _next_offset():
+    fleet = Fleet(deployment='selokosmos', folder=Path(), network=NETWORK)
+    fleet.kill_all()
+    return fleet.offset
+
+
+@then('the next fleet of that network takes other addresses until that process has ended')
+def step_other_addresses(context):
+    try:
+        assert _next_offset() != context.offset
+    finally:
+        os.kill(context.idle_pid, signal.SIGKILL)
+    limit = time.monotonic() + END_TIMEOUT_S
+    while _next_offset() != context.offset and time.monotonic() < limit:
+        time.sleep(0.01)
+    assert _next_offset() == context.offset
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -166,6 +166,25 @@
     context.flood = flood
 
 
+@when('a target sends a complete response and further bytes in one segment')
+def step_segment(context):
+    async def answer(number, headers, writer):
+        writer.write(response_to(headers) + b'HTTP/1.1 200 OK\r\n')
+
+    async def main():
+        host = await DeliveryHarness([answer]).start()
+        [target] = host.targets
+        try:
+            context.result = await host.send('first')
+            context.is_closed = await wait_until(lambda: not target.open_count, limit_s=0.5)
+        finally:
+            host.stop()
+        context.host = host
+        context.flood = target
+
+    platform_helpers.run_real(main())
+
+
 @then('the caller gets exactly the complete response')
 def step_promised(context):
     assert context.result.body == b'whole', context.result
--- a/features/steps/entry_signal_steps.py
+++ b/features/steps/entry_signal_steps.py
@@ -13,6 +13,25 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 PROCESS_TIMEOUT_S = 60
+# Sends itself each signal at once after the event loop has removed the handler.
+SIGNAL_PROGRAM = """
+import asyncio, os, signal
+from balsamrail.process.ignored_signals import ignore_signals
+
+async def main():
+    loop = asyncio.get_running_loop()
+    remove = loop.remove_signal_handler
+    def remove_and_raise(number):
+        remove(number)
+        os.kill(os.getpid(), number)
+    loop.remove_signal_handler = remove_and_raise
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    for number in numbers:
+        loop.add_signal_handler(number, print)
+    ignore_signals(numbers)
+
+asyncio.run(main())
+"""
 
 
 def _signal_masks(pid):
@@ -64,3 +83,19 @@
 def step_ended(context):
     assert context.was_ignored
     assert context.code == 0, context.code
+
+
+@when('a process ignores its signals while each arrives right after its handler was removed')
+def step_ignore(context):
+    completed = subprocess.run(
+        [sys.executable, '-c', SIGNAL_PROGRAM],
+        env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
+        timeout=PROCESS_TIMEOUT_S,
+        check=False,
+    )
+    context.code = completed.returncode
+
+
+@then('the process exits with code 0')
+def step_exited(context):
+    assert context.code == 0, context.code
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -87,7 +87,9 @@
             count = len(fleet.hosts)
             await fleet.until(lambda: all(len(host.members.alive()) == count for host in hosts))
             context.returned_before = [
-                host.directory.addresses(name=HOST_NAME, region='') for host in hosts
+                host.directory.addresses(name=HOST_NAME, region=region)
+                for host in hosts
+                for region in ('', 'attiki', 'makedonia')
             ]
             fleet.store.put('config', 'main', manifest(3))
             written = asyncio.get_running_loop().time()
@@ -179,12 +181,14 @@
         context.leaving = 'attiki-1'
         returned = [fleet.addresses[host][0] for host in fleet.zone_by_host]
         context.returned_later = []
+        has_looked_up = asyncio.Event()
 
         async def follow():
             while True:
                 found = await fleet.look_up('attiki-0', 'attiki')
                 returned[:] = json.loads(found.body)['addresses']
                 context.returned_later.append(list(returned))
+                has_looked_up.set()
                 await asyncio.sleep(1)
 
         follower = asyncio.create_task(follow())
@@ -192,6 +196,9 @@
             fleet.load(8, address_of=lambda number: returned[number % len(returned)])
         )
         await asyncio.sleep(2)
+        # Right after a lookup, so that callers use its result for another second.
+        has_looked_up.clear()
+        await has_looked_up.wait()
         started = asyncio.get_running_loop().time()
         fleet.hosts[context.leaving].stop()
         await asyncio.wait_for(fleet.tasks[context.leaving], 6)
--- a/features/steps/forwarding_parts.py
+++ b/features/steps/forwarding_parts.py
@@ -86,6 +86,7 @@
         self.heads = []
         self.bodies = []
         self.connections = 0
+        self.open_count = 0
         self.closed_early = 0
 
     async def start(self):
@@ -98,6 +99,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.open_count += 1
         try:
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
@@ -111,6 +113,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.open_count -= 1
             writer.close()
 
     async def _watched(self, reader, answering):
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -76,17 +76,6 @@
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.settings_file.reload)
 
-    def ignore_signals(self) -> None:
-        """Ignore signals until the process has ended.
-
-        Closing the event loop restores the default handlers, and SIGHUP would then terminate the
-        process.
-        """
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            loop.remove_signal_handler(number)
-            signal.signal(number, signal.SIG_IGN)
-
     def stop(self) -> None:
         """Start the graceful shutdown."""
         self._stopping.set()
--- a/src/balsamrail/entry/serve.py
+++ b/src/balsamrail/entry/serve.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import signal
 import sys
 from pathlib import Path
 
@@ -11,6 +12,7 @@
 from balsamrail.errors import DocumentError
 from balsamrail.log_buffer import LogBuffer
 from balsamrail.logs import Log
+from balsamrail.process.ignored_signals import ignore_signals
 from balsamrail.process.library_logs import LibraryLogHandler
 from balsamrail.settings import Settings
 
@@ -57,5 +59,6 @@
     try:
         await host.run()
     finally:
-        host.ignore_signals()
+        # Closing the event loop would restore the default actions.
+        ignore_signals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         lines.close()
--- a/src/balsamrail/process/supervisor.py
+++ b/src/balsamrail/process/supervisor.py
@@ -45,7 +45,8 @@
         while True:
             try:
                 await run()
-            except Exception as error:
+            except Exception as raised:
+                error = _first_cause(raised)
                 self._environment.log.event(
                     'part_failed',
                     part=name,
@@ -58,6 +59,13 @@
             await asyncio.sleep(_RESTART_DELAY_S)
 
 
+def _first_cause(error: Exception) -> Exception:
+    """Return the first error of a group, as a task group raises it; other errors unchanged."""
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def _location(error: Exception) -> str:
     traceback = error.__traceback__
     while traceback is not None and traceback.tb_next is not None:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -36,6 +36,8 @@
     :param limits: limits that override the defaults on all hosts.
     :param alone: a service each of whose targets runs in a separate process.
     :param behaviour: behaviour of all targets.
+
+    ``offset`` is added to the ports of all addresses, so that fleets do not share addresses.
     """
 
     def __init__(
@@ -52,14 +54,15 @@
         self.alone = alone
         self.behaviour = behaviour or {}
         self._lock: socket.socket | None = None
+        self.offset = 0
         self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
         paths = sorted((EXAMPLES / deployment).glob('hosts/*.json'))
         documents = [json.loads(path.read_text()) for path in paths]
         declaration = json.loads((EXAMPLES / deployment / 'declaration.json').read_text())
         if network is not None:
-            self._lock, offset = _free_offset(network)
+            self._lock, self.offset = _free_offset(network)
             declaration, *documents = move_addresses(
-                [declaration, *documents], network=network, offset=offset
+                [declaration, *documents], network=network, offset=self.offset
             )
         self.declaration: dict[str, Any] = declaration
         self.settings_by_host = {document['host']: document for document in documents}
@@ -136,6 +139,8 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 start_new_session=True,
+                # The processes may outlive a launcher that is killed, and with them the lock.
+                pass_fds=() if self._lock is None else (self._lock.fileno(),),
             )
         self.process_by_name[name] = process
         return process
--- a/tools/mutants/endless_bytes.py
+++ b/tools/mutants/endless_bytes.py
@@ -75,7 +75,7 @@
         old='        if has_unread_bytes and self._environment is not None:\n',
         new='        if False:\n',
         feature=_FEATURE,
-        scenario='Bytes after a complete response, at once',
+        scenario='Surplus bytes in the same segment as a complete response',
     ),
     Mutant(
         mechanism='a health check ends at its deadline even if bytes keep arriving',
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -43,6 +43,14 @@
         feature='features/catalog.feature',
         scenario='A manifest never reverts',
     ),
+    Mutant(
+        mechanism='signals are blocked until they are ignored',
+        file='src/balsamrail/process/ignored_signals.py',
+        old='    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)\n',
+        new='',
+        feature='features/entry.feature',
+        scenario='A signal at the end of a process does not terminate it',
+    ),
     Mutant(
         mechanism='during a planned stop, callers with older look-ups are served',
         file='src/balsamrail/entry/graceful_shutdown.py',
--- a/tools/run_demo.py
+++ b/tools/run_demo.py
@@ -18,6 +18,7 @@
     'selokosmos': ('bookings', '/bookings'),
     'suryatap': ('panelbook', '/swaps'),
 }
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
 
 class Demo:
@@ -72,12 +73,24 @@
     return status, answer
 
 
+def ignore_stop_signals() -> None:
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
+def interrupt(_: int, __: object) -> None:
+    """Raise KeyboardInterrupt at the first signal; later ones do not interrupt the shutdown."""
+    ignore_stop_signals()
+    raise KeyboardInterrupt
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--deployment', choices=sorted(WRITES), default='selokosmos')
     parser.add_argument('--once', action='store_true', help='end after the booking')
     options = parser.parse_args()
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    for number in STOP_SIGNALS:
+        signal.signal(number, interrupt)
     with tempfile.TemporaryDirectory(prefix='balsamrail-demo-') as folder:
         demo = Demo(deployment=options.deployment, folder=Path(folder))
         try:
@@ -94,6 +107,7 @@
         except KeyboardInterrupt:
             print()
         finally:
+            ignore_stop_signals()
             demo.stop()
 
 
