Trace the error of the binary scenario and print exceptions of steps

Change: descriptors closed meanwhile are skipped, and the list is sampled 20 times instead of once; exceptions of steps are printed by an after_step hook.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,8 @@
 """Settings shared by all scenarios: property tests are repeatable from the printed seed."""
 
 import os
+import sys
+import traceback
 
 from hypothesis import HealthCheck, settings
 
@@ -22,6 +24,13 @@
     context.seed = SEED
 
 
+def after_step(context, step):
+    # The JSON report contains the messages of failed assertions only, not of other exceptions.
+    if step.status.name == 'error' and step.exception is not None:
+        traceback.print_exception(step.exception, file=sys.__stdout__)
+        sys.__stdout__.flush()
+
+
 def after_scenario(context, scenario):
     for cleanup in reversed(getattr(context, 'stoppers', [])):
         cleanup()
--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -1,5 +1,6 @@
 """Steps of binary.feature."""
 
+import contextlib
 import json
 import os
 import signal
@@ -18,6 +19,8 @@
 # The Python installation, without the virtual environment and its libraries.
 PYTHON = Path(sys.executable).resolve()
 SYSTEM_FOLDERS = ('/usr/lib', '/lib', str(PYTHON.parent.parent))
+# The host opens and closes connections meanwhile.
+FD_SAMPLES = 20
 DEVICES = ('/dev/null', '/dev/urandom', '[', 'socket:', 'pipe:', 'anon_inode:')
 
 
@@ -70,7 +73,7 @@
 
 @then('it has no regular file open or mapped outside the Python installation and the executable')
 def step_open_files(context):
-    links = [os.readlink(path) for path in (context.proc / 'fd').iterdir()]
+    links = [link for _ in range(FD_SAMPLES) for link in open_links(context)]
     mapped = {line.split(maxsplit=5)[5] for line in mapped_lines(context) if '/' in line}
     foreign = [
         name
@@ -99,5 +102,12 @@
     assert context.process.wait(timeout=15) == 0
 
 
+def open_links(context):
+    """Yield what the open descriptors lead to, except those closed since they were listed."""
+    for path in (context.proc / 'fd').iterdir():
+        with contextlib.suppress(FileNotFoundError):
+            yield os.readlink(path)
+
+
 def mapped_lines(context):
     return [line.strip() for line in (context.proc / 'maps').read_text().splitlines()]
