Keep changes of the store in their zone, compress listings and read the host list rarely

On virtual time with 195 hosts in 9 zones and 1,080 targets, the listings at the start sent 41.5 MB and 300 changed targets 12.1 MB between zones: each host followed two relays of any zone, and each relay sent the whole listing. Every host also read the list of all hosts each 13 s. Change: relays are chosen by zone and followed by the hosts of their zone (with bounded loads, so that few hosts change their relays when one leaves); updates of several objects are one zlib stream; entry hosts read the host list at 0.5 calls/s for all together, and an entry that is missing there no longer counts as removed, since entries on this platform do not expire. Ruled out: balancing followers by position (a host that leaves moves up to 16 others), a wire change of single events (they do not shrink).

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -86,6 +86,30 @@
     Given a fleet of 9 hosts that do not know each other
     Then every host is alive everywhere within 15 s
 
+  Scenario Outline: The calls that read the host list do not grow with the fleet
+    # Guards against calls to the store, which are charged for, at the rate of hosts.
+    When <size> hosts read the host list for an hour at <rate> calls/s for all together
+    Then they made at most <limit> calls besides the first of each
+
+    Examples:
+      | size | rate | limit |
+      | 9    | 15   | 8000  |
+      | 920  | 15   | 60000 |
+      | 9    | 0.5  | 2000  |
+      | 195  | 0.5  | 2000  |
+      | 920  | 0.5  | 2000  |
+
+  Scenario: A host that could not read the host list tries again soon
+    # Guards against a host that finds no other host for minutes after an outage of the store.
+    When 195 hosts fail to read the host list in the first 20 s
+    Then each has read it 27 s after that
+
+  Scenario: A host that registered after the list was read is not taken for removed
+    # Guards against the removal of a host by a single observer where entries do not expire.
+    Given host lists of a platform whose entries expire and of one whose entries do not
+    When a list without host x is read
+    Then x counts as removed only where entries expire
+
   Scenario: A host is proven gone only by evidence that persists
     # Guards against reclaiming the shares of a host that still serves.
     Given a fleet of 9 hosts
--- a/features/steps/watch_duty_steps.py
+++ b/features/steps/watch_duty_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections import Counter
 
 import platform_helpers
@@ -14,11 +15,15 @@
 from balsamrail.catalog.feed import Feed
 from balsamrail.catalog.object_view import ObjectView
 from balsamrail.catalog.store_monitor import StoreMonitor
+from balsamrail.catalog.stored_objects import StoreObject
+from balsamrail.errors import PeerError
 from balsamrail.fleet.feed_follower import FeedFollower
 from balsamrail.fleet.feed_hub import FeedHub
+from balsamrail.fleet.object_codec import pack_objects, unpack_objects
 from balsamrail.fleet.watch_assignment import WatcherState, assign_watch
 
 SMALL_REGION = 3
+ZONES = ['a', 'b', 'c', 'd']
 ZONES_BY_HOST = st.lists(st.sampled_from(['a', 'b', 'c']), min_size=1, max_size=14)
 
 
@@ -240,8 +245,7 @@
 @when('regions of 40, 92 and 200 hosts have discovered each other')
 def step_large(context):
     context.assignments_by_size = {
-        size: assignments(make_members(['a', 'b', 'c', 'd'] * (size // 4)))
-        for size in (40, 92, 200)
+        size: assignments(make_members(ZONES * (size // 4))) for size in (40, 92, 200)
     }
 
 
@@ -266,6 +270,117 @@
                 assert set(assignment.sources) <= watchers or set(assignment.sources) <= relays
 
 
+@then('only watchers and at most {count:d} relays of a region follow hosts of other zones')
+def step_zones(context, count):
+    for size, found in context.assignments_by_size.items():
+        zone_by_host = {m.host: m.availability_zone for m in make_members(ZONES * (size // 4))}
+        watchers = {host for host, assignment in found.items() if assignment.is_watcher}
+        crossing = {
+            host
+            for host, assignment in found.items()
+            if any(zone_by_host[source] != zone_by_host[host] for source in assignment.sources)
+        }
+        assert len(crossing - watchers) <= count, (size, crossing)
+
+
+@then('a host whose local relays all fail follows two usable relays of other zones')
+def step_zone_failure(context):
+    members = make_members(ZONES * 23)
+    zone_by_host = {member.host: member.availability_zone for member in members}
+    sound = assignments(members)
+    for host, assignment in sound.items():
+        if any(zone_by_host[source] != zone_by_host[host] for source in assignment.sources):
+            continue
+        local_relays = {
+            source
+            for other, theirs in sound.items()
+            for source in theirs.sources
+            if zone_by_host[source] == zone_by_host[other] == zone_by_host[host]
+        }
+        remaining = set(assignments(members, local_relays)[host].sources) - local_relays
+        assert len(remaining) == 2, (host, remaining)
+
+
+@when('any host of a region of {size:d} that neither watches nor relays leaves')
+def step_leave(context, size):
+    members = make_members(ZONES * (size // 4))
+    before = assignments(members)
+    followed = {source for assignment in before.values() for source in assignment.sources}
+    context.changed_counts = []
+    for leaving in members:
+        if leaving.host in followed:
+            continue
+        after = assignments([member for member in members if member is not leaving])
+        context.changed_counts.append(
+            sum(
+                set(assignment.sources) != set(before[host].sources)
+                for host, assignment in after.items()
+            )
+        )
+
+
+@then('at most {count:d} of the others follow different hosts than before')
+def step_stable(context, count):
+    assert context.changed_counts
+    assert max(context.changed_counts) <= count, context.changed_counts
+
+
+def make_targets(count):
+    rng = random.Random(count)
+    return [
+        StoreObject(
+            name=f'i-{rng.getrandbits(32):08x}',
+            revision=1_000 + number,
+            spec={
+                'service': rng.choice(['diary', 'bookings', 'shopfront']),
+                'address': f'10.{rng.randrange(10)}.{rng.randrange(256)}.{rng.randrange(256)}:80',
+                'zone': rng.choice(['athina-a', 'thess-b', 'patra-c']),
+                'slots': 6,
+                'state': 'ready',
+                'warmupLeftS': 0.0,
+                'born': 1_796_000_000_000 + rng.randrange(20_000),
+            },
+        )
+        for number in range(count)
+    ]
+
+
+@then('the message of a listing of {count:d} targets takes less than a third of their size')
+def step_compressed(context, count):
+    targets = make_targets(count)
+    size = sum(len(item) for target in targets for item in pack_objects([target]))
+    assert sum(len(item) for item in pack_objects(targets)) < size / 3
+
+
+@then('any objects are the same after encoding and decoding')
+def step_same(context):
+    specs = st.dictionaries(
+        st.text(), st.none() | st.integers(0, 2**40) | st.text() | st.floats(0, 1)
+    )
+    objects = st.builds(
+        StoreObject, name=st.text(), revision=st.integers(0, 2**60), spec=st.none() | specs
+    )
+
+    @for_all(st.lists(objects, max_size=40))
+    def check(stored):
+        assert unpack_objects(pack_objects(stored)) == stored
+
+    check()
+
+
+@then('malformed or truncated encodings are rejected')
+def step_malformed(context):
+    [packed] = pack_objects(make_targets(20))
+    malformed = [packed[:length] for length in range(len(packed))]
+    malformed += [b'x', b'\x93\x01\x02\x03', zlib.compress(b'\x91\x01'), zlib.compress(b'')]
+    for item in malformed:
+        try:
+            unpack_objects([item])
+        except PeerError:
+            continue
+        raise AssertionError(item)
+
+
 @given('two watchers, two relays that follow them and a follower of the relays')
 def step_relays(context):
     context.seeds = range(20)
--- a/features/watch_duty.feature
+++ b/features/watch_duty.feature
@@ -13,6 +13,26 @@
     Then each host is followed by at most 16 others, and by at most 40 in the largest
     And each follows two hosts that are at most one host away from the store
 
+  Scenario: Changes cross availability zones only on their way to the relays
+    Guards against traffic between zones that grows with the hosts times the changed targets.
+
+    When regions of 40, 92 and 200 hosts have discovered each other
+    Then only watchers and at most 15 relays of a region follow hosts of other zones
+    And a host whose local relays all fail follows two usable relays of other zones
+
+  Scenario: Few followers change their relays when a host leaves
+    Guards against listings to a whole zone at each restart of a host.
+
+    When any host of a region of 92 that neither watches nor relays leaves
+    Then at most 4 of the others follow different hosts than before
+
+  Scenario: A listing of many targets is compressed
+    Guards against listings at the start of the fleet that exceed all other traffic between zones.
+
+    Then the message of a listing of 1080 targets takes less than a third of their size
+    And any objects are the same after encoding and decoding
+    And malformed or truncated encodings are rejected
+
   Scenario: Hosts that follow each other do not keep each other current
     Guards against relays that report each other as current although none has contact to the store.
 
--- a/src/balsamrail/entry/store_components.py
+++ b/src/balsamrail/entry/store_components.py
@@ -7,7 +7,7 @@
 from balsamrail.fleet.feed_follower import FeedFollower
 from balsamrail.fleet.feed_hub import FeedHub
 from balsamrail.fleet.store_watch import StoreWatch
-from balsamrail.membership import Members, PeerNetwork
+from balsamrail.membership import HostListPolicy, Members, PeerNetwork
 from balsamrail.platform.catalog_reader import EVACUATIONS, CatalogReader
 from balsamrail.platform.host_registry import HostRegistry
 from balsamrail.platform.object_store import ObjectStore
@@ -24,7 +24,12 @@
         self.catalog = Catalog(environment=environment)
         registry = HostRegistry(environment=environment, store=self.store)
         self.members = Members(
-            environment=environment, panic_mode=False, is_ready=False, advances_incarnation=True
+            environment=environment,
+            panic_mode=False,
+            is_ready=False,
+            advances_incarnation=True,
+            # Hosts find each other without the list once they have joined the fleet.
+            host_list_policy=HostListPolicy(fleet_polls_per_s=0.5, entries_expire=False),
         )
         self.network = PeerNetwork(environment=environment, members=self.members, store=registry)
         self.announcer = Announcer(environment=environment, members=self.members, store=registry)
--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -8,7 +8,7 @@
 from balsamrail.catalog.object_view import ObjectView
 from balsamrail.catalog.stored_objects import ObjectEvent
 from balsamrail.environment import Environment
-from balsamrail.fleet.object_codec import pack_object
+from balsamrail.fleet.object_codec import pack_objects
 from balsamrail.membership.network import Network
 from balsamrail.messages.feed_status import FeedStatus
 from balsamrail.messages.feed_subscribe import FeedSubscribe
@@ -140,7 +140,7 @@
         kind=view.kind,
         is_listing=True,
         revision=view.complete_revision,
-        written=[pack_object(entry) for entry in stored],
+        written=pack_objects(stored),
         removed=[],
     )
 
@@ -151,6 +151,6 @@
         kind=kind,
         is_listing=False,
         revision=0,
-        written=[pack_object(event.stored) for event in events if not event.is_removal],
-        removed=[pack_object(event.stored) for event in events if event.is_removal],
+        written=pack_objects(event.stored for event in events if not event.is_removal),
+        removed=pack_objects(event.stored for event in events if event.is_removal),
     )
--- a/src/balsamrail/fleet/object_codec.py
+++ b/src/balsamrail/fleet/object_codec.py
@@ -1,17 +1,32 @@
 """Encoding of the store's objects in messages between hosts."""
 
-from collections.abc import Sequence
+import zlib
+from collections.abc import Iterable, Sequence
 
 import msgpack
 
 from balsamrail.catalog.stored_objects import StoreObject
 from balsamrail.errors import PeerError
 
+# Smaller messages do not shrink.
+_MIN_COMPRESSED_BYTES = 400
+# The fastest level; the others save a fifth more at three times the processor time.
+_COMPRESSION_LEVEL = 1
+# Larger than any listing that the store can return for a site.
+_MAX_UNPACKED_BYTES = 16_777_216
+# The first byte of a zlib stream; an object begins with that of a msgpack array.
+_ZLIB_MARKER = b'x'
 
-def pack_object(stored: StoreObject) -> bytes:
-    """Encode an object as a msgpack array."""
-    packed: bytes = msgpack.packb([stored.name, stored.revision, stored.spec])
-    return packed
+
+def pack_objects(objects: Iterable[StoreObject]) -> list[bytes]:
+    """Encode objects as msgpack arrays, several of them as one zlib stream.
+
+    Targets differ in few fields, so a listing shrinks to about a fifth.
+    """
+    packed = [_pack_object(stored) for stored in objects]
+    if sum(len(item) for item in packed) < _MIN_COMPRESSED_BYTES:
+        return packed
+    return [zlib.compress(msgpack.packb(packed), _COMPRESSION_LEVEL)]
 
 
 def unpack_objects(packed: Sequence[bytes]) -> list[StoreObject]:
@@ -20,11 +35,26 @@
     :raises PeerError: if an object is malformed.
     """
     try:
-        return [_unpack_object(item) for item in packed]
+        return [_unpack_object(item) for part in packed for item in _unpack_part(part)]
     except Exception as error:
         raise PeerError(f'malformed object in a feed update: {error!r}') from error
 
 
+def _pack_object(stored: StoreObject) -> bytes:
+    packed: bytes = msgpack.packb([stored.name, stored.revision, stored.spec])
+    return packed
+
+
+def _unpack_part(part: bytes) -> list[bytes]:
+    if not part.startswith(_ZLIB_MARKER):
+        return [part]
+    stream = zlib.decompressobj()
+    unpacked: list[bytes] = msgpack.unpackb(stream.decompress(part, _MAX_UNPACKED_BYTES))
+    if not stream.eof:
+        raise ValueError('the compressed objects are truncated or too large')
+    return unpacked
+
+
 def _unpack_object(item: bytes) -> StoreObject:
     name, revision, spec = msgpack.unpackb(item, strict_map_key=False)
     if type(name) is not str or type(revision) is not int:
--- a/src/balsamrail/fleet/watch_assignment.py
+++ b/src/balsamrail/fleet/watch_assignment.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from balsamrail.fleet.relays import Relays, shuffled_for
 from balsamrail.membership import Member
-from balsamrail.placement.rendezvous_hashing import hash_text, mix_hashes
+from balsamrail.placement.rendezvous_hashing import hash_text
 
 # Two, so that the other hosts keep receiving changes until the loss of one watcher is detected.
 _WATCHERS_PER_REGION = 2
 _MAX_SMALL_REGION_HOSTS = 3
-# Each watcher is followed by these relays and by the other watcher. In larger regions the remaining
-# hosts follow two relays each, so that the traffic of a watcher does not grow with the region.
-_RELAYS_PER_REGION = 15
+# In a region with more hosts that do not watch, most of them follow relays.
+_MAX_DIRECT_FOLLOWERS = 15
 
 
 class WatcherState(Enum):
@@ -56,8 +56,8 @@
     not every host can watch it. The first two hosts of a region, in a ranking that all hosts
     compute alike, are its watchers and forward changes to the others. If one of them has no
     contact to the store, the host next in rank replaces it. In a small region all hosts watch.
-    Watchers also follow each other. In a large region the hosts next in rank are relays, which
-    follow the watchers and forward changes to the rest.
+    Watchers also follow each other. In a large region the hosts next in rank in each availability
+    zone are relays, which follow the watchers and forward changes to the rest of the zone.
 
     :param members: the live members of the fleet.
     :param own: this host.
@@ -67,17 +67,19 @@
     if len(local) <= _MAX_SMALL_REGION_HOSTS:
         others = tuple(member.host for member in local if member.host != own.host)
         return WatchAssignment(is_watcher=True, sources=others)
-    order = [member.host for member in _ranked(local)]
+    ranked = _ranked(local)
+    order = [member.host for member in ranked]
     watchers = _take_usable(order, state_of, unusable=_UNUSABLE_WATCHER_STATES)
     if own.host in watchers:
         others = tuple(host for host in watchers if host != own.host)
         return WatchAssignment(is_watcher=True, sources=others)
-    relays = [host for host in order if host not in watchers][:_RELAYS_PER_REGION]
-    if own.host in relays:
+    others = [member for member in ranked if member.host not in watchers]
+    relays = Relays(ranked=others)
+    if len(others) <= _MAX_DIRECT_FOLLOWERS or own.host in relays.hosts():
         return WatchAssignment(is_watcher=False, sources=watchers)
-    relays = _shuffled_for(relays, own=own)
+    order = relays.order_for(own)
     return WatchAssignment(
-        is_watcher=False, sources=_take_usable(relays, state_of, unusable=_UNUSABLE_RELAY_STATES)
+        is_watcher=False, sources=_take_usable(order, state_of, unusable=_UNUSABLE_RELAY_STATES)
     )
 
 
@@ -94,19 +96,13 @@
     sources: list[str] = []
     for region in sorted({member.region for member in members} - {own.region}):
         ranked = _ranked([member for member in members if member.region == region])
-        candidates = [
-            member.host for member in ranked[: _WATCHERS_PER_REGION + _RELAYS_PER_REGION]
-        ]
-        order = _shuffled_for(candidates, own=own)
+        watchers = [member.host for member in ranked[:_WATCHERS_PER_REGION]]
+        relays = Relays(ranked=ranked[_WATCHERS_PER_REGION:])
+        order = shuffled_for([*watchers, *relays.hosts()], follower=own.host)
         sources.extend(_take_usable(order, state_of, unusable=_UNUSABLE_RELAY_STATES, limit=1))
     return tuple(sources)
 
 
-def _shuffled_for(hosts: Sequence[str], *, own: Member) -> list[str]:
-    own_hash = hash_text(own.host)
-    return sorted(hosts, key=lambda host: mix_hashes(own_hash, hash_text(f'relay/{host}')))
-
-
 def _take_usable(
     order: Sequence[str],
     state_of: Callable[[str], WatcherState],
--- a/src/balsamrail/membership/__init__.py
+++ b/src/balsamrail/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from balsamrail.membership.failure_detector import FailureDetector
 from balsamrail.membership.heartbeat_status import HeartbeatStatus
+from balsamrail.membership.host_list_policy import HostListPolicy
 from balsamrail.membership.member import Member
 from balsamrail.membership.members import Members
 from balsamrail.membership.network import Network
@@ -13,6 +14,7 @@
 __all__ = (
     'FailureDetector',
     'HeartbeatStatus',
+    'HostListPolicy',
     'Member',
     'Members',
     'Network',
--- a/src/balsamrail/membership/host_list.py
+++ b/src/balsamrail/membership/host_list.py
@@ -7,12 +7,12 @@
 
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreError
+from balsamrail.membership.host_list_policy import HostListPolicy
 from balsamrail.store import HostDirectory, ListedHost
 
-# All hosts together make at most about 15 list calls/s, whatever the size of the fleet: 920 hosts
-# poll every 61 s on average, and up to 75 hosts poll every 5 s (9 hosts: 1.8 calls/s).
-_FLEET_POLLS_PER_S = 15
 _MIN_POLL_INTERVAL_S = 5
+# The poll rate of all hosts together while they have not read a list yet.
+_FLEET_FIRST_POLLS_PER_S = 15
 
 
 class HostList:
@@ -22,6 +22,7 @@
     successful poll is no evidence: absence is measured up to the last poll.
 
     :param fleet_size: returns the number of members, which determines the polling interval.
+    :param policy: how the platform maintains the list.
     """
 
     __slots__ = (
@@ -32,11 +33,19 @@
         '_last_listed_at_by_host',
         '_last_read_at',
         '_leaving_addresses',
+        '_policy',
     )
 
-    def __init__(self, *, environment: Environment, fleet_size: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        fleet_size: Callable[[], int],
+        policy: HostListPolicy,
+    ) -> None:
         self._environment = environment
         self._fleet_size = fleet_size
+        self._policy = policy
         self._host_by_name: dict[str, ListedHost] = {}
         # Precomputed, since each request looks up the address of each target.
         self._leaving_addresses: frozenset[str] = frozenset()
@@ -58,8 +67,13 @@
         )
 
     def is_unlisted(self, host: str) -> bool:
-        """Return whether a list was read and does not contain ``host``."""
-        return self._first_read_at is not None and host not in self._host_by_name
+        """Return whether the platform has removed ``host``, according to the latest list.
+
+        This is never the case if the platform's entries do not expire: a host that the list does
+        not contain then registered after it was read.
+        """
+        was_read = self._policy.entries_expire and self._first_read_at is not None
+        return was_read and host not in self._host_by_name
 
     def absence_s(self, host: str, *, until: float) -> float:
         """Return for how many seconds, up to a monotonic time, the lists have omitted ``host``.
@@ -92,8 +106,19 @@
             except StoreError as error:
                 self._environment.metrics.count('host_list_failures')
                 self._environment.log.event('host_list_failed', reason=error.code)
-            mean_s = max(_MIN_POLL_INTERVAL_S, self._fleet_size() / _FLEET_POLLS_PER_S)
-            await asyncio.sleep(mean_s * random.uniform(0.5, 1.5))
+            await self._wait()
+
+    async def _wait(self) -> None:
+        """Wait until the next poll is due for the number of members that are known by then."""
+        clock = self._environment.clock
+        started = clock.monotonic()
+        jitter = random.uniform(0.5, 1.5)
+        has_read = self._first_read_at is not None
+        polls_per_s = self._policy.fleet_polls_per_s if has_read else _FLEET_FIRST_POLLS_PER_S
+        while True:
+            await asyncio.sleep(_MIN_POLL_INTERVAL_S * jitter)
+            if clock.monotonic() - started >= self._fleet_size() / polls_per_s * jitter:
+                return
 
     def dump(self) -> dict[str, Any]:
         """Return a diagnostic snapshot."""
--- a/src/balsamrail/membership/members.py
+++ b/src/balsamrail/membership/members.py
@@ -8,6 +8,7 @@
 from balsamrail.membership.advertised_members import select_advertised
 from balsamrail.membership.gone_verifier import GoneVerifier
 from balsamrail.membership.host_list import HostList
+from balsamrail.membership.host_list_policy import HostListPolicy
 from balsamrail.membership.member import Member
 from balsamrail.membership.member_entry import MemberEntry
 from balsamrail.membership.member_table import MemberTable
@@ -37,6 +38,7 @@
     :param advances_incarnation: whether this host advances its incarnation when the others know a
         newer one of it, as after a restart with the clock set back. Only for hosts that hold
         nothing under their incarnation.
+    :param host_list_policy: how the platform maintains the host list.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         requires_agreement: bool = True,
         is_ready: bool = True,
         advances_incarnation: bool = False,
+        host_list_policy: HostListPolicy | None = None,
     ) -> None:
         settings = environment.settings
         self._environment = environment
@@ -88,6 +91,7 @@
         self.host_list = HostList(
             environment=environment,
             fleet_size=lambda: len(self._table) + 1,
+            policy=host_list_policy or HostListPolicy(),
         )
         self.gone_verifier = GoneVerifier(
             environment=environment,
--- a/src/balsamrail/messages/feed_update.py
+++ b/src/balsamrail/messages/feed_update.py
@@ -7,8 +7,8 @@
 class FeedUpdate:
     """Changes of one kind of stored objects, or all objects of the kind if ``is_listing``.
 
-    ``revision`` is that of the listing. ``written`` and ``removed`` contain objects, each packed as
-    an array of name, revision and content. ``number`` counts the messages of a subscription.
+    ``revision`` is that of the listing. ``written`` and ``removed`` contain objects as
+    packed by :mod:`balsamrail.fleet.object_codec`. ``number`` counts the messages of a subscription.
     """
 
     number: int
--- a/tools/mutants/membership.py
+++ b/tools/mutants/membership.py
@@ -131,4 +131,28 @@
         feature='features/peer_streams.feature',
         scenario='A peer that does not read loses its stream',
     ),
+    Mutant(
+        mechanism='the calls that read the host list do not grow with the fleet',
+        file='src/balsamrail/membership/host_list.py',
+        old='>= self._fleet_size() / polls_per_s * jitter:',
+        new='>= 0:',
+        feature='features/membership.feature',
+        scenario='The calls that read the host list',
+    ),
+    Mutant(
+        mechanism='a host that has not read the host list tries again soon',
+        file='src/balsamrail/membership/host_list.py',
+        old='self._policy.fleet_polls_per_s if has_read else _FLEET_FIRST_POLLS_PER_S',
+        new='self._policy.fleet_polls_per_s',
+        feature='features/membership.feature',
+        scenario='A host that could not read the host list',
+    ),
+    Mutant(
+        mechanism='where entries do not expire, a missing one does not count as removed',
+        file='src/balsamrail/membership/host_list.py',
+        old='self._policy.entries_expire and self._first_read_at',
+        new='self._first_read_at',
+        feature='features/membership.feature',
+        scenario='A host that registered after',
+    ),
 )
