--- a/src/balsamrail/fleet/relays.py
+++ b/src/balsamrail/fleet/relays.py
@@ -72,9 +72,9 @@
         sources_by_host = {}
         for follower in followers:
             order = shuffled_for(relays, follower=follower)
-            # The sort is stable: full relays come last, otherwise the order is kept.
-            order.sort(key=lambda relay: room_by_relay[relay] <= 0)
-            sources_by_host[follower] = order[:_SOURCES_PER_HOST]
+            with_room = [relay for relay in order if room_by_relay[relay] > 0]
+            full = [relay for relay in order if room_by_relay[relay] <= 0]
+            sources_by_host[follower] = [*with_room, *full][:_SOURCES_PER_HOST]
             for relay in sources_by_host[follower]:
                 room_by_relay[relay] -= 1
         return sources_by_host
