Probe silent targets by what their requests allow, not after a fixed time

Cause: a test connection was opened to each target that had sent nothing for 0.4 s, again every 0.5 s. Ruled out: a fixed threshold of 4 s, since a machine without power would be found after 4.5 s; the median of the route's runs, since a host of 195 sees too few runs of a route to know it.

--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -8,6 +8,7 @@
 from delivery_parts import DeliveryHarness, response_to
 from flood_server import FLOODS, FloodServer
 from hypothesis import given, strategies
+from placement_parts import make_route
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from balsamrail.configuration import Target
@@ -84,7 +85,7 @@
             sending = self.exchange.send(
                 self.request(f'steady-{len(answers)}', '/read/x', 'x', 2),
                 state,
-                route='r1',
+                route=make_route(),
                 object_key='x',
                 fresh_only=False,
                 deadline=asyncio.get_running_loop().time() + 2,
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -253,7 +253,7 @@
         if isinstance(choice, Rejection):
             context.rejection = choice
             return
-        choice.begin(route='r1', object_key='x', now=0)
+        choice.begin(route='r1', object_key='x', aim_s=0.5, now=0)
         context.taken.append(choice.entry.target_id)
 
 
@@ -432,7 +432,7 @@
     """Complete ``count`` consecutive requests at a target."""
     state = context.placement.target_registry.state_of(target_id)
     for _ in range(count):
-        attempt = state.begin(route='r1', object_key=object_key, now=context.now)
+        attempt = state.begin(route='r1', object_key=object_key, aim_s=0.5, now=context.now)
         context.now += took_s
         state.end(attempt, ending, now=context.now)
 
@@ -464,7 +464,7 @@
 def step_overdue(context, age_s):
     state = context.placement.target_registry.state_of(context.order[0])
     for _ in range(2):
-        state.begin(route='r1', object_key='x', now=context.now)
+        state.begin(route='r1', object_key='x', aim_s=0.5, now=context.now)
     context.now += age_s
 
 
@@ -472,7 +472,9 @@
 def step_queued(context, run_s):
     state = context.placement.target_registry.state_of(context.order[0])
     for _ in range(5):
-        others = [state.begin(route='r1', object_key='x', now=context.now) for _ in range(4)]
+        others = [
+            state.begin(route='r1', object_key='x', aim_s=0.5, now=context.now) for _ in range(4)
+        ]
         _complete_requests(context, context.order[0], took_s=run_s)
         for attempt in others:
             state.end(attempt, AttemptOutcome.abandoned, now=context.now)
@@ -529,5 +531,5 @@
     for target_id in context.order[2:]:
         state = context.placement.target_registry.state_of(target_id)
         for _ in range(2):
-            state.begin(route='r1', object_key='y', now=context.now)
+            state.begin(route='r1', object_key='y', aim_s=0.5, now=context.now)
     assert _chosen(context, context.now) == context.order[0]
--- a/features/steps/target_standing_steps.py
+++ b/features/steps/target_standing_steps.py
@@ -366,7 +366,7 @@
 def step_third_full(context):
     state = context.placement.target_registry.state_of(context.order[2])
     for _ in range(4):
-        state.begin(route='r1', object_key='x', now=0)
+        state.begin(route='r1', object_key='x', aim_s=0.5, now=0)
 
 
 @when('a request for it is placed')
@@ -793,7 +793,7 @@
     for hundredth in range(520):
         now = hundredth / 100
         while not isinstance(context.placement.select(now=now), Rejection):
-            context.state.begin(route='r1', object_key='x', now=now)
+            context.state.begin(route='r1', object_key='x', aim_s=0.5, now=now)
             context.taken_at.append(now)
 
 
--- a/src/balsamrail/delivery/request_executor.py
+++ b/src/balsamrail/delivery/request_executor.py
@@ -149,7 +149,7 @@
             response = await self._exchange.send(
                 self._request,
                 state,
-                route=self._plan.route.name,
+                route=self._plan.route,
                 object_key=self._plan.placement_key.object_key,
                 fresh_only=not self._is_idempotent,
                 deadline=self._deadline,
--- a/src/balsamrail/delivery/target_exchange.py
+++ b/src/balsamrail/delivery/target_exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.notice_handler import NoticeHandler
 from balsamrail.delivery.target_codec import TargetCodec
@@ -39,7 +40,7 @@
         request: EntryRequest,
         state: TargetState,
         *,
-        route: str,
+        route: ManifestRoute,
         object_key: str,
         fresh_only: bool,
         deadline: float,
@@ -47,7 +48,7 @@
     ) -> TargetResponse:
         """Send a request and return the target's complete response.
 
-        :param route: name of the request's route.
+        :param route: the request's route.
         :param object_key: key by which the target was selected.
         :param fresh_only: use only a new or recently used connection, which the target is unlikely to be
             closing.
@@ -60,7 +61,9 @@
         """
         clock = self._environment.clock
         ending = AttemptOutcome.abandoned
-        sending = state.begin(route=route, object_key=object_key, now=clock.monotonic())
+        sending = state.begin(
+            route=route.name, object_key=object_key, aim_s=route.aim_s, now=clock.monotonic()
+        )
         try:
             response = await self._send(
                 request, state, fresh_only=fresh_only, deadline=deadline, recheck=recheck
--- a/src/balsamrail/fleet/watch_assignment.py
+++ b/src/balsamrail/fleet/watch_assignment.py
@@ -71,8 +71,8 @@
     order = [member.host for member in ranked]
     watchers = _take_usable(order, state_of, unusable=_UNUSABLE_WATCHER_STATES)
     if own.host in watchers:
-        others = tuple(host for host in watchers if host != own.host)
-        return WatchAssignment(is_watcher=True, sources=others)
+        peers = tuple(host for host in watchers if host != own.host)
+        return WatchAssignment(is_watcher=True, sources=peers)
     others = [member for member in ranked if member.host not in watchers]
     relays = Relays(ranked=others)
     if len(others) <= _MAX_DIRECT_FOLLOWERS or own.host in relays.hosts():
--- a/src/balsamrail/placement/target_attempt.py
+++ b/src/balsamrail/placement/target_attempt.py
@@ -25,6 +25,7 @@
     :param expected_s: the expected time until the response, ``None`` if it is not known.
     :param is_known: whether this host has recently sent the target a request for the object.
     :param queue_factor: the expected time including the wait for a slot, in multiples of a run.
+    :param max_silence_s: for how long the target may send nothing while it has this request.
     """
 
     route: str
@@ -32,3 +33,4 @@
     expected_s: float | None
     queue_factor: float
     is_known: bool
+    max_silence_s: float
--- a/src/balsamrail/placement/target_registry.py
+++ b/src/balsamrail/placement/target_registry.py
@@ -36,6 +36,7 @@
         '_region_by_zone',
         '_settings',
         '_times',
+        'busy',
         'states_by_id',
     )
 
@@ -48,6 +49,8 @@
         }
         self._evacuated_zones: frozenset[str] = frozenset()
         self._times = RouteRunTimes()
+        # The targets with requests in flight, also those that are no longer registered.
+        self.busy: set[TargetState] = set()
         self.states_by_id: dict[str, TargetState] = {}
         self._deregistered_by_start: OrderedDict[tuple[str, int], TargetAvailability] = (
             OrderedDict()
@@ -144,7 +147,10 @@
             state = None
         if state is None:
             state = TargetState(
-                entry=entry, times=self._times, availability=self._availability_of(entry)
+                entry=entry,
+                times=self._times,
+                busy=self.busy,
+                availability=self._availability_of(entry),
             )
             self.states_by_id[target_id] = state
         state.entry = entry
--- a/src/balsamrail/placement/target_state.py
+++ b/src/balsamrail/placement/target_state.py
@@ -1,5 +1,6 @@
 """The load and health of a target as seen by a host."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -21,6 +22,13 @@
 # before either is answered.
 _OVERDUE_RATIO = 2.5
 _MIN_OVERDUE_ATTEMPTS = 2
+# Responses often take this long, so a shorter silence does not mean that a target is down.
+MIN_SILENCE_S = 0.4
+_MAX_SILENCE_S = 2.0
+# The silence that is allowed to a target, as a fraction of the latency objective of a request that
+# it runs. A run usually takes half of the objective, and three times as long for an unknown object.
+_SILENCE_RATIO = 0.8
+_UNKNOWN_SILENCE_RATIO = 2.0
 
 
 class Closable(Protocol):
@@ -30,11 +38,13 @@
         """Close the connection."""
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True, eq=False)
 class TargetState:
     """The state of one incarnation of a target.
 
     :param times: the median run times, shared by all targets.
+    :param busy: the targets with requests in flight, shared by all targets.
+    :param last_response_at: the time of the last response, or of the first request since then.
     :param health: the health as derived from recent responses.
     :param availability: the availability of the target.
     :param check_at: the time of the next health check if the target is down.
@@ -45,14 +55,15 @@
 
     entry: TargetEntry
     times: RouteRunTimes = field(default_factory=RouteRunTimes)
+    busy: set['TargetState'] = field(default_factory=set)
     health: TargetHealth = field(default_factory=TargetHealth)
     availability: TargetAvailability = field(default_factory=TargetAvailability)
     check_at: float = 0
     failures: int = 0
     retryable_connections: set[Closable] = field(default_factory=set)
+    last_response_at: float = 0
     _attempts: dict[TargetAttempt, None] = field(default_factory=dict)
     _known_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
-    _last_response_at: float = 0
     _other_hosts_load: float = 0
     _reported_at: float = 0
 
@@ -66,39 +77,47 @@
         """The number of requests of this host that are in flight at the target."""
         return len(self._attempts)
 
-    def begin(self, *, route: str, object_key: str, now: float) -> TargetAttempt:
-        """Record that a request is sent to the target; pass the result to :meth:`end`."""
+    def begin(self, *, route: str, object_key: str, aim_s: float, now: float) -> TargetAttempt:
+        """Record that a request is sent to the target; pass the result to :meth:`end`.
+
+        :param aim_s: the latency objective of the route, in seconds.
+        """
         if not self._attempts:
-            self._last_response_at = now
+            self.last_response_at = now
         queue_factor = max(1.0, (self.load(now=now) + 1) / self.entry.slots)
         is_known = object_key in self._known_objects
         median_s = self.times.median_s(route) if is_known else None
+        silence_ratio = _SILENCE_RATIO if is_known else _UNKNOWN_SILENCE_RATIO
         attempt = TargetAttempt(
             route=route,
             sent_at=now,
             expected_s=None if median_s is None else median_s * queue_factor,
             queue_factor=queue_factor,
             is_known=is_known,
+            max_silence_s=min(max(MIN_SILENCE_S, aim_s * silence_ratio), _MAX_SILENCE_S),
         )
         self._record_known_object(object_key)
         self._attempts[attempt] = None
+        self.busy.add(self)
         return attempt
 
     def end(self, attempt: TargetAttempt, ending: AttemptOutcome, *, now: float) -> None:
         """Record the outcome of a request."""
         are_several_overdue = self._overdue(now) >= _MIN_OVERDUE_ATTEMPTS
         del self._attempts[attempt]
+        if not self._attempts:
+            self.busy.discard(self)
         took_s = now - attempt.sent_at
         match ending:
             case AttemptOutcome.answered:
-                self._last_response_at = now
+                self.last_response_at = now
                 self._record_run(attempt, took_s, now)
             case AttemptOutcome.refused:
-                self._last_response_at = now
+                self.last_response_at = now
                 if self.fill(now=now) < 1:
                     self.health.note_loss(now=now)
             case AttemptOutcome.failed:
-                self._last_response_at = now
+                self.last_response_at = now
                 self.health.note_loss(now=now)
             case AttemptOutcome.timed_out:
                 # A single missing response counts as lost; several show that the target is slow.
@@ -113,7 +132,25 @@
 
     def silent_s(self, *, now: float) -> float:
         """Return for how long pending requests have got no response, 0 if none is pending."""
-        return now - self._last_response_at if self._attempts else 0
+        return now - self.last_response_at if self._attempts else 0
+
+    def silence_ends_at(self, *, is_suspected: bool) -> float:
+        """Return until when the target may send nothing without being suspected of a failure.
+
+        A response to one request is a sign of life for all, so each request allows some silence
+        from the last response on. The result is infinite if none is pending.
+
+        :param is_suspected: whether other evidence points to a failure, so that the shortest
+            silence is enough.
+        """
+        return min(
+            (
+                max(attempt.sent_at, self.last_response_at)
+                + (MIN_SILENCE_S if is_suspected else attempt.max_silence_s)
+                for attempt in self._attempts
+            ),
+            default=math.inf,
+        )
 
     def note_down(self, *, check_at: float, now: float) -> None:
         """Exclude the target until a health check succeeds."""
--- a/standins/load_play/host.py
+++ b/standins/load_play/host.py
@@ -153,7 +153,10 @@
             self._end(request, 'refused', choice.retry_after_s)
             return
         request.attempt = choice.begin(
-            route=route.name, object_key=request.object_key, now=self._event_queue.now
+            route=route.name,
+            object_key=request.object_key,
+            aim_s=route.aim_s,
+            now=self._event_queue.now,
         )
         request.state = choice
         request.sent.append(choice.entry.target_id)
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -7,12 +7,14 @@
 from tools.mutants.forwarding import FORWARDING
 from tools.mutants.host import HOST
 from tools.mutants.keys import KEYS
+from tools.mutants.liveness import LIVENESS
 from tools.mutants.membership import MEMBERSHIP
 from tools.mutants.steering import STEERING
 from tools.mutants.target_standing import TARGET_STANDING
 
 MUTANTS = (
     *CONFIGURATION,
+    *LIVENESS,
     *MEMBERSHIP,
     *STEERING,
     *TARGET_STANDING,
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -14,7 +14,7 @@
     Mutant(
         mechanism='watchers follow each other',
         file='src/balsamrail/fleet/watch_assignment.py',
-        old='return WatchAssignment(is_watcher=True, sources=others)\n    others',
+        old='return WatchAssignment(is_watcher=True, sources=peers)\n    others',
         new='return WatchAssignment(is_watcher=True, sources=())\n    others',
         feature='features/feed_currency.feature',
         scenario='A watch that stops responding',
