--- a/src/balsamrail/fleet/watch_assignment.py
+++ b/src/balsamrail/fleet/watch_assignment.py
@@ -65,22 +65,20 @@
     """
     local = [member for member in members if member.region == own.region]
     if len(local) <= _MAX_SMALL_REGION_HOSTS:
-        others = tuple(member.host for member in local if member.host != own.host)
-        return WatchAssignment(is_watcher=True, sources=others)
+        sources = tuple(member.host for member in local if member.host != own.host)
+        return WatchAssignment(is_watcher=True, sources=sources)
     ranked = _ranked(local)
     order = [member.host for member in ranked]
     watchers = _take_usable(order, state_of, unusable=_UNUSABLE_WATCHER_STATES)
     if own.host in watchers:
-        peers = tuple(host for host in watchers if host != own.host)
-        return WatchAssignment(is_watcher=True, sources=peers)
-    others = [member for member in ranked if member.host not in watchers]
-    relays = Relays(ranked=others)
-    if len(others) <= _MAX_DIRECT_FOLLOWERS or own.host in relays.hosts():
+        sources = tuple(host for host in watchers if host != own.host)
+        return WatchAssignment(is_watcher=True, sources=sources)
+    followers = [member for member in ranked if member.host not in watchers]
+    relays = Relays(ranked=followers)
+    if len(followers) <= _MAX_DIRECT_FOLLOWERS or own.host in relays.hosts():
         return WatchAssignment(is_watcher=False, sources=watchers)
-    order = relays.order_for(own)
-    return WatchAssignment(
-        is_watcher=False, sources=_take_usable(order, state_of, unusable=_UNUSABLE_RELAY_STATES)
-    )
+    sources = _take_usable(relays.order_for(own), state_of, unusable=_UNUSABLE_RELAY_STATES)
+    return WatchAssignment(is_watcher=False, sources=sources)
 
 
 def remote_sources(
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -14,8 +14,8 @@
     Mutant(
         mechanism='watchers follow each other',
         file='src/balsamrail/fleet/watch_assignment.py',
-        old='return WatchAssignment(is_watcher=True, sources=peers)\n    others',
-        new='return WatchAssignment(is_watcher=True, sources=())\n    others',
+        old='return WatchAssignment(is_watcher=True, sources=sources)\n    followers',
+        new='return WatchAssignment(is_watcher=True, sources=())\n    followers',
         feature='features/feed_currency.feature',
         scenario='A watch that stops responding',
     ),
