Read ahead on callers' connections and end them after their last response

Cause: Tornado stops reading while it holds unprocessed bytes, so that a caller with requests behind the first was not seen to leave and the later ones ran for nobody; they counted as arrived only when the one before was answered, so that targets got more time than the caller had; and a response with Connection: close neither closed the connection nor kept the requests behind it from running, though callers send those again. Change: CallerStream reads up to 64 KB ahead, records when bytes arrived, and closes its sending side after the last response and the rest a second later. Ruled out: closing at once, which resets the connection while requests are unread, so that the caller may lose the response. Not done: running requests of one connection beside each other.

--- a/src/balsamrail/delivery/entry_request.py
+++ b/src/balsamrail/delivery/entry_request.py
@@ -13,7 +13,8 @@
     :param host: requested host name, without a port.
     :param path: path and query string, as sent.
     :param object_key: affinity key of the request, ``None`` if the caller sent none.
-    :param arrived_at: event loop time in seconds at which the headers were read.
+    :param arrived_at: event loop time in seconds at which the end of the headers arrived; the
+        request may have waited behind another one of the connection since.
     :param caller_timeout_s: seconds that the caller waits after ``arrived_at``, ``None`` if it did not
         state a timeout.
     """
--- a/src/balsamrail/entry/listeners.py
+++ b/src/balsamrail/entry/listeners.py
@@ -6,6 +6,7 @@
 from tornado.tcpserver import TCPServer
 
 from balsamrail.catalog.caller_limits import CallerLimits
+from balsamrail.entry.caller_http_server import CallerHttpServer
 from balsamrail.environment import Environment
 from balsamrail.membership import PeerServer
 from balsamrail.platform.caller_server import CallerServer
@@ -40,8 +41,9 @@
     ) -> None:
         self._environment = environment
         delegate: Any = callers
-        self._callers = HTTPServer(
+        self._callers = CallerHttpServer(
             delegate,
+            environment=environment,
             idle_connection_timeout=CallerLimits().idle_timeout_s,
             body_timeout=_BODY_TIMEOUT_S,
             max_header_size=_MAX_HEADER_BYTES,
--- /dev/null
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -0,0 +1,92 @@
+"""The byte stream of a caller's connection."""
+
+import contextlib
+import socket
+from collections import deque
+from typing import Any
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
+
+from balsamrail.environment import Environment
+
+# How long a caller has to close a connection after the last response on it.
+_LINGER_S = 1.0
+# Bytes behind the request in progress that are read before its response is sent. The rest stays
+# with the operating system, which slows down the caller.
+_READ_AHEAD_BYTES = 65_536
+
+
+class CallerStream(IOStream):
+    """An :class:`IOStream` for callers that send requests before earlier ones were answered.
+
+    Tornado stops reading while it holds unprocessed bytes. It then notices neither that the caller
+    disconnects nor when later requests arrive. This stream continues to read up to a limit and
+    records when each byte arrived::
+
+        stream = CallerStream.replace(accepted, environment=environment)
+        stream.consumed_at()  # when the last processed byte arrived
+
+    ``is_finished`` is true once no further request on the connection is to be processed.
+    """
+
+    def __init__(self, *args: Any, environment: Environment, **kwargs: Any) -> None:
+        self._environment = environment
+        self.is_finished = False
+        self._received_bytes = 0
+        # Pairs of the number of bytes received in total and the time.
+        self._arrivals: deque[tuple[int, float]] = deque()
+        super().__init__(*args, **kwargs)
+
+    @classmethod
+    def replace(cls, stream: IOStream, *, environment: Environment) -> 'CallerStream':
+        """Return a stream that takes over the socket of one that has not been used yet."""
+        return cls(
+            stream.socket,
+            environment=environment,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+
+    def consumed_at(self) -> float:
+        """Return when the last byte that was processed arrived, in seconds of the event loop."""
+        consumed_bytes = self._received_bytes - self._read_buffer_size
+        while len(self._arrivals) > 1 and self._arrivals[0][0] < consumed_bytes:
+            self._arrivals.popleft()
+        return self._arrivals[0][1]
+
+    def finish(self) -> None:
+        """Close the connection after the response that was written last.
+
+        Closing a socket at once while requests are unread would reset the connection, and the
+        caller might lose the response. So only the sending side is closed now, and the rest once
+        the caller has closed its side, or after a second.
+        """
+        self.is_finished = True
+        if self.closed():
+            return
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+        self.io_loop.call_later(_LINGER_S, self.close)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket and record the time."""
+        count = super().read_from_fd(buf)
+        if count:
+            self._received_bytes += count
+            self._arrivals.append((self._received_bytes, self._environment.clock.monotonic()))
+        return count
+
+    def _handle_events(self, fd: Any, events: int) -> None:
+        super()._handle_events(fd, events)
+        self._read_ahead()
+
+    def _maybe_add_error_listener(self) -> None:
+        super()._maybe_add_error_listener()
+        self._read_ahead()
+
+    def _read_ahead(self) -> None:
+        """Keep reading while a request is in progress, even if bytes are left in the buffer."""
+        is_in_progress = self._close_callback is not None and not self.closed()
+        if is_in_progress and self._read_buffer_size < _READ_AHEAD_BYTES:
+            self._add_io_state(IOLoop.READ)
--- a/src/balsamrail/platform/caller_server.py
+++ b/src/balsamrail/platform/caller_server.py
@@ -21,6 +21,7 @@
     RequestError,
     TooLargeError,
 )
+from balsamrail.exchange.caller_stream import CallerStream
 from balsamrail.exchange.hop_headers import end_to_end_headers
 from balsamrail.exchange.problem import problem_response
 from balsamrail.platform import headers
@@ -61,13 +62,25 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Return the delegate that receives one request."""
-        return _CallerRequestDelegate(server=self, connection=request_conn)
+        stream: CallerStream = request_conn.stream  # type: ignore[attr-defined]
+        if stream.closed() or stream.is_finished:
+            # The caller has left, or sends the request again on another connection.
+            self.environment.metrics.count('requests_behind_close')
+            return httputil.HTTPMessageDelegate()
+        return _CallerRequestDelegate(server=self, connection=request_conn, stream=stream)
 
 
 class _CallerRequestDelegate(httputil.HTTPMessageDelegate):
     """Receives one request and writes its answer."""
 
-    def __init__(self, *, server: CallerServer, connection: httputil.HTTPConnection) -> None:
+    def __init__(
+        self,
+        *,
+        server: CallerServer,
+        connection: httputil.HTTPConnection,
+        stream: CallerStream,
+    ) -> None:
+        self._stream = stream
         self._server = server
         self._connection = connection
         self._request: EntryRequest | None = None
@@ -85,7 +98,7 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self._server.in_flight += 1
         self._request = self._decode_request(start_line, headers)
-        self._server.last_request_at = self._request.arrived_at
+        self._server.last_request_at = self._server.environment.clock.monotonic()
         limits = self._server.limits
         size = len(start_line.path) + sum(
             len(name) + len(value) + _HEADER_LINE_OVERHEAD_BYTES
@@ -181,14 +194,19 @@
         sent = end_to_end_headers(answer.headers, without=_CONTENT_LENGTH)
         if answer.status not in _BODYLESS_STATUSES:
             sent['Content-Length'] = str(len(answer.body))
-        if self._server.is_leaving or not answer.keep_alive:
+        is_last = self._server.is_leaving or not answer.keep_alive
+        if is_last:
             sent['Connection'] = 'close'
         start_line = httputil.ResponseStartLine('HTTP/1.1', answer.status, answer.reason)
         is_head = self._request is not None and self._request.method == 'HEAD'
         body = None if is_head else answer.body or None
         written = self._connection.write_headers(start_line, sent, body)
+        # Before the end of the response, since Tornado reads the next request right after it.
+        self._stream.is_finished = is_last
         self._connection.finish()
         await written
+        if is_last:
+            self._stream.finish()
 
     def _decode_request(
         self, start_line: httputil.RequestStartLine, request_headers: httputil.HTTPHeaders
@@ -204,7 +222,7 @@
             path=start_line.path,
             headers=request_headers,
             object_key=_object_key(request_headers.get('Cookie', '')),
-            arrived_at=self._server.environment.clock.monotonic(),
+            arrived_at=self._stream.consumed_at(),
             caller_timeout_s=caller_timeout_s,
         )
 
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -9,6 +9,7 @@
 from tools.mutants.keys import KEYS
 from tools.mutants.liveness import LIVENESS
 from tools.mutants.membership import MEMBERSHIP
+from tools.mutants.pipelining import PIPELINING
 from tools.mutants.steering import STEERING
 from tools.mutants.target_standing import TARGET_STANDING
 
@@ -24,4 +25,5 @@
     *ENTRY,
     *CURRENCY,
     *ENDLESS_BYTES,
+    *PIPELINING,
 )
