Take the first listing only from a source that is current

Cause: a host that had just started applied the listing of any source. Beside relays that had heard of no change for 3 s it had the replaced manifest and a target that had left for 1 s (feature feed_currency, virtual time). Change: the first listing of a kind is held back until the status of its source shows that it receives the store's changes; without any current source it is used 3 s after the start, when the store has been asked.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -48,3 +48,18 @@
     Given regions of 24, 24 hosts that have the manifest
     When an object is removed while hosts that follow others are isolated for 0.3 s, 1 s or 1.4 s
     Then no host has it 5 s later
+
+  Scenario: A host that restarts takes no outdated objects from its sources
+    Guards against a target that left, or a manifest that was replaced, in use again after a restart.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When a follower restarts beside sources that have heard of no change for 3 s
+    Then it never has the old manifest or the removed object
+    And it has the manifest in force within 2.5 s of its start
+
+  Scenario: A host that restarts during an outage of the store takes the objects of its sources
+    Guards against a host that refuses all requests for as long as the store is down.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When the store refuses all hosts and a follower restarts
+    Then it has the manifest in force within 4 s of its start
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -119,3 +119,71 @@
 @then('no host has it 5 s later')
 def step_removed(context):
     assert not any(context.hosts_with_object.values()), context.hosts_with_object
+
+
+async def _observe_restart(fleet, name, limit_s):
+    """Restart a host; return the versions that it has by time since its start."""
+    host = fleet.restart(name)
+    started = asyncio.get_running_loop().time()
+    versions = []
+    while asyncio.get_running_loop().time() - started < limit_s:
+        after_s = asyncio.get_running_loop().time() - started
+        versions.append((after_s, host.version(), host.has_object('i-1')))
+        await asyncio.sleep(0.02)
+    return versions
+
+
+@when('a follower restarts beside sources that have heard of no change for 3 s')
+def step_restart_outdated(context):
+    async def run_once():
+        fleet = FeedFleet(context.sizes)
+        fleet.source.write('i-1', 1)
+        await fleet.start()
+        try:
+            name, sources = fleet.follower_with_relays()
+            for source in sources:
+                fleet.hosts[source].access.is_refused = True
+                fleet.cut_links.update(
+                    frozenset((source, other)) for other in fleet.hosts if other != name
+                )
+            await asyncio.sleep(0.5)
+            fleet.source.write('main', 2)
+            fleet.source.remove('i-1')
+            await asyncio.sleep(3)
+            return await _observe_restart(fleet, name, 4)
+        finally:
+            await fleet.stop()
+
+    context.versions = run_virtual(run_once())
+    context.expected_version = 2
+
+
+@when('the store refuses all hosts and a follower restarts')
+def step_restart_outage(context):
+    async def run_once():
+        fleet = FeedFleet(context.sizes)
+        await fleet.start()
+        try:
+            name, _ = fleet.follower_with_relays()
+            for host in fleet.hosts.values():
+                host.access.is_refused = True
+            await asyncio.sleep(3)
+            return await _observe_restart(fleet, name, 6)
+        finally:
+            await fleet.stop()
+
+    context.versions = run_virtual(run_once())
+    context.expected_version = 1
+
+
+@then('it never has the old manifest or the removed object')
+def step_never_old(context):
+    old = [seen for seen in context.versions if seen[1] == 1 or seen[2]]
+    assert not old, (old[0], old[-1])
+
+
+@then('it has the manifest in force within {limit_s:g} s of its start')
+def step_in_force(context, limit_s):
+    found = [after_s for after_s, version, _ in context.versions if version]
+    assert found and found[0] <= limit_s, found[:1]
+    assert context.versions[-1][1] == context.expected_version
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -146,6 +146,7 @@
         self.source = FakeSource()
         self.receivers = {}
         self.cut_off = set()
+        self.cut_links = set()
         self.arrival_by_pair = {}
         self.hosts = {}
         for region, size in sizes.items():
@@ -157,7 +158,7 @@
                 self.hosts[name] = FleetHost(self, member)
 
     def deliver(self, sender, receiver, message):
-        if self.cut_off & {sender, receiver}:
+        if self.cut_off & {sender, receiver} or frozenset((sender, receiver)) in self.cut_links:
             return
         if self.hosts[receiver].died_at is None and self.hosts[sender].died_at is None:
             receive = self.receivers[receiver].get(type(message))
@@ -171,6 +172,24 @@
         await asyncio.sleep(6)
         assert {host.version() for host in self.hosts.values()} == {1}
 
+    def restart(self, name):
+        """Replace a host by one that knows nothing."""
+        old = self.hosts[name]
+        old.kill()
+        host = FleetHost(self, old.member)
+        host.access = old.access
+        self.hosts[name] = host
+        host.start(is_first=False)
+        return host
+
+    def follower_with_relays(self):
+        """Return a host that follows relays, and these."""
+        for name, host in self.hosts.items():
+            sources = list(host.watch.dump()['follows'])
+            if not host.is_watching() and not any(self.hosts[s].is_watching() for s in sources):
+                return name, sources
+        raise AssertionError('no host follows relays')
+
     def live_hosts(self):
         return [host for host in self.hosts.values() if host.died_at is None]
 
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -9,6 +9,7 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import PeerError
 from balsamrail.fleet.object_codec import unpack_objects
+from balsamrail.fleet.unconfirmed_listings import UnconfirmedListings
 from balsamrail.fleet.watch_assignment import WatcherState
 from balsamrail.membership.network import Network
 from balsamrail.messages.feed_status import FeedStatus
@@ -44,10 +45,18 @@
     """Subscribes to sources and merges their updates into the views.
 
     Updates of all sources are applied, so that a source that is cut off from the store does not
-    delay changes that the others deliver.
+    delay changes that the others deliver. Only the first listing of a kind has to come from a
+    source that is current, see :class:`~balsamrail.fleet.unconfirmed_listings.UnconfirmedListings`.
     """
 
-    __slots__ = ('_environment', '_network', '_sources_by_host', '_views_by_kind', 'gap_count')
+    __slots__ = (
+        '_environment',
+        '_network',
+        '_sources_by_host',
+        '_unconfirmed',
+        '_views_by_kind',
+        'gap_count',
+    )
 
     def __init__(
         self, *, environment: Environment, network: Network, views: Iterable[ObjectView]
@@ -56,6 +65,7 @@
         self._network = network
         self._views_by_kind = {view.kind: view for view in views}
         self._sources_by_host: dict[str, _Source] = {}
+        self._unconfirmed = UnconfirmedListings()
         # How often messages of a source were lost. Its next listing restores missed writes, but a
         # listing removes only objects older than the source's own last listing from the store,
         # so that a missed removal can remain.
@@ -69,6 +79,7 @@
         for host in list(self._sources_by_host):
             if host not in wanted:
                 del self._sources_by_host[host]
+                self._unconfirmed.discard(host)
         now = self._environment.clock.monotonic()
         for host in sorted(wanted):
             source = self._sources_by_host.get(host)
@@ -79,6 +90,10 @@
                 source.subscribed_at = now
                 await self._send_subscribe(host, source)
 
+    def apply_unconfirmed(self) -> None:
+        """Apply the listings of sources that are not known to be current."""
+        self._unconfirmed.apply_all()
+
     def state_of(self, host: str) -> WatcherState:
         """Return the state of a source as seen by this host."""
         source = self._sources_by_host.get(host)
@@ -154,7 +169,11 @@
             return
         self._check_sequence(source, message.number)
         if message.is_listing:
-            view.apply_listing(Listing(objects=tuple(written), revision=message.revision))
+            listing = Listing(objects=tuple(written), revision=message.revision)
+            if view.is_listed:
+                view.apply_listing(listing)
+            else:
+                self._unconfirmed.hold(host, view, listing)
             return
         view.apply_events(
             [
@@ -174,6 +193,7 @@
         source.store_up_s = message.store_up_ms / _MS_IN_S
         source.last_status_at = self._environment.clock.monotonic()
         if self._is_healthy(source):
+            self._unconfirmed.apply(host)
             source.last_healthy_at = source.last_status_at
             if not source.hops:
                 source.last_direct_at = source.last_status_at
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -23,6 +23,9 @@
 _FALLBACK_DELAY_FRACTION = 0.2
 # The delay after a start, when many hosts discover each other at the same time.
 _STARTUP_FALLBACK_DELAY_S = 1.5
+# After this time without a current source a host that has just started uses what its sources have.
+# The store has been queried by then.
+_UNCONFIRMED_DELAY_S = 3.0
 # How long a host keeps watching once it is no longer needed, so that assignments do not flap.
 _STOP_DELAY_S = 3.0
 
@@ -151,6 +154,8 @@
         if self._follower.is_current():
             self._has_been_current = True
             self._last_current_at = now
+        if now - self._last_current_at >= _UNCONFIRMED_DELAY_S and not self.is_current():
+            self._follower.apply_unconfirmed()
         has_gap = self._follower.gap_count != self._handled_gap_count
         self._handled_gap_count = self._follower.gap_count
         if assignment.is_watcher or has_gap or now - self._last_current_at >= fallback_delay_s:
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -67,4 +67,20 @@
         feature='features/directory.feature',
         scenario='A host that has just started',
     ),
+    Mutant(
+        mechanism='a host that has just started takes no listing of a source that is not current',
+        file='src/balsamrail/fleet/feed_follower.py',
+        old='            if view.is_listed:\n',
+        new='            if True:\n',
+        feature='features/feed_currency.feature',
+        scenario='A host that restarts takes no outdated objects',
+    ),
+    Mutant(
+        mechanism='during an outage of the store a started host uses what its sources have',
+        file='src/balsamrail/fleet/store_watch.py',
+        old='            self._follower.apply_unconfirmed()\n',
+        new='            pass\n',
+        feature='features/feed_currency.feature',
+        scenario='A host that restarts during an outage',
+    ),
 )
