Do not register a host again whose entry is in the store

Change: it reads its entry first, stale reads at a tenth of the price, and writes only if the entry is missing or differs. First starts write as before.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -30,3 +30,10 @@
   Scenario: A call to a store that does not respond times out
     When the store does not respond
     Then a read raises StoreUnavailableError within the timeout of the settings
+
+  Scenario: A host that restarts does not register again
+    Guards against two writes for each of the hosts that are restarted daily.
+
+    When a host starts for the first time, restarts, and restarts with another address
+    Then it makes 1 write, 1 stale read, and 1 stale read and 2 writes
+    And its entry has the new address
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -12,7 +12,9 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from balsamrail.platform.host_registry import HostRegistry
 from balsamrail.platform.object_store import ObjectStore
+from balsamrail.store import ListedHost
 from standins.platform_store import PlatformStore
 
 KIND = 'things'
@@ -169,3 +171,41 @@
 def step_timed_out(context):
     assert context.error is StoreUnavailableError, context.error
     assert context.took_s < 0.6, context.took_s
+
+
+@when('a host starts for the first time, restarts, and restarts with another address')
+def step_register(context):
+    starts = (('10.0.0.1:1', True), ('10.0.0.1:1', False), ('10.0.0.2:1', False))
+
+    async def scenario(store, standin):
+        context.calls = []
+        for address, is_first_start in starts:
+            environment = make_environment(
+                store_address=standin.address, is_first_start=is_first_start
+            )
+            registry = HostRegistry(environment=environment, store=store)
+            standin.calls.clear()
+            await registry.announce_host(
+                ListedHost(host='attiki-1', address=address, state='live')
+            )
+            context.calls.append([_kind_of(*call) for call in standin.calls])
+        context.listed = await registry.list_hosts()
+
+    _run_with_store(context, scenario)
+
+
+def _kind_of(method, uri):
+    if method != 'GET':
+        return 'write'
+    return 'stale read' if uri.endswith('?allowStale=1') else 'read'
+
+
+@then('it makes 1 write, 1 stale read, and 1 stale read and 2 writes')
+def step_calls(context):
+    expected = [['write'], ['stale read'], ['stale read', 'write', 'write']]
+    assert context.calls == expected, context.calls
+
+
+@then('its entry has the new address')
+def step_entry(context):
+    assert [(each.host, each.address) for each in context.listed] == [('attiki-1', '10.0.0.2:1')]
--- a/src/balsamrail/platform/host_registry.py
+++ b/src/balsamrail/platform/host_registry.py
@@ -36,11 +36,18 @@
         return hosts
 
     async def announce_host(self, host: ListedHost) -> None:
-        """Register this host.
+        """Register this host, unless its entry is there already.
+
+        Entries do not expire, and reading one costs a twentieth of the two writes that would find
+        that it exists. A host of a fleet that starts for the first time has no entry.
 
         :raises StoreError: if the store did not accept the entry.
         """
         spec = {'address': host.address, 'state': host.state}
+        if not self._environment.settings.is_first_start:
+            known = await self._store.read(_KIND, host.host, is_stale_allowed=True)
+            if known is not None and known.spec == spec:
+                return
         try:
             await self._store.create(_KIND, host.host, spec=spec)
         except StoreConflictError:
--- a/src/balsamrail/platform/object_store.py
+++ b/src/balsamrail/platform/object_store.py
@@ -25,6 +25,7 @@
 
 _OBJECTS_PATH = '/balsamrail/objects'
 _MS_IN_S = 1_000
+_STALE_QUERY = '?allowStale=1'
 _CONNECT_TIMEOUT_S = 1.0
 _USER_TIMEOUT_S = 2.0
 _WATCH_TIMEOUT_MARGIN_S = 1.5
@@ -69,9 +70,15 @@
                 return Listing(objects=tuple(objects), revision=revision_of(payload))
             query['after'] = page[-1].name
 
-    async def read(self, kind: str, name: str) -> StoreObject | None:
-        """Return one object, ``None`` if it does not exist."""
-        answer = await self._call('GET', _object_path(kind, name), metric='read')
+    async def read(
+        self, kind: str, name: str, *, is_stale_allowed: bool = False
+    ) -> StoreObject | None:
+        """Return one object, ``None`` if it does not exist.
+
+        :param is_stale_allowed: whether the object may be seconds old, at a tenth of the price.
+        """
+        query = _STALE_QUERY if is_stale_allowed else ''
+        answer = await self._call('GET', f'{_object_path(kind, name)}{query}', metric='read')
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
         return read_object(read_body(_require_ok(answer).body))
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -43,6 +43,14 @@
         feature='features/catalog.feature',
         scenario='A manifest never reverts',
     ),
+    Mutant(
+        mechanism='a host that is registered does not register again',
+        file='src/balsamrail/platform/host_registry.py',
+        old='if known is not None and known.spec == spec:',
+        new='if False:',
+        feature='features/platform_store.feature',
+        scenario='A host that restarts does not register again',
+    ),
     Mutant(
         mechanism='signals are blocked until they are ignored',
         file='src/balsamrail/process/ignored_signals.py',
