Flood announcements of running hosts along the rings in one direction

Cause: each member update was sent over all six links of each host. In the simulated start of 195 hosts in 9 zones, their announcements to be ready took 14.1 MB between zones, 10.7 MB of it between regions. Change: announcements (starting, alive, leaving) go to the successors on the three rings only; suspicions and losses go both ways as before, since few links may be left then. A lost announcement is found by the comparison of tables. Ruled out: rings ordered by zone (a zone without power would lose most of its observers), compressed streams (hosts of two builds could not talk).

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -39,6 +39,22 @@
     When host 8 restarts, knows the table and receives only the Hello of host 7
     Then lookups on host 8 return host 7
 
+  Scenario: Announcements take half of the messages of other updates
+    # Guards against traffic between regions that grows with the square of the fleet at each start.
+    Given a fleet of 60 hosts
+    When 5 s pass
+    And host 7 announces itself again and then host 8 is suspected by host 9
+    Then every host has the announcement, after at most 3 messages of each
+    And the suspicion took more than 4 messages of each
+
+  Scenario: An announcement that was lost is found by the comparison of tables
+    # Guards against a host that is never returned by some lookups because of one lost message.
+    Given a fleet of 60 hosts
+    When 5 s pass
+    And host 7 announces itself again while all member updates are lost for 0.5 s
+    And 15 s pass
+    Then every host has the announcement
+
   Scenario: A silent connection is replaced and the peer stays alive
     # Guards against suspecting a live peer because of one connection that stays silent.
     Given a fleet of 12 hosts
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -304,3 +304,67 @@
 def step_unknown(context):
     verdicts = [host.members.is_proven_gone('ghost@0') for host in context.fleet.hosts[:2]]
     assert verdicts == [False, True], verdicts
+
+
+def _count_updates(context, act, seconds, *, state='alive'):
+    """Return how many member updates of a state were sent after ``act``."""
+
+    async def main():
+        sent = context.fleet.network.updates_by_state
+        before = sent[state]
+        act()
+        await asyncio.sleep(seconds)
+        return sent[state] - before
+
+    return run(context, main())
+
+
+def _announce_again(host):
+    host.members._announce_local_state('alive', host.members.local_member().refutation + 1)
+
+
+@when(
+    'host {one:d} announces itself again and then host {other:d} is suspected by host {observer:d}'
+)
+def step_announce(context, one, other, observer):
+    hosts = context.fleet.hosts
+    context.announced = hosts[one]
+    context.announcement_count = _count_updates(context, lambda: _announce_again(hosts[one]), 0.5)
+    context.suspicion_count = _count_updates(
+        context,
+        lambda: hosts[observer].members.suspect(hosts[other].name),
+        0.5,
+        state='suspect',
+    )
+
+
+@when('host {one:d} announces itself again while all member updates are lost for {lost_s:g} s')
+def step_announce_lost(context, one, lost_s):
+    context.announced = context.fleet.hosts[one]
+    context.fleet.network.lost_kinds.add('MemberUpdate')
+    _count_updates(context, lambda: _announce_again(context.announced), lost_s)
+    context.fleet.network.lost_kinds.clear()
+
+
+@then('every host has the announcement')
+def step_announced(context):
+    refutation = context.announced.members.local_member().refutation
+    missing = [
+        host.name
+        for host in context.fleet.hosts
+        if host.members.get(context.announced.name).refutation < refutation
+    ]
+    assert refutation and not missing, missing
+
+
+@then('every host has the announcement, after at most {count:d} messages of each')
+def step_announced_once(context, count):
+    step_announced(context)
+    assert context.announcement_count <= count * len(context.fleet.hosts), (
+        context.announcement_count
+    )
+
+
+@then('the suspicion took more than {count:d} messages of each')
+def step_suspected(context, count):
+    assert context.suspicion_count > count * len(context.fleet.hosts), context.suspicion_count
--- a/features/steps/memory_network.py
+++ b/features/steps/memory_network.py
@@ -81,6 +81,7 @@
         self.lost_kinds = set()
         self.count_bytes = count_bytes
         self.sent = Counter()
+        self.updates_by_state = Counter()
         self.bytes_by_kind = Counter()
         self.opens = 0
 
@@ -155,6 +156,8 @@
         network = self.network
         kind = type(message).__name__
         network.sent[kind] += 1
+        if kind == 'MemberUpdate':
+            network.updates_by_state[message.state] += 1
         if network.count_bytes:
             network.bytes_by_kind[kind] += len(encode_message(message))
         lost = self.silent or kind in network.lost_kinds or network.random.random() < network.loss
--- a/src/balsamrail/membership/member_gossip.py
+++ b/src/balsamrail/membership/member_gossip.py
@@ -10,6 +10,8 @@
 from balsamrail.membership.updates import update_from_hello, update_order
 from balsamrail.messages import Hello, MemberDigest, MemberUpdate
 
+_ANNOUNCED_STATES = frozenset(('starting', 'alive', 'leaving'))
+
 
 class MemberGossip:
     """Floods updates and repairs missed ones by comparing member tables (anti-entropy).
@@ -90,6 +92,15 @@
             self._exchange.send_rows(link, [link.host])
 
     def publish(self, update: MemberUpdate) -> None:
-        """Flood an update; the suspicions of different observers are flooded separately."""
+        """Flood an update; the suspicions of different observers are flooded separately.
+
+        Announcements of running hosts are by far the most frequent updates, and a host that
+        misses one gets it from the comparison of the tables. Only they are sent one way.
+        """
         observer = update.observer if update.state == 'suspect' else ''
-        self._flood(update, topic=f'member/{update.host}/{observer}', version=update_order(update))
+        self._flood(
+            update,
+            topic=f'member/{update.host}/{observer}',
+            version=update_order(update),
+            is_one_way=update.state in _ANNOUNCED_STATES,
+        )
--- a/src/balsamrail/membership/peer_network.py
+++ b/src/balsamrail/membership/peer_network.py
@@ -119,16 +119,22 @@
         link.last_used_at = self._environment.clock.monotonic()
         return self._streams.write(link, message)
 
-    def flood(self, message: Message, *, topic: str, version: Version) -> None:
+    def flood(
+        self, message: Message, *, topic: str, version: Version, is_one_way: bool = False
+    ) -> None:
         """Send a message to the neighbours, once for each version of a topic.
 
         Each host forwards what it receives: the kinds in
         :func:`~balsamrail.membership.flood_key.flood_key` at once, others when their receiver
         calls this method. The message is not sent back to the host that it came from.
+
+        :param is_one_way: send only along the rings, to the successors. This reaches all hosts as
+            long as few have failed, with half of the messages.
         """
         if not self._filter.admit(topic, version):
             return
-        for host in self._neighbours.hosts():
+        hosts = sorted(self._neighbours.successors) if is_one_way else self._neighbours.hosts()
+        for host in hosts:
             link = self._streams.links.newest(host)
             if link is not None and host != self._receiving_from:
                 self._streams.write(link, message)
--- a/tools/mutants/membership.py
+++ b/tools/mutants/membership.py
@@ -155,4 +155,28 @@
         feature='features/membership.feature',
         scenario='A host that registered after',
     ),
+    Mutant(
+        mechanism='announcements are flooded one way',
+        file='src/balsamrail/membership/member_gossip.py',
+        old='is_one_way=update.state in _ANNOUNCED_STATES,',
+        new='is_one_way=False,',
+        feature='features/membership.feature',
+        scenario='Announcements take half of the messages',
+    ),
+    Mutant(
+        mechanism='suspicions are flooded both ways',
+        file='src/balsamrail/membership/member_gossip.py',
+        old='is_one_way=update.state in _ANNOUNCED_STATES,',
+        new='is_one_way=True,',
+        feature='features/membership.feature',
+        scenario='Announcements take half of the messages',
+    ),
+    Mutant(
+        mechanism='a lost announcement is found by the comparison of tables',
+        file='src/balsamrail/membership/peer_network.py',
+        old='        self._gossip.sync_with_random_peer()\n',
+        new='',
+        feature='features/membership.feature',
+        scenario='An announcement that was lost',
+    ),
 )
