Let an outage of the store cost the fleet few calls and no listings

While the store is busy for all, each host follows a host of each other region, which sends it a full listing, checks the store each 0.3 s, and lists it when it is back. Change: a host that has its objects asks a source for a listing only once it is current; hosts other than the first two of a region check the store at doubling intervals up to 1.2 s, leave the first listing after an outage to the watchers for 0.6 s, and stop as soon as a source is current. A host that missed updates now keeps its own watch until it has listed the store, also if that is slow.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -63,3 +63,19 @@
     Given regions of 24, 24 hosts that have the manifest
     When the store refuses all hosts and a follower restarts
     Then it has the manifest in force within 4 s of its start
+
+  Scenario: A removal during a short network failure is recovered from a slow store
+    Guards against a host that gives up its own listing of the store before the store has answered.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When an object is removed while hosts are isolated, and the store takes 0.6 s for each call
+    Then no host has it 5 s later
+
+  Scenario: An outage of the store costs few calls and no listings
+    Guards against calls and listings of all hosts at once, which cost a fleet of 195 hosts more than
+    its requests.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When the store refuses all hosts for 8 s and then answers again
+    Then each host called it at most 12 times in that time, and no host sent a listing
+    And at most 3 hosts of a region list the store after it, and all have the next change within 2 s
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -96,9 +96,22 @@
 
 @when('an object is removed while hosts that follow others are isolated for 0.3 s, 1 s or 1.4 s')
 def step_removed_in_gap(context):
+    _remove_in_gap(context, store_delay_s=0)
+
+
+@when(
+    'an object is removed while hosts are isolated, and the store takes {delay_s:g} s for each call'
+)
+def step_removed_slow(context, delay_s):
+    _remove_in_gap(context, store_delay_s=delay_s)
+
+
+def _remove_in_gap(context, *, store_delay_s):
     async def run_once(gap_s):
         fleet = FeedFleet(context.sizes)
         await fleet.start()
+        for host in fleet.hosts.values():
+            host.access.delay_s = store_delay_s
         try:
             fleet.source.write('i-1', 1)
             await asyncio.sleep(2)
@@ -187,3 +200,48 @@
     found = [after_s for after_s, version, _ in context.versions if version]
     assert found and found[0] <= limit_s, found[:1]
     assert context.versions[-1][1] == context.expected_version
+
+
+@when('the store refuses all hosts for {outage_s:d} s and then answers again')
+def step_outage(context, outage_s):
+    async def run_once():
+        fleet = FeedFleet(context.sizes)
+        await fleet.start()
+        accesses = {name: host.access for name, host in fleet.hosts.items()}
+        try:
+            for access in accesses.values():
+                access.is_refused = True
+                access.calls = 0
+            fleet.listings_sent = 0
+            await asyncio.sleep(outage_s)
+            context.calls = {name: access.calls for name, access in accesses.items()}
+            context.listings_sent = fleet.listings_sent
+            for access in accesses.values():
+                access.is_refused = False
+                access.listings = 0
+            await asyncio.sleep(5)
+            context.listers = [name for name, access in accesses.items() if access.listings]
+            return await fleet.propagation_s(2, limit_s=OBSERVED_S)
+        finally:
+            await fleet.stop()
+
+    context.received_after_s = {0: run_virtual(run_once())}
+
+
+@then('each host called it at most {limit:d} times in that time, and no host sent a listing')
+def step_few_calls(context, limit):
+    # The assigned watchers check at a constant interval.
+    counts = sorted(context.calls.values(), reverse=True)
+    assert counts[2 * len(context.sizes)] <= limit, counts
+    assert not context.listings_sent, context.listings_sent
+
+
+@then(
+    'at most {count:d} hosts of a region list the store after it,'
+    ' and all have the next change within {limit_s:g} s'
+)
+def step_few_listings(context, count, limit_s):
+    for region in context.sizes:
+        listers = [name for name in context.listers if name.startswith(f'{region}-')]
+        assert len(listers) <= count, context.listers
+    step_in_time(context, limit_s)
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -28,12 +28,19 @@
         self.source = source
         self.is_refused = False
         self.is_silent = False
+        self.delay_s = 0
+        self.calls = 0
+        self.listings = 0
 
     async def list_objects(self, kind, *, is_stale_allowed=False):
+        self.calls += 1
         self._check()
+        self.listings += not is_stale_allowed
+        await asyncio.sleep(self.delay_s)
         return await self.source.list_objects(kind, is_stale_allowed=is_stale_allowed)
 
     async def watch(self, kind, *, revision, wait_s):
+        self.calls += 1
         self._check()
         waiting = asyncio.ensure_future(self.source.watch(kind, revision=revision, wait_s=wait_s))
         try:
@@ -127,6 +134,8 @@
         self.host = host
 
     async def send(self, host, message):
+        if getattr(message, 'is_listing', False):
+            self.fleet.listings_sent += 1
         loop = asyncio.get_running_loop()
         # A stream delivers its messages in order; timers due at the same time do not keep an order.
         earliest = self.fleet.arrival_by_pair.get((self.host, host), 0) + _MIN_SPACING_S
@@ -147,6 +156,7 @@
         self.receivers = {}
         self.cut_off = set()
         self.cut_links = set()
+        self.listings_sent = 0
         self.arrival_by_pair = {}
         self.hosts = {}
         for region, size in sizes.items():
--- a/src/balsamrail/catalog/store_monitor.py
+++ b/src/balsamrail/catalog/store_monitor.py
@@ -11,6 +11,9 @@
 
 _CHECK_INTERVAL_S = 1.0
 _RETRY_INTERVAL_S = 0.3
+# A standby checks less and less often, and gives the assigned watchers this time after an outage.
+_MAX_STANDBY_INTERVAL_S = 1.2
+_STANDBY_DELAY_S = 0.6
 # The number of checks that can be waiting for their time-out at the same time.
 _MAX_PENDING_CHECKS = 5
 
@@ -64,21 +67,27 @@
         """Discard the result of the last check, since checking has stopped."""
         self._up_event.clear()
 
-    async def run(self) -> None:
-        """Check the store until cancelled."""
+    async def run(self, *, is_standby: bool = False) -> None:
+        """Check the store until cancelled.
+
+        :param is_standby: whether other hosts are assigned to watch the store. During an outage
+            all hosts of the fleet are standbys, and each call is charged for.
+        """
+        max_interval_s = _MAX_STANDBY_INTERVAL_S if is_standby else _RETRY_INTERVAL_S
         while True:
             try:
                 await self._check()
             except StoreError as error:
                 self._record_failure(error)
-                await self._wait_for_recovery()
+                await self._wait_for_recovery(max_interval_s)
+                await asyncio.sleep(_STANDBY_DELAY_S if is_standby else 0)
             self._record_success()
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     async def _check(self) -> None:
         await self._source.list_objects(self._kind, is_stale_allowed=True)
 
-    async def _wait_for_recovery(self) -> None:
+    async def _wait_for_recovery(self, max_interval_s: float) -> None:
         """Start checks periodically, without waiting for the previous ones.
 
         While the store is unreachable, a check ends only by its time-out. Sequential checks would
@@ -86,6 +95,7 @@
         would be kept for that much longer.
         """
         recovered = asyncio.Event()
+        interval_s = _RETRY_INTERVAL_S
         checks: set[asyncio.Task[None]] = set()
         try:
             while not recovered.is_set():
@@ -94,7 +104,8 @@
                     checks.add(check)
                     check.add_done_callback(checks.discard)
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(recovered.wait(), _RETRY_INTERVAL_S)
+                    await asyncio.wait_for(recovered.wait(), interval_s)
+                interval_s = min(max_interval_s, interval_s * 2)
         finally:
             for pending_check in list(checks):
                 pending_check.cancel()
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -1,5 +1,6 @@
 """Receives changes of the store's objects from the hosts that watch it."""
 
+import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -151,7 +152,10 @@
         return is_synced and status_age_s < _STATUS_TIMEOUT_S
 
     async def _send_subscribe(self, host: str, source: _Source) -> None:
-        message = FeedSubscribe(needs_listing=not source.is_complete)
+        is_listed = all(view.is_listed for view in self._views_by_kind.values())
+        # During an outage of the store no source is current, and a listing would show nothing new.
+        is_useful = source.is_current or not is_listed
+        message = FeedSubscribe(needs_listing=is_useful and not source.is_complete)
         if not await self._network.send(host, message):
             source.is_complete = False
 
@@ -167,7 +171,7 @@
             self._environment.log.event('feed_update_invalid', peer=host, reason=error)
             source.is_complete = False
             return
-        self._check_sequence(source, message.number)
+        self._check_sequence(source, message)
         if message.is_listing:
             listing = Listing(objects=tuple(written), revision=message.revision)
             if view.is_listed:
@@ -188,25 +192,28 @@
             return
         if message.number != source.number:
             self._record_gap(source)
+        was_current = source.is_current
         source.is_current = message.is_current
         source.hops = message.hops
         source.store_up_s = message.store_up_ms / _MS_IN_S
         source.last_status_at = self._environment.clock.monotonic()
+        if source.is_current and not was_current and not source.is_complete:
+            asyncio.create_task(self._send_subscribe(host, source))
         if self._is_healthy(source):
             self._unconfirmed.apply(host)
             source.last_healthy_at = source.last_status_at
             if not source.hops:
                 source.last_direct_at = source.last_status_at
 
-    def _check_sequence(self, source: _Source, number: int) -> None:
-        if number == 1:
+    def _check_sequence(self, source: _Source, message: FeedUpdate) -> None:
+        if message.number == 1:
             # Numbering restarts with a new subscription. If messages came before, the earlier
             # subscription had expired, so that messages may have been lost.
-            self.gap_count += source.number > 1
-            source.is_complete = True
-        elif number != source.number + 1:
+            self.gap_count += source.is_complete and source.number > 1
+            source.is_complete = message.is_listing
+        elif message.number != source.number + 1:
             self._record_gap(source)
-        source.number = number
+        source.number = message.number
 
     def _record_gap(self, source: _Source) -> None:
         self.gap_count += source.is_complete
--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -42,8 +42,8 @@
 class FeedHub:
     """Publishes this host's copy of the store's objects to its subscribers.
 
-    A new subscriber gets a full listing, then each change, and a status several times a second.
-    Messages are numbered, so that the subscriber detects a loss by a gap.
+    A subscriber gets a full listing if it asks for one, each change, and a status several times a
+    second. Messages are numbered, so that the subscriber detects a loss by a gap.
     """
 
     __slots__ = ('_environment', '_network', '_subscriptions_by_host', '_views', '_watch')
@@ -98,7 +98,10 @@
             return
         subscription = _Subscription(expires_at=expires_at)
         self._subscriptions_by_host[host] = subscription
-        asyncio.create_task(self._send_initial_state(host, subscription))
+        if message.needs_listing:
+            asyncio.create_task(self._send_initial_state(host, subscription))
+        else:
+            asyncio.create_task(self._send_status(host, subscription))
 
     async def _send_initial_state(self, host: str, subscription: _Subscription) -> None:
         for view in self._views:
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -8,7 +8,7 @@
 from balsamrail.catalog.store_monitor import StoreMonitor
 from balsamrail.environment import Environment
 from balsamrail.fleet.feed_follower import FeedFollower
-from balsamrail.fleet.watch_assignment import assign_watch, remote_sources
+from balsamrail.fleet.watch_assignment import WatchAssignment, assign_watch, remote_sources
 from balsamrail.membership import Member
 
 _TICK_INTERVAL_S = 0.25
@@ -59,10 +59,12 @@
         '_follower',
         '_handled_gap_count',
         '_has_been_current',
+        '_is_standby',
         '_last_current_at',
         '_local_current_at',
         '_local_sources',
         '_members',
+        '_must_list',
         '_redundant_since',
         '_tasks',
     )
@@ -82,6 +84,9 @@
         self._feeds = tuple(feeds)
         self._follower = follower
         self._tasks: list[asyncio.Task[None]] = []
+        self._is_standby = False
+        # Whether updates were missed, so that this host has to list the store itself.
+        self._must_list = False
         self._handled_gap_count = 0
         self._has_been_current = False
         self._last_current_at = environment.clock.monotonic()
@@ -147,8 +152,7 @@
         if self.is_current() or self._follower.has_current_source(self._local_sources):
             self._local_current_at = now
         remote: tuple[str, ...] = ()
-        fallback_delay_s = self._fallback_delay_s()
-        if now - self._local_current_at >= fallback_delay_s:
+        if now - self._local_current_at >= self._fallback_delay_s():
             remote = remote_sources(members, own=own, state_of=self._follower.state_of)
         await self._follower.follow((*self._local_sources, *remote))
         if self._follower.is_current():
@@ -156,28 +160,43 @@
             self._last_current_at = now
         if now - self._last_current_at >= _UNCONFIRMED_DELAY_S and not self.is_current():
             self._follower.apply_unconfirmed()
-        has_gap = self._follower.gap_count != self._handled_gap_count
-        self._handled_gap_count = self._follower.gap_count
-        if assignment.is_watcher or has_gap or now - self._last_current_at >= fallback_delay_s:
+        if self._is_watch_needed(assignment, now):
             self._redundant_since = None
-            self._start(is_duty=assignment.is_watcher)
+            self._start(assignment)
         elif self._tasks:
-            if self._redundant_since is None:
-                self._redundant_since = now
-            if now - self._redundant_since >= _STOP_DELAY_S:
-                self._stop()
+            self._stop_if_redundant(now)
+
+    def _is_watch_needed(self, assignment: WatchAssignment, now: float) -> bool:
+        if self._follower.gap_count != self._handled_gap_count:
+            self._handled_gap_count = self._follower.gap_count
+            self._must_list = True
+        elif self.is_current():
+            self._must_list = False
+        is_outdated = now - self._last_current_at >= self._fallback_delay_s()
+        return assignment.is_watcher or self._must_list or is_outdated
+
+    def _stop_if_redundant(self, now: float) -> None:
+        if self._redundant_since is None:
+            self._redundant_since = now
+        if not self._contact.is_up() or now - self._redundant_since >= _STOP_DELAY_S:
+            self._stop()
 
     def _fallback_delay_s(self) -> float:
         if not self._has_been_current:
             return _STARTUP_FALLBACK_DELAY_S
         return self._environment.settings.bounds.config_apply_s * _FALLBACK_DELAY_FRACTION
 
-    def _start(self, *, is_duty: bool) -> None:
+    def _start(self, assignment: WatchAssignment) -> None:
+        if self._tasks and self._is_standby and not assignment.is_standby:
+            # A standby notices the end of an outage later than a watcher may.
+            if not self._contact.is_up():
+                self._stop()
         if self._tasks:
             return
-        self._environment.log.event('store_watch_started', is_duty=is_duty)
+        self._is_standby = assignment.is_standby
+        self._environment.log.event('store_watch_started', is_duty=assignment.is_watcher)
         self._environment.metrics.count('store_watches_started')
-        self._tasks = [asyncio.create_task(self._contact.run())]
+        self._tasks = [asyncio.create_task(self._contact.run(is_standby=self._is_standby))]
         self._tasks.extend(asyncio.create_task(feed.run()) for feed in self._feeds)
 
     def _stop(self) -> None:
--- a/src/balsamrail/fleet/watch_assignment.py
+++ b/src/balsamrail/fleet/watch_assignment.py
@@ -38,10 +38,13 @@
     """Whether this host watches the store itself, and which hosts it follows.
 
     Watchers follow each other, since the store may refuse some hosts and serve others.
+
+    :param is_standby: whether other hosts watch the store unless they fail.
     """
 
     is_watcher: bool
     sources: tuple[str, ...]
+    is_standby: bool = True
 
 
 def assign_watch(
@@ -66,13 +69,14 @@
     local = [member for member in members if member.region == own.region]
     if len(local) <= _MAX_SMALL_REGION_HOSTS:
         sources = tuple(member.host for member in local if member.host != own.host)
-        return WatchAssignment(is_watcher=True, sources=sources)
+        return WatchAssignment(is_watcher=True, sources=sources, is_standby=False)
     ranked = _ranked(local)
     order = [member.host for member in ranked]
     watchers = _take_usable(order, state_of, unusable=_UNUSABLE_WATCHER_STATES)
     if own.host in watchers:
         sources = tuple(host for host in watchers if host != own.host)
-        return WatchAssignment(is_watcher=True, sources=sources)
+        is_standby = own.host not in order[:_WATCHERS_PER_REGION]
+        return WatchAssignment(is_watcher=True, sources=sources, is_standby=is_standby)
     followers = [member for member in ranked if member.host not in watchers]
     relays = Relays(ranked=followers)
     if len(followers) <= _MAX_DIRECT_FOLLOWERS or own.host in relays.hosts():
