Lose no change between pages of a listing, and restore nothing from older ones

(2) A host that had listed the store took an object that was removed before that from a peer's older listing, since it knew no tombstone of it. (3) Two requests for a listing within a second restarted the numbering of a subscription, which counted as a gap and made the host list the store. Change: the revision of the first page counts; an unknown object at or below the revision up to which a view is complete is not added; each subscription renews the time of the next one.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -7,6 +7,13 @@
     Then no object ever reverts to an older state
     And after a final listing the view equals the store
 
+  Scenario: An outdated listing restores no removed object
+    This guards against a target that left, in use again on a host that listed the store and then
+    got the older listing of a peer.
+
+    When a new view gets a listing of the store and then an older one with an object that was removed
+    Then the view does not contain that object, and contains it when it is written again
+
   Scenario: A manifest never reverts to an older version
     This guards against a host that activates an older manifest.
 
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -13,6 +13,12 @@
     When 1,203 objects are listed
     Then all are found
 
+  Scenario: A change between two pages of a listing is not lost
+    Guards against a target that keeps its old state on a host that was just listing the store.
+
+    When an object of the first page is replaced and one is removed while the second page is read
+    Then a watch from the revision of the listing returns both changes
+
   Scenario: A watch returns changes and ends if there are none
     When a kind is watched while an object is written, removed and then left alone
     Then the watch returns the write, the removal and nothing, in this order
--- a/features/steps/catalog_view_steps.py
+++ b/features/steps/catalog_view_steps.py
@@ -68,3 +68,25 @@
         if rng.random() < 0.3:
             updates.append(Listing(objects=tuple(held.values()), revision=revision))
     return Listing(objects=tuple(held.values()), revision=30), updates
+
+
+def _stored(name, revision):
+    return StoreObject(name=name, revision=revision, spec=revision)
+
+
+@when(
+    'a new view gets a listing of the store and then an older one with an object that was removed'
+)
+def step_outdated_listing(context):
+    context.view = ObjectView(kind='servers')
+    context.view.apply_listing(Listing(objects=(_stored('i-1', 4),), revision=9))
+    outdated = (_stored('i-1', 3), _stored('i-2', 5))
+    context.view.apply_listing(Listing(objects=outdated, revision=6))
+
+
+@then('the view does not contain that object, and contains it when it is written again')
+def step_not_restored(context):
+    found = context.view.objects_by_name
+    assert {name: stored.revision for name, stored in found.items()} == {'i-1': 4}, found
+    context.view.apply_events([ObjectEvent(stored=_stored('i-2', 12), is_removal=False)])
+    assert found['i-2'].revision == 12
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 from behave import given, then, when
 from platform_helpers import make_environment, run_real
@@ -209,3 +210,30 @@
 @then('its entry has the new address')
 def step_entry(context):
     assert [(each.host, each.address) for each in context.listed] == [('attiki-1', '10.0.0.2:1')]
+
+
+@when('an object of the first page is replaced and one is removed while the second page is read')
+def step_change_between_pages(context):
+    async def scenario(store, standin):
+        for number in range(600):
+            standin.put(KIND, f'i-{number:04}', number)
+        call = ObjectStore._call
+
+        async def change_after(store, method, path, **fields):
+            answer = await call(store, method, path, **fields)
+            if 'after=' not in path:
+                standin.put(KIND, 'i-0001', 'changed')
+                standin.remove(KIND, 'i-0002')
+            return answer
+
+        with mock.patch.object(ObjectStore, '_call', change_after):
+            listing = await store.list_objects(KIND)
+        answer = await store.watch(KIND, revision=listing.revision, wait_s=0.1)
+        context.changes = [(event.stored.name, event.is_removal) for event in answer.events]
+
+    _run_with_store(context, scenario)
+
+
+@then('a watch from the revision of the listing returns both changes')
+def step_both_changes(context):
+    assert context.changes == [('i-0001', False), ('i-0002', True)], context.changes
--- a/src/balsamrail/catalog/object_view.py
+++ b/src/balsamrail/catalog/object_view.py
@@ -87,6 +87,9 @@
             return True
         if known is not None and known.revision >= stored.revision:
             return False
+        if known is None and stored.revision <= self.complete_revision:
+            # It was removed before the listing that is complete up to this revision.
+            return False
         if self._tombstone_revisions_by_name.get(stored.name, -1) >= stored.revision:
             return False
         self.objects_by_name[stored.name] = stored
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -88,7 +88,6 @@
                 source = _Source(followed_since=now, subscribed_at=now - _RENEW_INTERVAL_S)
                 self._sources_by_host[host] = source
             if now - source.subscribed_at >= _RENEW_INTERVAL_S:
-                source.subscribed_at = now
                 await self._send_subscribe(host, source)
 
     def apply_unconfirmed(self) -> None:
@@ -152,6 +151,7 @@
         return is_synced and status_age_s < _STATUS_TIMEOUT_S
 
     async def _send_subscribe(self, host: str, source: _Source) -> None:
+        source.subscribed_at = self._environment.clock.monotonic()
         is_listed = all(view.is_listed for view in self._views_by_kind.values())
         # During an outage of the store no source is current, and a listing would show nothing new.
         is_useful = source.is_current or not is_listed
--- a/src/balsamrail/platform/object_store.py
+++ b/src/balsamrail/platform/object_store.py
@@ -59,6 +59,7 @@
         :param is_stale_allowed: accept an answer that may be seconds old, at a tenth of the cost.
         """
         objects: list[StoreObject] = []
+        revision: int | None = None
         query: dict[str, Any] = {'allowStale': 1} if is_stale_allowed else {}
         while True:
             suffix = f'?{urlencode(query)}' if query else ''
@@ -66,8 +67,12 @@
             payload = read_body(_require_ok(answer).body)
             page = read_items(payload)
             objects.extend(page)
+            if revision is None:
+                # Objects of earlier pages may change while later ones are read; a watch from the
+                # first page's revision returns these changes.
+                revision = revision_of(payload)
             if not payload.get('hasMore') or not page:
-                return Listing(objects=tuple(objects), revision=revision_of(payload))
+                return Listing(objects=tuple(objects), revision=revision)
             query['after'] = page[-1].name
 
     async def read(
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -115,4 +115,20 @@
         feature='features/feed_currency.feature',
         scenario='A removal during a short network failure is recovered from a slow store',
     ),
+    Mutant(
+        mechanism='changes between the pages of a listing are not lost',
+        file='src/balsamrail/platform/object_store.py',
+        old='            if revision is None:\n',
+        new='            if True:\n',
+        feature='features/platform_store.feature',
+        scenario='A change between two pages',
+    ),
+    Mutant(
+        mechanism='an outdated listing restores no object that was removed before the last one',
+        file='src/balsamrail/catalog/object_view.py',
+        old='if known is None and stored.revision <= self.complete_revision:',
+        new='if False:',
+        feature='features/catalog.feature',
+        scenario='An outdated listing restores no removed object',
+    ),
 )
