--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,6 +7,7 @@
 import time
 
 from behave import given, then, when
+from platform_helpers import free_address
 from product_fakes import FakeMembers, FakeTracker, make_environment
 from tornado.httpclient import AsyncHTTPClient
 from tornado.web import RequestHandler
@@ -103,7 +104,8 @@
 @given('a running node whose lookup TTL is {ttl:g} s')
 def step_node(context, ttl):
     async def run(scenario):
-        environment = make_environment(limits=Limits(lookup_ttl_s=ttl))
+        addresses = {f'{name}_address': free_address() for name in ('caller', 'peer', 'operator')}
+        environment = make_environment(limits=Limits(lookup_ttl_s=ttl), **addresses)
         parts = make_parts()
         node = Node(environment=environment, parts=parts)
         node.install_signal_handlers()
