--- a/features/steps/demo_steps.py
+++ b/features/steps/demo_steps.py
@@ -3,6 +3,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +18,8 @@
 # Used by no other scenario, so that the first offset is free.
 NETWORK = 77
 END_TIMEOUT_S = 60
+# Bound while a demo runs: it uses the fixed addresses of the examples, also in other test runs.
+DEMO_LOCK = ('127.29.0.1', 6_999)
 LAUNCHER = f"""
 import sys, time
 from pathlib import Path
@@ -29,8 +32,24 @@
 """
 
 
+def lock_demo(context):
+    """Wait until no other test run of this machine runs a demo."""
+    lock = socket.socket()
+    context.add_cleanup(lock.close)
+    limit = time.monotonic() + END_TIMEOUT_S
+    while True:
+        try:
+            lock.bind(DEMO_LOCK)
+        except OSError:
+            assert time.monotonic() < limit, 'another test run holds the addresses of the demo'
+            time.sleep(0.1)
+        else:
+            return
+
+
 @when('the demo of "{deployment}" is run once')
 def step_demo(context, deployment):
+    lock_demo(context)
     command = [sys.executable, '-m', 'tools.run_demo', '--once', '--deployment', deployment]
     context.demo = subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, timeout=120, check=False
@@ -52,6 +71,7 @@
 
 @when('the demo of "{deployment}" is interrupted {count:d} times while it runs')
 def step_interrupt(context, deployment, count):
+    lock_demo(context)
     process = subprocess.Popen(
         [sys.executable, '-m', 'tools.run_demo', '--deployment', deployment],
         cwd=ROOT,
