Keep the output of a demo that ends before it is interrupted

Which error ended the demo is therefore unknown. Ruled out by reading: a signal during the output or the shutdown still prints the last line.

The step now fails with all output and the errors of a demo that ends early, and the check of the exit codes shows the errors too.

--- a/features/steps/demo_steps.py
+++ b/features/steps/demo_steps.py
@@ -66,7 +66,8 @@
 
 @then('all its processes have ended with exit code 0')
 def step_demo_ended(context):
-    assert '13 processes ended, exit codes [0]' in context.demo.stdout, context.demo.stdout
+    output = context.demo.stdout
+    assert '13 processes ended, exit codes [0]' in output, (output, context.demo.stderr)
 
 
 @when('the demo of "{deployment}" is interrupted {count:d} times while it runs')
@@ -80,9 +81,13 @@
         text=True,
     )
     context.add_cleanup(process.kill)
+    lines = []
     for line in process.stdout:
+        lines.append(line)
         if line.startswith('running'):
             break
+    else:
+        raise AssertionError((''.join(lines), process.communicate(timeout=END_TIMEOUT_S)[1]))
     for _ in range(count):
         process.send_signal(signal.SIGINT)
         time.sleep(0.2)
