Send the member updates of a short interval as one compressed message

Cause: each update of the member table was a message of its own of about 110 bytes, and updates come in bursts: at the start of a fleet, when a zone is lost or returns, and to each host that has just started (the whole table).

Change: UpdateBatcher keeps the updates of a link for up to 0.05 s, unless the link was quiet, and sends several as one zlib stream, column by column (MemberUpdates). Other messages send what waits first, so streams keep their order. Of several updates with one subject only the last is sent. Compression moved to messages/compression.py, used by listings too.

Hosts of earlier builds reject the new message and close the stream, see docs/platform.md.

--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -3,31 +3,10 @@
 import asyncio
 import re
 
-import async_solipsism
 from behave import given, then, when
 
 from balsamrail.membership.updates import make_hello, make_update, update_from_hello
-from features.steps.memory_fleet import MemoryFleet, run, wait_until
-
-OPTIONS = {}
-
-
-def make_fleet(context, **arguments):
-    async def begin():
-        context.fleet = MemoryFleet(seed=context.seed, options=dict(OPTIONS), **arguments)
-        context.fleet.start()
-
-    async def end():
-        context.fleet.stop()
-        await asyncio.sleep(1)
-
-    def stop():
-        run(context, end())
-        context.loop.close()
-
-    context.loop = async_solipsism.EventLoop()
-    context.stoppers = [stop]
-    run(context, begin())
+from features.steps.memory_fleet import make_fleet, run, wait_until
 
 
 def logged_changes(context, state):
@@ -341,7 +320,7 @@
 @when('host {one:d} announces itself again while all member updates are lost for {lost_s:g} s')
 def step_announce_lost(context, one, lost_s):
     context.announced = context.fleet.hosts[one]
-    context.fleet.network.lost_kinds.add('MemberUpdate')
+    context.fleet.network.lost_kinds |= {'MemberUpdate', 'MemberUpdates'}
     _count_updates(context, lambda: _announce_again(context.announced), lost_s)
     context.fleet.network.lost_kinds.clear()
 
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -5,6 +5,8 @@
 import json
 import random
 
+import async_solipsism
+
 from balsamrail.clock import Clock
 from balsamrail.configuration.record_sync import RecordSync
 from balsamrail.environment import Environment
@@ -248,6 +250,26 @@
     }
 
 
+def make_fleet(context, **arguments):
+    """Start a fleet on a loop in virtual time, both for the rest of the scenario."""
+
+    async def begin():
+        context.fleet = MemoryFleet(seed=context.seed, options={}, **arguments)
+        context.fleet.start()
+
+    async def end():
+        context.fleet.stop()
+        await asyncio.sleep(1)
+
+    def stop():
+        run(context, end())
+        context.loop.close()
+
+    context.loop = async_solipsism.EventLoop()
+    context.stoppers = [stop]
+    run(context, begin())
+
+
 def run(context, coroutine):
     return context.loop.run_until_complete(coroutine)
 
--- a/features/steps/memory_network.py
+++ b/features/steps/memory_network.py
@@ -11,7 +11,7 @@
 from collections import Counter, deque
 
 from balsamrail.errors import PeerError
-from balsamrail.messages import encode_message
+from balsamrail.messages import encode_message, unpack_updates
 
 CURRENT_GATE = contextvars.ContextVar('current_gate', default=None)
 
@@ -158,6 +158,8 @@
         network.sent[kind] += 1
         if kind == 'MemberUpdate':
             network.updates_by_state[message.state] += 1
+        elif kind == 'MemberUpdates':
+            network.updates_by_state.update(update.state for update in unpack_updates(message))
         if network.count_bytes:
             network.bytes_by_kind[kind] += len(encode_message(message))
         lost = self.silent or kind in network.lost_kinds or network.random.random() < network.loss
--- a/src/balsamrail/fleet/object_codec.py
+++ b/src/balsamrail/fleet/object_codec.py
@@ -1,19 +1,17 @@
 """Encoding of the store's objects in messages between hosts."""
 
-import zlib
 from collections.abc import Iterable, Sequence
 
 import msgpack
 
 from balsamrail.catalog.stored_objects import StoreObject
 from balsamrail.errors import PeerError
+from balsamrail.messages.compression import compress, decompress
 
 # Smaller messages do not shrink.
 _MIN_COMPRESSED_BYTES = 400
 # The fastest level; the others save a fifth more at three times the processor time.
 _COMPRESSION_LEVEL = 1
-# Larger than any listing that the store can return for a site.
-_MAX_UNPACKED_BYTES = 16_777_216
 # The first byte of a zlib stream; an object begins with that of a msgpack array.
 _ZLIB_MARKER = b'x'
 
@@ -26,7 +24,7 @@
     packed = [_pack_object(stored) for stored in objects]
     if sum(len(item) for item in packed) < _MIN_COMPRESSED_BYTES:
         return packed
-    return [zlib.compress(msgpack.packb(packed), _COMPRESSION_LEVEL)]
+    return [compress(msgpack.packb(packed), level=_COMPRESSION_LEVEL)]
 
 
 def unpack_objects(packed: Sequence[bytes]) -> list[StoreObject]:
@@ -48,10 +46,7 @@
 def _unpack_part(part: bytes) -> list[bytes]:
     if not part.startswith(_ZLIB_MARKER):
         return [part]
-    stream = zlib.decompressobj()
-    unpacked: list[bytes] = msgpack.unpackb(stream.decompress(part, _MAX_UNPACKED_BYTES))
-    if not stream.eof:
-        raise ValueError('the compressed objects are truncated or too large')
+    unpacked: list[bytes] = msgpack.unpackb(decompress(part))
     return unpacked
 
 
--- a/src/balsamrail/membership/peer_network.py
+++ b/src/balsamrail/membership/peer_network.py
@@ -20,7 +20,16 @@
 from balsamrail.membership.stream import Stream
 from balsamrail.membership.tcp_transport import TcpTransport
 from balsamrail.membership.transport import Transport
-from balsamrail.messages import Heartbeat, HeartbeatAck, Hello, MemberDigest, MemberUpdate, Message
+from balsamrail.messages import (
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    MemberDigest,
+    MemberUpdate,
+    MemberUpdates,
+    Message,
+    unpack_updates,
+)
 from balsamrail.store import HostDirectory
 
 
@@ -198,6 +207,9 @@
                 self._gossip.request_refutation(link)
             case MemberUpdate():
                 self._gossip.merge(link, message)
+            case MemberUpdates():
+                for update in unpack_updates(message):
+                    self._gossip.merge(link, update)
             case MemberDigest():
                 self._gossip.receive_digest(link, message)
             case _:
--- a/src/balsamrail/membership/peer_streams.py
+++ b/src/balsamrail/membership/peer_streams.py
@@ -11,8 +11,9 @@
 from balsamrail.membership.peer_link import PeerLink
 from balsamrail.membership.stream import Stream
 from balsamrail.membership.transport import Transport
+from balsamrail.membership.update_batcher import UpdateBatcher
 from balsamrail.membership.updates import make_hello
-from balsamrail.messages import Hello, Message
+from balsamrail.messages import Hello, MemberUpdate, Message
 
 ResultT = TypeVar('ResultT')
 
@@ -28,6 +29,7 @@
     """
 
     __slots__ = (
+        '_batcher',
         '_environment',
         '_members',
         '_open_task_by_address',
@@ -55,9 +57,14 @@
         self._open_task_by_address: dict[str, asyncio.Task[PeerLink | None]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self.links = LinkTable()
+        self._batcher = UpdateBatcher(
+            environment=environment, write=self._write_now, spawn=self.spawn
+        )
 
     def close(self) -> None:
-        """Close all streams and cancel their tasks."""
+        """Send what waits, close all streams and cancel their tasks."""
+        for link in self.links:
+            self._batcher.flush(link)
         for task in self._tasks:
             task.cancel()
         self.links.close()
@@ -102,7 +109,15 @@
             stream.close()
 
     def write(self, link: PeerLink, message: Message) -> bool:
-        """Write a message to a link; drop the link if the stream rejects it."""
+        """Write a message to a link, which is dropped if its stream rejects the message.
+
+        Member updates may wait for others for a short time. Messages keep their order.
+        """
+        if isinstance(message, MemberUpdate):
+            return self._batcher.add(link, message)
+        return self._batcher.flush(link) and self._write_now(link, message)
+
+    def _write_now(self, link: PeerLink, message: Message) -> bool:
         if link.stream.write(message):
             return True
         self.links.drop(link)
--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -4,11 +4,15 @@
 from balsamrail.messages.claim_request import ClaimRequest
 from balsamrail.messages.codec import FrameReader, encode_message
 from balsamrail.messages.crash_report import CrashReport
-from balsamrail.messages.heartbeat import Heartbeat
-from balsamrail.messages.heartbeat_ack import HeartbeatAck
-from balsamrail.messages.hello import Hello
-from balsamrail.messages.member_digest import MemberDigest
-from balsamrail.messages.member_update import MemberUpdate
+from balsamrail.messages.member_updates_codec import pack_updates, unpack_updates
+from balsamrail.messages.membership import (
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    MemberDigest,
+    MemberUpdate,
+    MemberUpdates,
+)
 from balsamrail.messages.message import MESSAGE_KINDS, Message
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
@@ -36,6 +40,7 @@
     'Hello',
     'MemberDigest',
     'MemberUpdate',
+    'MemberUpdates',
     'Message',
     'RecordAnnounce',
     'RecordFull',
@@ -52,4 +57,6 @@
     'WeightsGiven',
     'WeightsRequest',
     'encode_message',
+    'pack_updates',
+    'unpack_updates',
 )
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -6,11 +6,14 @@
 from balsamrail.messages.feed_status import FeedStatus
 from balsamrail.messages.feed_subscribe import FeedSubscribe
 from balsamrail.messages.feed_update import FeedUpdate
-from balsamrail.messages.heartbeat import Heartbeat
-from balsamrail.messages.heartbeat_ack import HeartbeatAck
-from balsamrail.messages.hello import Hello
-from balsamrail.messages.member_digest import MemberDigest
-from balsamrail.messages.member_update import MemberUpdate
+from balsamrail.messages.membership import (
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    MemberDigest,
+    MemberUpdate,
+    MemberUpdates,
+)
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
 from balsamrail.messages.record_patch import RecordPatch
@@ -52,6 +55,7 @@
     | FeedSubscribe
     | FeedUpdate
     | FeedStatus
+    | MemberUpdates
 )
 
 # The index in this tuple is the tag on the wire: append only, never reorder.
@@ -81,4 +85,5 @@
     FeedSubscribe,
     FeedUpdate,
     FeedStatus,
+    MemberUpdates,
 )
