Let a host that restarts find its peers before it asks the store

Besides, a host contacted its seeds only at its first heartbeat, up to 0.5 s after its start.

Change: such a host contacts its seeds at once, and asks the store only when it has found its peers and is assigned to watch, or has found none for 0.4 s. The first start of a fleet is as before. Its seeds answer within a round trip, so it has the manifest from its relays.

Measured on virtual time: a follower that finds its peers after 0.1 or 0.3 s has the manifest 0.7 and 0.9 s after its start without listing the store; one that finds none within 0.7 s.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -57,6 +57,20 @@
     Then it never has the old manifest or the removed object
     And it has the manifest in force within 2.5 s of its start
 
+  Scenario Outline: A host that restarts takes what it serves from its peers
+    Guards against calls to the store by each host that restarts: alone, it takes itself for a watcher.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When a follower restarts and finds the other hosts <found>
+    Then it has the manifest in force within <in_force> s of its start
+    And it has <listed> the store
+
+    Examples:
+      | found       | in_force | listed     |
+      | after 0.1 s | 0.7      | not listed |
+      | after 0.3 s | 0.9      | not listed |
+      | never       | 0.7      | listed     |
+
   Scenario: A host that restarts during an outage of the store takes the objects of its sources
     Guards against a host that refuses all requests for as long as the store is down.
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -27,6 +27,13 @@
     And every host is alive everywhere within 1 s
     And only host 7 was ever gone
 
+  Scenario: A restarted host finds the fleet at once
+    # Guards against a host that rejects its callers until its first heartbeat.
+    Given a fleet of 30 hosts
+    When 5 s pass
+    And hosts 7, 8 and 9 restart with a seed
+    Then each of them knows 30 hosts 0.2 s later
+
   Scenario: Lookups return a restarted host once it can serve
     # Guards against lookups that return a host which does not know yet what it serves.
     Given a fleet of 12 hosts
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -10,6 +10,7 @@
 # Delays from the fault to the change, in seconds: before, during and after its detection.
 DELAYS_S = (0.0, 0.2, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0)
 OBSERVED_S = 12
+NEVER_S = 1e6
 FIRST_REGION = 'region0'
 
 
@@ -134,9 +135,9 @@
     assert not any(context.hosts_with_object.values()), context.hosts_with_object
 
 
-async def _observe_restart(fleet, name, limit_s):
+async def _observe_restart(fleet, name, limit_s, *, discovers_after_s=0):
     """Restart a host; return the versions that it has by time since its start."""
-    host = fleet.restart(name)
+    host = fleet.restart(name, discovers_after_s=discovers_after_s)
     started = asyncio.get_running_loop().time()
     versions = []
     while asyncio.get_running_loop().time() - started < limit_s:
@@ -171,6 +172,30 @@
     context.expected_version = 2
 
 
+@when('a follower restarts and finds the other hosts {found}')
+def step_restart_discovery(context, found):
+    async def run_once():
+        fleet = FeedFleet(context.sizes)
+        await fleet.start()
+        try:
+            name, _ = fleet.follower_with_relays()
+            access = fleet.hosts[name].access
+            access.listings = 0
+            discovers_after_s = NEVER_S if found == 'never' else float(found.split()[1])
+            versions = await _observe_restart(fleet, name, 2, discovers_after_s=discovers_after_s)
+            return versions, access.listings
+        finally:
+            await fleet.stop()
+
+    context.versions, context.listings = run_virtual(run_once())
+    context.expected_version = 1
+
+
+@then('it has {listed} the store')
+def step_listed(context, listed):
+    assert bool(context.listings) == (listed == 'listed'), context.listings
+
+
 @when('the store refuses all hosts and a follower restarts')
 def step_restart_outage(context):
     async def run_once():
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -68,8 +68,9 @@
         self.tasks = []
         self.died_at = None
 
-    def start(self, *, is_first=True):
+    def start(self, *, is_first=True, discovers_after_s=0):
         name = self.member.host
+        complete_at = asyncio.get_running_loop().time() + discovers_after_s
         environment = platform_helpers.make_environment(
             host=name, is_first_start=is_first, bounds=Bounds(config_apply_s=2)
         )
@@ -78,7 +79,7 @@
         self.follower = FeedFollower(environment=environment, network=network, views=[self.view])
         self.watch = StoreWatch(
             environment=environment,
-            members=FakeMembers(self.fleet, self.member),
+            members=FakeMembers(self.fleet, self.member, complete_at=complete_at),
             contact=contact,
             feeds=[
                 Feed(environment=environment, source=self.access, view=self.view, contact=contact)
@@ -110,17 +111,23 @@
 
 
 class FakeMembers:
-    """Member table without the hosts whose failure has been detected."""
+    """Member table without the hosts whose failure has been detected.
 
-    def __init__(self, fleet, own):
+    Until ``complete_at`` it contains only the host itself.
+    """
+
+    def __init__(self, fleet, own, *, complete_at):
         self.fleet = fleet
         self._own = own
+        self._complete_at = complete_at
 
     def local_member(self):
         return self._own
 
     def alive(self):
         now = asyncio.get_running_loop().time()
+        if now < self._complete_at:
+            return [self._own]
         return [
             host.member
             for host in self.fleet.hosts.values()
@@ -182,14 +189,14 @@
         await asyncio.sleep(6)
         assert {host.version() for host in self.hosts.values()} == {1}
 
-    def restart(self, name):
-        """Replace a host by one that knows nothing."""
+    def restart(self, name, *, discovers_after_s=0):
+        """Replace a host by one that knows nothing, and the other hosts only after a time."""
         old = self.hosts[name]
         old.kill()
         host = FleetHost(self, old.member)
         host.access = old.access
         self.hosts[name] = host
-        host.start(is_first=False)
+        host.start(is_first=False, discovers_after_s=discovers_after_s)
         return host
 
     def follower_with_relays(self):
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -298,6 +298,25 @@
     return run(context, main())
 
 
+@when('hosts {numbers} restart with a seed')
+def step_restart_with_seed(context, numbers):
+    async def restart():
+        seeds = [context.fleet.hosts[0].address]
+        context.restarted = [
+            context.fleet.restart(int(number), options={'seeds': seeds})
+            for number in re.findall(r'\d+', numbers)
+        ]
+
+    run(context, restart())
+
+
+@then('each of them knows {count:d} hosts {seconds:g} s later')
+def step_knows(context, count, seconds):
+    run(context, asyncio.sleep(seconds))
+    known = [len(host.members.alive()) for host in context.restarted]
+    assert known == [count] * len(known), known
+
+
 def _announce_again(host):
     host.members._announce_local_state('alive', host.members.local_member().refutation + 1)
 
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -13,9 +13,12 @@
 
 _TICK_INTERVAL_S = 0.25
 # On the first start of the fleet there is no traffic yet, and waiting until the hosts have found
-# each other saves calls to the store. A host that starts later has callers waiting and queries the
-# store at once.
+# each other saves calls to the store.
 _FIRST_START_DELAY_S = 1.5
+# A host that starts later has callers waiting. It waits until it has found another host, for at
+# most this long: without its peers it would take itself for a watcher and list the store.
+_DISCOVERY_TIMEOUT_S = 0.4
+_DISCOVERY_INTERVAL_S = 0.05
 # Fraction of the bound on applying a change (config_apply_s). After this time without a current
 # source the host watches the store itself, and after this time without a current source of its own
 # region it follows hosts of other regions. The rest of the bound must cover the status timeout of
@@ -122,8 +125,10 @@
 
     async def run(self) -> None:
         """Start and stop the watches as assigned, until cancelled."""
-        is_first_start = self._environment.settings.is_first_start
-        await asyncio.sleep(_FIRST_START_DELAY_S if is_first_start else 0)
+        if self._environment.settings.is_first_start:
+            await asyncio.sleep(_FIRST_START_DELAY_S)
+        else:
+            await self._wait_for_members()
         self._last_current_at = self._environment.clock.monotonic()
         self._local_current_at = self._last_current_at
         try:
@@ -143,6 +148,15 @@
             'follows': self._follower.dump(),
         }
 
+    async def _wait_for_members(self) -> None:
+        clock = self._environment.clock
+        ends_at = clock.monotonic() + _DISCOVERY_TIMEOUT_S
+        is_alone = True
+        while is_alone and clock.monotonic() < ends_at:
+            is_alone = len(self._members.alive()) == 1
+            # The table of the first peer arrives shortly after its handshake.
+            await asyncio.sleep(_DISCOVERY_INTERVAL_S)
+
     async def _tick(self) -> None:
         members = self._members.alive()
         own = self._members.local_member()
--- a/src/balsamrail/membership/peer_network.py
+++ b/src/balsamrail/membership/peer_network.py
@@ -163,6 +163,9 @@
 
     async def _run_heartbeats(self) -> None:
         heartbeat_s = self._environment.settings.limits.heartbeat_s
+        # A host that restarts has callers waiting, and learns from its peers what it serves.
+        if not self._environment.settings.is_first_start:
+            self._open_contacts()
         # A random offset spreads the heartbeats of hosts that start at the same time.
         await asyncio.sleep(random.uniform(0, heartbeat_s))
         while True:
@@ -176,13 +179,16 @@
             link.last_received_at += paused_s
         self._members.tick()
         self._neighbours.maintain()
+        self._open_contacts()
+        self._gossip.sync_with_random_peer()
+
+    def _open_contacts(self) -> None:
         for address in choose_contacts(
             members=self._members,
             seeds=self._environment.settings.seeds,
             is_excluded=self.is_excluded,
         ):
             self._streams.open(address)
-        self._gossip.sync_with_random_peer()
 
     def _receive_hello(self, link: PeerLink, hello: Hello) -> None:
         self._detector.record_message(link.host)
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -131,4 +131,20 @@
         feature='features/catalog.feature',
         scenario='An outdated listing restores no removed object',
     ),
+    Mutant(
+        mechanism='a host that restarts looks for its peers before it asks the store',
+        file='src/balsamrail/fleet/store_watch.py',
+        old='_DISCOVERY_TIMEOUT_S = 0.4',
+        new='_DISCOVERY_TIMEOUT_S = 0',
+        feature='features/feed_currency.feature',
+        scenario='A host that restarts takes what it serves from its peers',
+    ),
+    Mutant(
+        mechanism='a host that restarts and finds no peer asks the store soon',
+        file='src/balsamrail/fleet/store_watch.py',
+        old='_DISCOVERY_TIMEOUT_S = 0.4',
+        new='_DISCOVERY_TIMEOUT_S = 4',
+        feature='features/feed_currency.feature',
+        scenario='A host that restarts takes what it serves from its peers',
+    ),
 )
--- a/tools/mutants/membership.py
+++ b/tools/mutants/membership.py
@@ -179,6 +179,14 @@
         feature='features/membership.feature',
         scenario='An announcement that was lost',
     ),
+    Mutant(
+        mechanism='a host that restarts contacts its seeds before its first heartbeat',
+        file='src/balsamrail/membership/peer_network.py',
+        old='if not self._environment.settings.is_first_start:',
+        new='if False:',
+        feature='features/membership.feature',
+        scenario='A restarted host finds the fleet at once',
+    ),
     Mutant(
         mechanism='member updates of a short interval share a message',
         file='src/balsamrail/membership/update_batcher.py',
