Probe targets in the order of their requests

Change: an insertion-ordered dict. The new scenario failed before (the first targets probed were 29, 14, 28 of 40) and passes.

--- a/features/liveness.feature
+++ b/features/liveness.feature
@@ -48,6 +48,13 @@
     When the liveness checker of a host runs for 10 s while nothing is sent
     Then it opens at most 24 connections, all of them to the 3 targets
 
+  Scenario: Targets are probed in the order of their requests
+    Guards against an order that differs from run to run, so that a failure cannot be replayed.
+
+    Given 40 targets of which 40 have requests in flight and all accept connections
+    When the liveness checker of a host runs for 2 s while nothing is sent
+    Then it probes the targets in the order of their requests
+
   Scenario: A response during a probe shows that the target works
     Guards against a target that is taken out of use although it has just responded.
 
--- a/features/steps/liveness_steps.py
+++ b/features/steps/liveness_steps.py
@@ -222,6 +222,12 @@
     assert set(context.probed) == {f'10.0.0.1:{number}' for number in range(busy)}
 
 
+@then('it probes the targets in the order of their requests')
+def step_ordered(context):
+    expected = [f'10.0.0.1:{number}' for number in range(context.busy)]
+    assert context.probed[: context.busy] == expected, context.probed
+
+
 @given('a target whose address does not accept connections')
 def step_silent(context):
     async def probe(*, environment, address, timeout_s):
--- a/src/balsamrail/placement/target_registry.py
+++ b/src/balsamrail/placement/target_registry.py
@@ -50,7 +50,7 @@
         self._evacuated_zones: frozenset[str] = frozenset()
         self._times = RouteRunTimes()
         # The targets with requests in flight, also those that are no longer registered.
-        self.busy: set[TargetState] = set()
+        self.busy: dict[TargetState, None] = {}
         self.states_by_id: dict[str, TargetState] = {}
         self._deregistered_by_start: OrderedDict[tuple[str, int], TargetAvailability] = (
             OrderedDict()
--- a/src/balsamrail/placement/target_state.py
+++ b/src/balsamrail/placement/target_state.py
@@ -43,7 +43,8 @@
     """The state of one incarnation of a target.
 
     :param times: the median run times, shared by all targets.
-    :param busy: the targets with requests in flight, shared by all targets.
+    :param busy: the targets with requests in flight, in the order in which these began, shared by
+        all targets.
     :param last_response_at: the time of the last response, or of the first request since then.
     :param health: the health as derived from recent responses.
     :param availability: the availability of the target.
@@ -55,7 +56,7 @@
 
     entry: TargetEntry
     times: RouteRunTimes = field(default_factory=RouteRunTimes)
-    busy: set['TargetState'] = field(default_factory=set)
+    busy: dict['TargetState', None] = field(default_factory=dict)
     health: TargetHealth = field(default_factory=TargetHealth)
     availability: TargetAvailability = field(default_factory=TargetAvailability)
     check_at: float = 0
@@ -98,7 +99,7 @@
         )
         self._record_known_object(object_key)
         self._attempts[attempt] = None
-        self.busy.add(self)
+        self.busy.setdefault(self)
         return attempt
 
     def end(self, attempt: TargetAttempt, ending: AttemptOutcome, *, now: float) -> None:
@@ -106,7 +107,7 @@
         are_several_overdue = self._overdue(now) >= _MIN_OVERDUE_ATTEMPTS
         del self._attempts[attempt]
         if not self._attempts:
-            self.busy.discard(self)
+            self.busy.pop(self, None)
         took_s = now - attempt.sent_at
         match ending:
             case AttemptOutcome.answered:
