List the store after a lost message only if no other source replaces it

Cause: a host that finds a gap in the messages of a source lists the store and watches it for 3 s, since a listing of the source may keep what was removed meanwhile. A relay or watcher that restarts begins a new numbering, so all its followers did that at once, although their other source had forwarded every change.

Change: a gap does not count while a source that was healthy at that time stays healthy for 2.4 s, two status timeouts, in which it would show that it misses changes itself. A second gap in that time counts.

Ruled out: any healthy source as proof, since the source with the gap is healthy again as soon as it has sent a listing (a removal then stays for good; mutant).

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -49,6 +49,21 @@
     When an object is removed while hosts that follow others are isolated for 0.3 s, 1 s or 1.4 s
     Then no host has it 5 s later
 
+  Scenario: A source that restarts costs its followers no calls
+    Guards against listings of the store by every follower of each host that restarts.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When the sources of a follower restart one after the other
+    Then no follower of the first region has listed the store
+    And every host has the next change within 2 s, and no object that was removed meanwhile
+
+  Scenario: A removal that one source loses and the other does not learn of is recovered
+    Guards against a target that stays in use since a source that misses changes seemed sound.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When a source loses a removal just after the other source was cut off from the store and its peers
+    Then no host has it 5 s later
+
   Scenario: A host that restarts takes no outdated objects from its sources
     Guards against a target that left, or a manifest that was replaced, in use again after a restart.
 
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -130,6 +130,83 @@
     context.hosts_with_object = {gap_s: run_virtual(run_once(gap_s)) for gap_s in (0.3, 1.0, 1.4)}
 
 
+@when('the sources of a follower restart one after the other')
+def step_restart_sources(context):
+    async def run_once():
+        fleet = FeedFleet(context.sizes)
+        fleet.source.write('i-1', 1)
+        await fleet.start()
+        try:
+            name, sources = fleet.follower_with_relays()
+            restarted = {name, *sources}
+            accesses = {
+                host.member.host: host.access
+                for host in fleet.live_hosts()
+                if host.member.region == FIRST_REGION and not host.is_watching()
+            }
+            for access in accesses.values():
+                access.listings = 0
+            for source in sources:
+                fleet.restart(source)
+                await asyncio.sleep(3)
+            fleet.source.remove('i-1')
+            await asyncio.sleep(3)
+            context.listers = [host for host, access in accesses.items() if access.listings]
+            context.hosts_with_object = {
+                len(restarted): [h.member.host for h in fleet.live_hosts() if h.has_object('i-1')]
+            }
+            return await fleet.propagation_s(2, limit_s=OBSERVED_S)
+        finally:
+            await fleet.stop()
+
+    context.received_after_s = {0: run_virtual(run_once())}
+
+
+@then('no follower of the first region has listed the store')
+def step_no_listers(context):
+    assert not context.listers, context.listers
+
+
+@then(
+    'every host has the next change within {limit_s:g} s, and no object that was removed meanwhile'
+)
+def step_next_change(context, limit_s):
+    step_in_time(context, limit_s)
+    step_removed(context)
+
+
+@when(
+    'a source loses a removal just after the other source was cut off from the store and its peers'
+)
+def step_double_gap(context):
+    async def run_once(lead_s):
+        fleet = FeedFleet(context.sizes)
+        await fleet.start()
+        # Written after the sources have listed the store, so that their listings do not remove it.
+        fleet.source.write('i-1', 1)
+        await asyncio.sleep(2)
+        try:
+            name, (losing, isolated, *_) = fleet.follower_with_relays()
+            fleet.hosts[isolated].access.is_refused = True
+            fleet.cut_links.update(
+                frozenset((isolated, other)) for other in fleet.hosts if other != name
+            )
+            await asyncio.sleep(lead_s)
+            link = frozenset((losing, name))
+            fleet.cut_links.add(link)
+            fleet.source.remove('i-1')
+            await asyncio.sleep(0.5)
+            fleet.cut_links.discard(link)
+            await asyncio.sleep(5)
+            return [name] if fleet.hosts[name].has_object('i-1') else []
+        finally:
+            await fleet.stop()
+
+    context.hosts_with_object = {
+        lead_s: run_virtual(run_once(lead_s)) for lead_s in (0, 0.2, 0.4, 0.8)
+    }
+
+
 @then('no host has it 5 s later')
 def step_removed(context):
     assert not any(context.hosts_with_object.values()), context.hosts_with_object
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -25,6 +25,8 @@
 # A source is a watcher (0 hops) or a relay (1 hop). Hosts that follow each other without any
 # contact to the store exceed this limit, and so detect that neither is up to date.
 _MAX_HOPS = 1
+# A source shows within two status timeouts, its own and that of its sources, that it misses changes.
+_GAP_COVER_S = 2.4
 _MS_IN_S = 1_000
 
 
@@ -51,6 +53,8 @@
     """
 
     __slots__ = (
+        '_covered_until',
+        '_covering_hosts',
         '_environment',
         '_network',
         '_sources_by_host',
@@ -67,10 +71,14 @@
         self._views_by_kind = {view.kind: view for view in views}
         self._sources_by_host: dict[str, _Source] = {}
         self._unconfirmed = UnconfirmedListings()
-        # How often messages of a source were lost. Its next listing restores missed writes, but a
+        # How often messages of a source were lost that no other source replaced. The source's next listing restores missed writes, but a
         # listing removes only objects older than the source's own last listing from the store,
         # so that a missed removal can remain.
         self.gap_count = 0
+        # The sources that were healthy when another one lost messages, and until when that gap still
+        # counts if these turn out to miss changes too.
+        self._covering_hosts: frozenset[str] = frozenset()
+        self._covered_until: float = 0
         network.subscribe(FeedUpdate, self._on_update)
         network.subscribe(FeedStatus, self._on_status)
 
@@ -82,6 +90,8 @@
                 del self._sources_by_host[host]
                 self._unconfirmed.discard(host)
         now = self._environment.clock.monotonic()
+        if now < self._covered_until and not self.has_current_source(self._covering_hosts):
+            self._count_gap()
         for host in sorted(wanted):
             source = self._sources_by_host.get(host)
             if source is None:
@@ -209,12 +219,29 @@
         if message.number == 1:
             # Numbering restarts with a new subscription. If messages came before, the earlier
             # subscription had expired, so that messages may have been lost.
-            self.gap_count += source.is_complete and source.number > 1
+            if source.number > 1:
+                self._record_gap(source)
             source.is_complete = message.is_listing
         elif message.number != source.number + 1:
             self._record_gap(source)
         source.number = message.number
 
     def _record_gap(self, source: _Source) -> None:
-        self.gap_count += source.is_complete
+        was_complete = source.is_complete
         source.is_complete = False
+        if not was_complete:
+            return
+        # Each source forwards every change, so another one makes up for a source that restarts. If
+        # that one has a gap soon after, both may have lost the same change.
+        now = self._environment.clock.monotonic()
+        if self.is_current() and now >= self._covered_until:
+            self._covering_hosts = frozenset(
+                host for host, other in self._sources_by_host.items() if self._is_healthy(other)
+            )
+            self._covered_until = now + _GAP_COVER_S
+        else:
+            self._count_gap()
+
+    def _count_gap(self) -> None:
+        self.gap_count += 1
+        self._covered_until = 0
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -147,4 +147,20 @@
         feature='features/feed_currency.feature',
         scenario='A host that restarts takes what it serves from its peers',
     ),
+    Mutant(
+        mechanism='a source makes up for the messages that another one lost',
+        file='src/balsamrail/fleet/feed_follower.py',
+        old='if self.is_current() and now >= self._covered_until:',
+        new='if False:',
+        feature='features/feed_currency.feature',
+        scenario='A source that restarts costs its followers no calls',
+    ),
+    Mutant(
+        mechanism='a lost message counts if the source that made up for it misses changes too',
+        file='src/balsamrail/fleet/feed_follower.py',
+        old='not self.has_current_source(self._covering_hosts):',
+        new='not self.is_current():',
+        feature='features/feed_currency.feature',
+        scenario='A removal that one source loses and the other does not learn of is recovered',
+    ),
 )
