Count a lost message unless another source was healthy before it

Change: a source covers a gap only if it was healthy 2.4 s before the last status of the source that lost messages.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -53,7 +53,7 @@
     Guards against listings of the store by every follower of each host that restarts.
 
     Given regions of 24, 24 hosts that have the manifest
-    When the sources of a follower restart one after the other
+    When the sources of a follower restart 5 s apart
     Then no follower of the first region has listed the store
     And every host has the next change within 2 s, and no object that was removed meanwhile
 
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -130,8 +130,8 @@
     context.hosts_with_object = {gap_s: run_virtual(run_once(gap_s)) for gap_s in (0.3, 1.0, 1.4)}
 
 
-@when('the sources of a follower restart one after the other')
-def step_restart_sources(context):
+@when('the sources of a follower restart {interval_s:g} s apart')
+def step_restart_sources(context, interval_s):
     async def run_once():
         fleet = FeedFleet(context.sizes)
         fleet.source.write('i-1', 1)
@@ -148,7 +148,7 @@
                 access.listings = 0
             for source in sources:
                 fleet.restart(source)
-                await asyncio.sleep(3)
+                await asyncio.sleep(interval_s)
             fleet.source.remove('i-1')
             await asyncio.sleep(3)
             context.listers = [host for host, access in accesses.items() if access.listings]
@@ -179,7 +179,7 @@
     'a source loses a removal just after the other source was cut off from the store and its peers'
 )
 def step_double_gap(context):
-    async def run_once(lead_s):
+    async def run_once(lead_s, gap_s):
         fleet = FeedFleet(context.sizes)
         await fleet.start()
         # Written after the sources have listed the store, so that their listings do not remove it.
@@ -194,8 +194,9 @@
             await asyncio.sleep(lead_s)
             link = frozenset((losing, name))
             fleet.cut_links.add(link)
+            await asyncio.sleep(gap_s / 2)
             fleet.source.remove('i-1')
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(gap_s / 2)
             fleet.cut_links.discard(link)
             await asyncio.sleep(5)
             return [name] if fleet.hosts[name].has_object('i-1') else []
@@ -203,7 +204,9 @@
             await fleet.stop()
 
     context.hosts_with_object = {
-        lead_s: run_virtual(run_once(lead_s)) for lead_s in (0, 0.2, 0.4, 0.8)
+        (lead_s, gap_s): run_virtual(run_once(lead_s, gap_s))
+        for lead_s in (0, 0.3, 0.8)
+        for gap_s in (0.3, 1.0, 1.4)
     }
 
 
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -1,6 +1,7 @@
 """Receives changes of the store's objects from the hosts that watch it."""
 
 import asyncio
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -26,6 +27,7 @@
 # contact to the store exceed this limit, and so detect that neither is up to date.
 _MAX_HOPS = 1
 # A source shows within two status timeouts, its own and that of its sources, that it misses changes.
+# Two sources forward the same change well within this time of each other.
 _GAP_COVER_S = 2.4
 _MS_IN_S = 1_000
 
@@ -40,6 +42,7 @@
     last_status_at: float = 0
     subscribed_at: float = 0
     followed_since: float = 0
+    healthy_since: float = math.inf
     last_healthy_at: float = 0
     last_direct_at: float = 0
 
@@ -200,6 +203,8 @@
         source = self._sources_by_host.get(host)
         if source is None:
             return
+        if not self._is_healthy(source):
+            source.healthy_since = math.inf
         if message.number != source.number:
             self._record_gap(source)
         was_current = source.is_current
@@ -212,6 +217,7 @@
         if self._is_healthy(source):
             self._unconfirmed.apply(host)
             source.last_healthy_at = source.last_status_at
+            source.healthy_since = min(source.healthy_since, source.last_status_at)
             if not source.hops:
                 source.last_direct_at = source.last_status_at
 
@@ -229,19 +235,31 @@
     def _record_gap(self, source: _Source) -> None:
         was_complete = source.is_complete
         source.is_complete = False
+        source.healthy_since = math.inf
         if not was_complete:
             return
-        # Each source forwards every change, so another one makes up for a source that restarts. If
-        # that one has a gap soon after, both may have lost the same change.
+        # If a source that covers the gap has one soon after, both may have lost the same change.
         now = self._environment.clock.monotonic()
-        if self.is_current() and now >= self._covered_until:
-            self._covering_hosts = frozenset(
-                host for host, other in self._sources_by_host.items() if self._is_healthy(other)
-            )
+        covering_hosts = self._covering(source)
+        if covering_hosts and now >= self._covered_until:
+            self._covering_hosts = covering_hosts
             self._covered_until = now + _GAP_COVER_S
         else:
             self._count_gap()
 
+    def _covering(self, source: _Source) -> frozenset[str]:
+        """Return the sources that forwarded all changes that another one may have lost.
+
+        These are the changes since its last status. A source that was healthy only later may have
+        sent a listing instead, which does not show what was removed.
+        """
+        needed_since = source.last_status_at - _GAP_COVER_S
+        return frozenset(
+            host
+            for host, other in self._sources_by_host.items()
+            if self._is_healthy(other) and other.healthy_since <= needed_since
+        )
+
     def _count_gap(self) -> None:
         self.gap_count += 1
         self._covered_until = 0
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -150,7 +150,7 @@
     Mutant(
         mechanism='a source makes up for the messages that another one lost',
         file='src/balsamrail/fleet/feed_follower.py',
-        old='if self.is_current() and now >= self._covered_until:',
+        old='if covering_hosts and now >= self._covered_until:',
         new='if False:',
         feature='features/feed_currency.feature',
         scenario='A source that restarts costs its followers no calls',
@@ -163,4 +163,12 @@
         feature='features/feed_currency.feature',
         scenario='A removal that one source loses and the other does not learn of is recovered',
     ),
+    Mutant(
+        mechanism='only a source that was healthy before makes up for a lost message',
+        file='src/balsamrail/fleet/feed_follower.py',
+        old='if self._is_healthy(other) and other.healthy_since <= needed_since',
+        new='if self._is_healthy(other)',
+        feature='features/feed_currency.feature',
+        scenario='A removal that one source loses and the other does not learn of is recovered',
+    ),
 )
