--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -74,9 +74,9 @@
         self._views_by_kind = {view.kind: view for view in views}
         self._sources_by_host: dict[str, _Source] = {}
         self._unconfirmed = UnconfirmedListings()
-        # How often messages of a source were lost that no other source replaced. The source's next listing restores missed writes, but a
-        # listing removes only objects older than the source's own last listing from the store,
-        # so that a missed removal can remain.
+        # How often messages of a source were lost that no other source replaced. The next listing of
+        # the source restores missed writes, but it removes only objects older than the source's own
+        # last listing from the store, so that a missed removal can remain.
         self.gap_count = 0
         # The sources that were healthy when another one lost messages, and until when that gap still
         # counts if these turn out to miss changes too.
@@ -238,7 +238,7 @@
         source.healthy_since = math.inf
         if not was_complete:
             return
-        # If a source that covers the gap has one soon after, both may have lost the same change.
+        # If a source that covers this gap has one soon after, both may have lost the same change.
         now = self._environment.clock.monotonic()
         covering_hosts = self._covering(source)
         if covering_hosts and now >= self._covered_until:
