Keep the sources of a host until one of the newly assigned ones is current

Cause: watchers that return after a loss of power rank first again at once, so all relays of their region leave the hosts that replaced them before they are current, have no source, and list the store after 0.2 of the bound on changes.

Change: while no assigned source is current, the host also follows those that it followed so far and that are.

--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -162,7 +162,7 @@
         own = self._members.local_member()
         assignment = assign_watch(members, own=own, state_of=self._follower.state_of)
         now = self._environment.clock.monotonic()
-        self._local_sources = assignment.sources
+        self._local_sources = self._with_kept_sources(assignment.sources)
         if self.is_current() or self._follower.has_current_source(self._local_sources):
             self._local_current_at = now
         remote: tuple[str, ...] = ()
@@ -180,6 +180,21 @@
         elif self._tasks:
             self._stop_if_redundant(now)
 
+    def _with_kept_sources(self, assigned: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the assigned sources, and those followed so far until one of these is current.
+
+        Hosts that restart are assigned at once but need some time to be current. Without any
+        current source, all their followers would list the store.
+        """
+        if self._follower.has_current_source(assigned):
+            return assigned
+        kept = (
+            host
+            for host in self._local_sources
+            if host not in assigned and self._follower.has_current_source((host,))
+        )
+        return (*assigned, *kept)
+
     def _is_watch_needed(self, assignment: WatchAssignment, now: float) -> bool:
         if self._follower.gap_count != self._handled_gap_count:
             self._handled_gap_count = self._follower.gap_count
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -171,4 +171,12 @@
         feature='features/feed_currency.feature',
         scenario='A removal that one source loses and the other does not learn of is recovered',
     ),
+    Mutant(
+        mechanism='a host keeps its sources until one of the newly assigned ones is current',
+        file='src/balsamrail/fleet/store_watch.py',
+        old='        if self._follower.has_current_source(assigned):\n',
+        new='        if True:\n',
+        feature='features/large_fleet.feature',
+        scenario='Hosts of a large region return',
+    ),
 )
