Play the load of the large fleet, and tell what binds there

Ruled out as causes: slots (no caller is rejected at three times the rate) and Retry-After (0.1 and 1 s give the same). No product code changed.

--- a/features/load_play.feature
+++ b/features/load_play.feature
@@ -17,3 +17,13 @@
     Given the load of Selokosmos at 1.2 times its usual rate for 20 s, 40% of diary 12 times slower
     When it is simulated with and without slow-target detection, from three seeds
     Then the credit is higher while the targets are slow, and as high before
+
+  Scenario: The large fleet serves a burst without further first runs
+    This guards against placing objects on more targets than their requests need: a first run of an
+    object takes longer than the callers' objective.
+
+    Given the load of the large fleet of Selokosmos for 24 s, at 1.7 times its rate from 8 s to 11 s
+    When it is simulated with the product's placement, from three seeds
+    Then no caller is rejected
+    And an object is run first on at most a quarter more targets than there are objects
+    And no kind of request is in time less often than a less urgent one of its service by over 0.15
--- a/features/steps/load_play_steps.py
+++ b/features/steps/load_play_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from balsamrail.placement.target_state import TargetState
-from standins.load_play import Change, play, selokosmos, suryatap
+from standins.load_play import Change, play, selokosmos, selokosmos_large, suryatap
 
 SLOW_FROM_S = 8
 SLOW_UNTIL_S = 16
@@ -79,3 +79,50 @@
     print(f'credit while slow {detected[0]:.3f}, without {undetected[0]:.3f}')
     assert detected[0] > undetected[0], (detected, undetected)
     assert detected[1] >= undetected[1] - 0.01, (detected, undetected)
+
+
+@given(
+    'the load of the large fleet of Selokosmos for {length:d} s,'
+    ' at {factor:g} times its rate from {begin:d} s to {end:d} s'
+)
+def step_large(context, length, factor, begin, end):
+    context.site = replace(selokosmos_large(), bursts=((begin, end, factor),))
+    context.length_s = length
+
+
+@when("it is simulated with the product's placement, from three seeds")
+def step_large_play(context):
+    context.plays = [
+        play(context.site, seed=seed, length_s=context.length_s)
+        for seed in range(context.seed, context.seed + 3)
+    ]
+
+
+@then('no caller is rejected')
+def step_none_rejected(context):
+    rejected = [statistics.outcome_fraction('refused') for statistics in context.plays]
+    assert not any(rejected), rejected
+
+
+@then('an object is run first on at most a quarter more targets than there are objects')
+def step_first_runs(context):
+    regions = set(context.site.region_by_zone().values())
+    objects = sum(kind.objects for kind in context.site.kinds) * len(regions)
+    first_runs = [statistics.sends['new'] for statistics in context.plays]
+    print(f'{first_runs} first runs of {objects} objects')
+    assert max(first_runs) <= objects * 1.25, (first_runs, objects)
+
+
+@then(
+    'no kind of request is in time less often than a less urgent one of its service'
+    ' by over {margin:g}'
+)
+def step_urgency(context, margin):
+    for statistics in context.plays:
+        in_time = {
+            kind: counts['in_aim'] / counts.total() for kind, counts in statistics.outcomes.items()
+        }
+        for kind in context.site.kinds:
+            for other in context.site.kinds:
+                if other.service == kind.service and other.priority > kind.priority:
+                    assert in_time[kind.name] >= in_time[other.name] - margin, in_time
--- a/standins/load_play/__init__.py
+++ b/standins/load_play/__init__.py
@@ -18,7 +18,7 @@
     ZoneEvacuation,
     ZoneModel,
 )
-from standins.load_play.sites import selokosmos, suryatap
+from standins.load_play.sites import selokosmos, selokosmos_large, suryatap
 
 __all__ = (
     'Change',
@@ -30,5 +30,6 @@
     'ZoneModel',
     'play',
     'selokosmos',
+    'selokosmos_large',
     'suryatap',
 )
--- a/standins/load_play/sites.py
+++ b/standins/load_play/sites.py
@@ -1,4 +1,4 @@
-"""Models of the two users' deployments."""
+"""Models of the users' deployments."""
 
 from standins.load_play.site import RequestKind, ServiceModel, Site, ZoneModel
 
@@ -189,3 +189,99 @@
         zone_delay_s=0.0035,
         region_delay_s=0.035,
     )
+
+
+def selokosmos_large(*, load: float = 1, divisor: int = 6) -> Site:
+    """Return the model of the large fleet of Selokosmos, scaled down.
+
+    One region has a tenth of the targets, and its callers send as much as those of the others.
+
+    :param load: multiplier of the request rates.
+    :param divisor: by how much the fleet, its objects and its rates are smaller than the original.
+    """
+    zones = _zones(
+        'attiki/athina-a makedonia/thess-a peloponnisos/patra-a'
+        ' attiki/athina-b makedonia/thess-b peloponnisos/patra-b'
+        ' attiki/athina-c makedonia/thess-c peloponnisos/patra-c',
+        tuple(round(count / divisor) for count in (24, 21, 24, 20, 22, 21, 22, 19, 22)),
+    )
+    counts_by_service = {'diary': (85, 102, 21), 'bookings': (39, 46, 9), 'shopfront': (24, 28, 6)}
+    cache_size_by_service = {'diary': 8, 'bookings': 8, 'shopfront': 16}
+    rate = load / divisor
+    return Site(
+        name='selokosmos',
+        zones=zones,
+        services=tuple(
+            ServiceModel(
+                name=service,
+                targets_by_zone=_targets(zones, *(round(count / divisor) for count in counts * 3)),
+                slots=6,
+                cache_size=cache_size_by_service[service],
+            )
+            for service, counts in counts_by_service.items()
+        ),
+        kinds=(
+            RequestKind(
+                name='diary-look',
+                service='diary',
+                rate=295 * rate,
+                work_s=2.64,
+                aim_s=1.504,
+                timeout_s=4,
+                patience_s=12,
+                worth=1,
+                late_worth=0.2,
+                priority=2,
+                objects=round(98 / divisor),
+                is_idempotent=True,
+                exchange_bytes=900,
+            ),
+            RequestKind(
+                name='visit-book',
+                service='bookings',
+                rate=103 * rate,
+                work_s=3.44,
+                aim_s=2.005,
+                timeout_s=5,
+                patience_s=15,
+                worth=2,
+                late_worth=0.4,
+                priority=1,
+                objects=round(34 / divisor),
+                is_idempotent=False,
+                exchange_bytes=2_300,
+            ),
+            RequestKind(
+                name='deposit-take',
+                service='shopfront',
+                rate=72 * rate,
+                work_s=1.84,
+                aim_s=1.21,
+                timeout_s=2.5,
+                patience_s=10,
+                worth=3,
+                late_worth=0.6,
+                priority=0,
+                objects=round(24 / divisor),
+                is_idempotent=False,
+                exchange_bytes=5_800,
+            ),
+            RequestKind(
+                name='stock-look',
+                service='shopfront',
+                rate=77 * rate,
+                work_s=1.04,
+                aim_s=0.605,
+                timeout_s=1.5,
+                patience_s=5,
+                worth=2,
+                late_worth=0.4,
+                priority=1,
+                objects=round(26 / divisor),
+                is_idempotent=True,
+                exchange_bytes=2_000,
+            ),
+        ),
+        zone_delay_s=0.0054,
+        region_delay_s=0.012,
+    )
