--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -1,6 +1,7 @@
 """A fleet of hosts that watch the store and forward its changes, on virtual time."""
 
 import asyncio
+import contextlib
 
 import platform_helpers
 from fake_source import FakeSource
@@ -199,6 +200,14 @@
         host.start(is_first=False, discovers_after_s=discovers_after_s)
         return host
 
+    def cut_off_from_peers(self, name, *, but):
+        """Cut the links of a host to all others but one."""
+        self.cut_links.update(frozenset((name, other)) for other in self.hosts if other != but)
+
+    def hosts_with(self, name):
+        """Return the hosts that have an object."""
+        return [host.member.host for host in self.live_hosts() if host.has_object(name)]
+
     def follower_with_relays(self):
         """Return a host that follows relays, and these."""
         for name, host in self.hosts.items():
@@ -240,3 +249,22 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def started_fleet(sizes, *, objects=()):
+    """Run a fleet whose hosts have the manifest and these objects."""
+    fleet = FeedFleet(sizes)
+    for name in objects:
+        fleet.source.write(name, 1)
+    await fleet.start()
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def assert_in_time(received_after_s, limit_s):
+    """Fail if a host received a change late or not at all."""
+    late = {host: s for host, s in received_after_s.items() if s is None or s > limit_s}
+    assert not late, late
--- a/features/steps/large_fleet_steps.py
+++ b/features/steps/large_fleet_steps.py
@@ -4,7 +4,7 @@
 import random
 
 from behave import given, then, when
-from feed_region import FeedFleet
+from feed_region import assert_in_time, started_fleet
 from virtual_time import run_virtual
 
 REGIONS = ('region0', 'region1', 'region2')
@@ -13,8 +13,8 @@
 OBSERVED_S = 12
 
 
-def make_fleet(hosts_per_region):
-    return FeedFleet(dict.fromkeys(REGIONS, hosts_per_region))
+def start_fleet(hosts_per_region):
+    return started_fleet(dict.fromkeys(REGIONS, hosts_per_region))
 
 
 @given('a fleet of 3 regions with {count:d} hosts each that have the manifest')
@@ -24,9 +24,7 @@
 
 def _lose_power(context, select, seconds):
     async def run_once():
-        fleet = make_fleet(context.hosts_per_region)
-        await fleet.start()
-        try:
+        async with start_fleet(context.hosts_per_region) as fleet:
             context.lost = lost = select(fleet)
             for name in lost:
                 fleet.hosts[name].kill()
@@ -38,8 +36,6 @@
             await asyncio.sleep(RETURN_S)
             context.listers = [name for name, host in fleet.hosts.items() if host.access.listings]
             return await fleet.propagation_s(2, limit_s=OBSERVED_S)
-        finally:
-            await fleet.stop()
 
     context.received_after_s = run_virtual(run_once())
 
@@ -81,26 +77,17 @@
 
 @then('all hosts have the next change {limit_s:g} s after it')
 def step_change(context, limit_s):
-    late = {
-        host: after_s
-        for host, after_s in context.received_after_s.items()
-        if after_s is None or after_s > limit_s
-    }
-    assert not late, late
+    assert_in_time(context.received_after_s, limit_s)
 
 
 @when('fleets of 3 regions with {small:d} and with {large:d} hosts each start for the first time')
 def step_starts(context, small, large):
     async def start(count):
-        fleet = make_fleet(count)
-        try:
-            await fleet.start()
+        async with start_fleet(count) as fleet:
             accesses = [host.access for host in fleet.hosts.values()]
             return sum(access.calls for access in accesses), [
                 access for access in accesses if access.listings
             ]
-        finally:
-            await fleet.stop()
 
     context.starts = [run_virtual(start(count)) for count in (small, large)]
 
