--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -37,9 +37,9 @@
     ),
     Mutant(
         mechanism='a truncated listing is rejected',
-        file='src/balsamrail/fleet/object_codec.py',
-        old='if not stream.eof:',
-        new='if False:',
+        file='src/balsamrail/messages/compression.py',
+        old='    if not decompressor.eof:\n',
+        new='    if False:\n',
         feature='features/watch_duty.feature',
         scenario='A listing of many targets',
     ),
