Ask the store at once when no host of the fleet serves yet

Cause: with a host that restarts looked for its peers for up to 0.4 s and then followed them.

Change: it waits for a host that serves, for 0.1 s (a few round trips), and otherwise lists the store itself whatever its assignment, as before. Calls to the store are saved where hosts restart beside others that serve. The new scenario "All hosts restart together" fails without this (mutant); the scenario of late discovery expects a listing now.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -81,10 +81,18 @@
     And it has <listed> the store
 
     Examples:
-      | found       | in_force | listed     |
-      | after 0.1 s | 0.7      | not listed |
-      | after 0.3 s | 0.9      | not listed |
-      | never       | 0.7      | listed     |
+      | found        | in_force | listed     |
+      | after 0.02 s | 0.6      | not listed |
+      | after 0.3 s  | 0.2      | listed     |
+      | never        | 0.2      | listed     |
+
+  Scenario: All hosts restart together
+    Guards against callers who wait until hosts that have just started have found each other.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When all hosts restart, and a follower finds the others as they start
+    Then it has the manifest in force within 0.2 s of its start
+    And it has listed the store
 
   Scenario: A host that restarts during an outage of the store takes the objects of its sources
     Guards against a host that refuses all requests for as long as the store is down.
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import replace
 
 import platform_helpers
 from fake_source import FakeSource
@@ -107,6 +108,9 @@
     def has_object(self, name):
         return name in self.view.objects_by_name
 
+    def is_serving(self):
+        return bool(self.version())
+
     def is_watching(self):
         return self.watch.dump()['is_watching']
 
@@ -130,7 +134,7 @@
         if now < self._complete_at:
             return [self._own]
         return [
-            host.member
+            host.member if host.is_serving() else replace(host.member, state='starting')
             for host in self.fleet.hosts.values()
             if host.died_at is None or now - host.died_at < FAILURE_DETECTION_S
         ]
--- a/features/steps/feed_restart_steps.py
+++ b/features/steps/feed_restart_steps.py
@@ -122,6 +122,22 @@
     context.expected_version = 1
 
 
+@when('all hosts restart, and a follower finds the others as they start')
+def step_restart_all(context):
+    async def run_once():
+        async with started_fleet(context.sizes) as fleet:
+            name, _ = fleet.follower_with_relays()
+            access = fleet.hosts[name].access
+            for other in sorted(set(fleet.hosts) - {name}):
+                fleet.restart(other)
+            access.listings = 0
+            versions = await _observe_restart(fleet, name, 2)
+            return versions, access.listings
+
+    context.versions, context.listings = run_virtual(run_once())
+    context.expected_version = 1
+
+
 @then('it has {listed} the store')
 def step_listed(context, listed):
     assert bool(context.listings) == (listed == 'listed'), context.listings
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -15,10 +15,11 @@
 # On the first start of the fleet there is no traffic yet, and waiting until the hosts have found
 # each other saves calls to the store.
 _FIRST_START_DELAY_S = 1.5
-# A host that starts later has callers waiting. It waits until it has found another host, for at
-# most this long: without its peers it would take itself for a watcher and list the store.
-_DISCOVERY_TIMEOUT_S = 0.4
-_DISCOVERY_INTERVAL_S = 0.05
+# A host that starts later has callers waiting. It waits until it has found a host that serves, for
+# at most this long, some round trips: without its peers it would take itself for a watcher and list
+# the store.
+_DISCOVERY_TIMEOUT_S = 0.1
+_DISCOVERY_INTERVAL_S = 0.025
 # Fraction of the bound on applying a change (config_apply_s). After this time without a current
 # source the host watches the store itself, and after this time without a current source of its own
 # region it follows hosts of other regions. The rest of the bound must cover the status timeout of
@@ -128,7 +129,7 @@
         if self._environment.settings.is_first_start:
             await asyncio.sleep(_FIRST_START_DELAY_S)
         else:
-            await self._wait_for_members()
+            await self._find_serving_member()
         self._last_current_at = self._environment.clock.monotonic()
         self._local_current_at = self._last_current_at
         try:
@@ -148,14 +149,21 @@
             'follows': self._follower.dump(),
         }
 
-    async def _wait_for_members(self) -> None:
+    async def _find_serving_member(self) -> None:
         clock = self._environment.clock
         ends_at = clock.monotonic() + _DISCOVERY_TIMEOUT_S
-        is_alone = True
-        while is_alone and clock.monotonic() < ends_at:
-            is_alone = len(self._members.alive()) == 1
+        is_found = False
+        while not is_found and clock.monotonic() < ends_at:
+            is_found = self._is_any_member_serving()
             # The table of the first peer arrives shortly after its handshake.
             await asyncio.sleep(_DISCOVERY_INTERVAL_S)
+        # If the whole fleet restarts, its callers wait for whichever host asks the store.
+        self._must_list = not is_found
+
+    def _is_any_member_serving(self) -> bool:
+        own = self._members.local_member().host
+        members = self._members.alive()
+        return any(member.host != own and member.state == 'alive' for member in members)
 
     async def _tick(self) -> None:
         members = self._members.alive()
