--- a/tools/write_days.py
+++ b/tools/write_days.py
@@ -1,26 +1,18 @@
 """Write day files of the users' bench, one for each disruption and variant and for some pairs.
 
 The bench is not part of the repository; ``fleetbench run SITE deploy/days/FILE`` runs a day on a
-site. Classes, services and zones are placeholders of the bench, so that one file fits all sites.
-Each disruption occurs three times per day; the disruptions of a pair start in the same second.
-
-There are three sets. ``light`` fits all sites. The other two have the traffic of grown sites and must not
-run on standard ones: ``nine-zones`` uses zones that only suryatap-rail-grown has. selo-ops-grown has the
-zones, services and request kinds of its standard site, so ``six-zones`` ends with a disruption of a
-contract that only grown sites have. It is untested whether the bench skips such a day on a standard site,
-so this set is only written on request.
+site. Classes, services and zones are placeholders of the bench, and the files contain no traffic, so
+that each day has the load of the site that it is played on. The bench leaves a day out on sites that
+do not support its disruptions. Each disruption occurs three times per day; the disruptions of a pair
+start in the same second.
 """
 
-import argparse
 import itertools
 import random
-from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent.parent / 'deploy' / 'days'
 MOMENTS = (4.0, 13.0, 22.0)
-SIX_ZONES = tuple(f'@z{number}' for number in range(6))
-NEW_ZONES = ('porbandar-c', 'mandvi-c', 'patan-c')
 # Kind, further fields and variants ('' is the default one). PLAN contains planned operations.
 FAULTS: dict[str, tuple[str, tuple[str, ...]]] = {
     'burst': ('x = 2.0, for_s = 4.0', ('',)),
@@ -80,8 +72,8 @@
     'big_config': ('count = 200', ('',)),
     'evacuate': ('zone = "@z0", for_s = 5.0', ('', 'warm')),
 }
-# Kinds of the contracts "health" and "pool", which only grown sites implement.
-GROWN_FAULTS: dict[str, tuple[str, tuple[str, ...]]] = {
+# Kinds of the contracts "health" and "pool", which only some sites implement.
+CONTRACT_FAULTS: dict[str, tuple[str, tuple[str, ...]]] = {
     'srv_lying_health': ('share = 0.1, for_s = 5.0', ('errors', 'reset')),
     'srv_flap': ('share = 0.1, gap_s = 1.4, for_s = 5.0', ('',)),
     'idle_race': ('share = 0.5, x = 320.0, for_s = 5.0', ('',)),
@@ -90,51 +82,6 @@
 PAIRS = 40
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DaySet:
-    """Traffic and disruptions of a set of days.
-
-    :param per_s: requests per second from each zone.
-    :param mix: weights of the request kinds, in the order of the site file.
-    :param further: disruption kinds in addition to those that all sites support.
-    :param last: disruptions appended to every day.
-    """
-
-    prefix: str
-    zones: tuple[str, ...]
-    per_s: float
-    clients: int
-    mix: tuple[float, ...]
-    further: dict[str, tuple[str, tuple[str, ...]]]
-    last: str = ''
-
-
-LIGHT = DaySet(
-    prefix='', zones=SIX_ZONES, per_s=14.0, clients=20, mix=(1.0, 1.0, 1.0, 1.0), further={}
-)
-# Rates and mixes are those of the average day in the site files, 1,782 and 1,998 requests per second.
-SETS = {
-    'light': LIGHT,
-    'nine-zones': DaySet(
-        prefix='nine-',
-        zones=(*SIX_ZONES, *NEW_ZONES),
-        per_s=198.0,
-        clients=100,
-        mix=(5.2, 1.7, 1.5, 1.3),
-        further=GROWN_FAULTS,
-    ),
-    'six-zones': DaySet(
-        prefix='six-',
-        zones=SIX_ZONES,
-        per_s=333.0,
-        clients=165,
-        mix=(5.7, 2.0, 1.4, 1.5),
-        further=GROWN_FAULTS,
-        last='  { at = 28.0, kind = "idle_race", share = 0.1, x = 320.0, for_s = 1.0 },\n',
-    ),
-}
-
-
 def entry(at: float, kind: str, fields: str, how: str) -> str:
     parts = [f'at = {at}', f'kind = "{kind}"', *([fields] if fields else [])]
     if how:
@@ -142,33 +89,26 @@
     return '  { ' + ', '.join(parts) + ' },\n'
 
 
-def day(name: str, days: DaySet, *, seed: int, faults: list[str], plan: list[str]) -> str:
-    mix = ', '.join(f'"@c{number}" = {weight}' for number, weight in enumerate(days.mix))
-    traffic = ''.join(
-        f'  {{ zone = "{zone}", mix = {{ {mix} }}, per_s = {days.per_s}, '
-        f'clients = {days.clients} }},\n'
-        for zone in days.zones
-    )
+def day(name: str, *, seed: int, faults: list[str], plan: list[str]) -> str:
     closing = CLOSINGS[seed % len(CLOSINGS)]
     return (
         f'name = "{name}"\nslot = "trouble"\nseed = {seed}\n'
         f'closing = {{ kind = "{closing}", down_s = 1.0 }}\n'
-        f'plan = [\n{"".join(plan)}]\nfaults = [\n{"".join(faults)}{days.last}]\n'
-        f'traffic = [\n{traffic}]\n'
+        f'plan = [\n{"".join(plan)}]\nfaults = [\n{"".join(faults)}]\n'
     )
 
 
-def variants(days: DaySet) -> list[tuple[str, str, str, bool]]:
+def variants() -> list[tuple[str, str, str, bool]]:
     found = []
-    for table, is_planned in ((FAULTS, False), (PLAN, True), (days.further, False)):
+    for table, is_planned in ((FAULTS, False), (PLAN, True), (CONTRACT_FAULTS, False)):
         for kind, (fields, hows) in table.items():
             found.extend((kind, fields, how, is_planned) for how in hows)
     return found
 
 
-def write(days: DaySet) -> int:
+def write() -> int:
     chance = random.Random(1)
-    singles = variants(days)
+    singles = variants()
     pairs = chance.sample(list(itertools.combinations(singles, 2)), PAIRS)
     groups = [*((one,) for one in singles), *pairs]
     for number, group in enumerate(groups, start=1):
@@ -177,20 +117,16 @@
         for kind, fields, how, is_planned in group:
             for at in MOMENTS:
                 entries[is_planned].append(entry(at, kind, fields, how))
-        text = day(days.prefix + name, days, seed=number, faults=entries[0], plan=entries[1])
-        (FOLDER / f'{days.prefix}{number:03}-{name}.toml').write_text(text)
+        text = day(name, seed=number, faults=entries[0], plan=entries[1])
+        (FOLDER / f'{number:03}-{name}.toml').write_text(text)
     return len(groups)
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description='Write the day files of deploy/days.')
-    parser.add_argument('sets', nargs='*', default=['light', 'nine-zones'], help=', '.join(SETS))
-    chosen = parser.parse_args().sets
     FOLDER.mkdir(parents=True, exist_ok=True)
     for old in FOLDER.glob('*.toml'):
         old.unlink()
-    for name in chosen:
-        print(f'{name}: {write(SETS[name])} days')
+    print(f'{write()} days')
     return 0
 
 
