Add a failing test of watchers that the store stops answering

With the path to the store lost for both watchers of a region (24, 24 hosts), for all hosts of a region, and for all hosts of a small region (3, 3, 2), every host of that region has a change of the manifest after 3.3 to 3.45 s in virtual time; the bound is 2 s. The existing scenarios refuse calls, which a watcher notices at once.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -15,6 +15,19 @@
       | 3, 3, 2   | all hosts of the first region         |
       | 24, 24    | all hosts of the first region         |
 
+  Scenario Outline: Watchers that the store stops answering delay no change
+    Guards against hosts that send confined requests to a region that is no longer allowed (HOME).
+
+    Given regions of <sizes> hosts that have the manifest
+    When <cut> of the first region lose the path to the store and the manifest changes at any moment
+    Then every host has it within 2 s
+
+    Examples:
+      | sizes     | cut                                   |
+      | 24, 24    | both watchers                         |
+      | 24, 24    | all hosts                             |
+      | 3, 3, 2   | all hosts                             |
+
   Scenario Outline: The loss of watchers delays no change
     Guards against hosts that place requests by an old manifest because their watchers failed.
 
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -43,6 +43,20 @@
     _run_with_fault(context, refuse)
 
 
+@when(
+    '{cut} of the first region lose the path to the store and the manifest changes at any moment'
+)
+def step_path_lost(context, cut):
+    def lose_path(fleet):
+        hosts = [host for host in fleet.live_hosts() if host.member.region == FIRST_REGION]
+        if cut == 'both watchers':
+            hosts = fleet.watchers(FIRST_REGION)
+        for host in hosts:
+            host.access.is_cut = True
+
+    _run_with_fault(context, lose_path)
+
+
 @when('{failed} of the first region lose power and the manifest changes after any delay')
 def step_power_loss(context, failed):
     def cut_power(fleet):
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import platform_helpers
-from fake_source import FakeSource
+from fake_source import TIMEOUT_S, FakeSource
 
 from balsamrail.catalog.feed import Feed
 from balsamrail.catalog.object_view import ObjectView
@@ -24,12 +24,16 @@
 
 
 class StoreAccess:
-    """One host's access to the store, which can refuse the host or leave open calls unanswered."""
+    """One host's access to the store, which can refuse the host or leave calls unanswered.
+
+    With ``is_silent`` only open watches stay unanswered, with ``is_cut`` every call.
+    """
 
     def __init__(self, source):
         self.source = source
         self.is_refused = False
         self.is_silent = False
+        self.is_cut = False
         self.delay_s = 0
         self.calls = 0
         self.listings = 0
@@ -39,7 +43,9 @@
         self._check()
         self.listings += not is_stale_allowed
         await asyncio.sleep(self.delay_s)
-        return await self.source.list_objects(kind, is_stale_allowed=is_stale_allowed)
+        listing = await self.source.list_objects(kind, is_stale_allowed=is_stale_allowed)
+        await self._lose_if_cut(TIMEOUT_S)
+        return listing
 
     async def watch(self, kind, *, revision, wait_s):
         self.calls += 1
@@ -54,8 +60,14 @@
         if self.is_silent:
             await asyncio.sleep(wait_s)
             raise StoreUnavailableError('silent')
+        await self._lose_if_cut(wait_s)
         return waiting.result()
 
+    async def _lose_if_cut(self, timeout_s):
+        if self.is_cut:
+            await asyncio.sleep(timeout_s)
+            raise StoreUnavailableError('no answer')
+
     def _check(self):
         if self.is_refused:
             raise StoreUnavailableError('the store answered 503')
