--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -129,3 +129,10 @@
     When the store refuses all hosts for 8 s and then answers again
     Then each host called it at most 12 times in that time, and no host sent a listing
     And at most 3 hosts of a region list the store after it, and all have the next change within 2 s
+
+  Scenario: The log tells since when a host receives no changes
+    Guards against incidents whose record does not show that a follower decided by old objects.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When a host that follows others is isolated for 6 s from all hosts and the store
+    Then its log has one interruption of its changes, and their return 4 s to 8 s later
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 
 from behave import given, then, when
 from feed_region import assert_in_time, started_fleet
@@ -175,3 +176,29 @@
         listers = [name for name in context.listers if name.startswith(f'{region}-')]
         assert len(listers) <= count, context.listers
     step_in_time(context, limit_s)
+
+
+@when('a host that follows others is isolated for {isolated_s:d} s from all hosts and the store')
+def step_isolated(context, isolated_s):
+    async def run_once():
+        async with started_fleet(context.sizes) as fleet:
+            host = next(host for host in fleet.live_hosts() if not host.is_watching())
+            host.log.lines.clear()
+            host.access.is_cut = True
+            fleet.cut_off.add(host.member.host)
+            await asyncio.sleep(isolated_s)
+            host.access.is_cut = False
+            fleet.cut_off.clear()
+            await asyncio.sleep(OBSERVED_S)
+            return ''.join(host.log.lines)
+
+    context.logged = run_virtual(run_once())
+
+
+@then(
+    'its log has one interruption of its changes, and their return {low_s:d} s to {high_s:d} s later'
+)
+def step_interruption_logged(context, low_s, high_s):
+    events = re.findall(r'event=changes_(\w+).* after_s=(\S+)', context.logged)
+    assert [name for name, _ in events] == ['interrupted', 'received'], events
+    assert low_s <= float(events[-1][1]) <= high_s, events
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -81,12 +81,16 @@
         self.view = ObjectView(kind=KIND)
         self.tasks = []
         self.died_at = None
+        self.log = platform_helpers.RecordedLog()
 
     def start(self, *, is_first=True, discovers_after_s=0):
         name = self.member.host
         complete_at = asyncio.get_running_loop().time() + discovers_after_s
         environment = platform_helpers.make_environment(
-            host=name, is_first_start=is_first, bounds=Bounds(config_apply_s=2)
+            host=name,
+            is_first_start=is_first,
+            bounds=Bounds(config_apply_s=2),
+            log=self.log,
         )
         network = HostNetwork(self.fleet, name)
         contact = StoreMonitor(environment=environment, source=self.access, kind='evacuations')
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -7,6 +7,7 @@
 from balsamrail.catalog.feed import Feed
 from balsamrail.catalog.store_monitor import StoreMonitor
 from balsamrail.environment import Environment
+from balsamrail.fleet.currency_log import CurrencyLog
 from balsamrail.fleet.feed_follower import FeedFollower
 from balsamrail.fleet.watch_assignment import WatchAssignment, assign_watch, remote_sources
 from balsamrail.membership import Member
@@ -58,6 +59,7 @@
 
     __slots__ = (
         '_contact',
+        '_currency_log',
         '_environment',
         '_feeds',
         '_follower',
@@ -99,6 +101,7 @@
         self._local_sources: tuple[str, ...] = ()
         self._local_current_at = self._last_current_at
         self._redundant_since: float | None = None
+        self._currency_log = CurrencyLog(environment=environment)
 
     def is_current(self) -> bool:
         """Return whether this host receives every change directly from the store."""
@@ -178,6 +181,11 @@
         if now - self._local_current_at >= self._fallback_delay_s():
             remote = remote_sources(members, own=own, state_of=self._follower.state_of)
         await self._follower.follow((*self._local_sources, *remote))
+        self._currency_log.record(
+            receives_changes=self.receives_changes(),
+            sources=self._local_sources,
+            hops=self.hops(),
+        )
         if self._follower.is_current():
             self._has_been_current = True
             self._last_current_at = now
