Let the watchers of a region follow a watcher of another region

Cause: both watchers of a region lost the store at the same time, and the store left their calls unanswered. A watcher notices that by its next check and its timeout (1 s and 1.5 s), its followers hear of it 0.4 s later, wait 0.2 of the bound on changes, and then ask another region or the store: over 3 s, while a watcher of another region had the change at once.

Ruled out: one host alone without sources. Ruled out by the record: a plan that outlives its manifest (the target was chosen 9 ms after the arrival).

Change: the first two hosts of each region always follow one watcher each of two other regions. Updates of all sources are applied, so that a change reaches the region without any detection. The cost is two listings and each change once more per watcher between regions, whatever the size of the region.

Before: the new scenario failed in all of its first three cases, every host of the region had a change after 3.3 to 3.45 s (virtual time, bound 2 s); the new case of both watchers' watches without answers failed, the region had no change within 12 s. Now they pass, as does the case with a watcher of each other region cut as well. The scenario of one watcher without answers gets a case with a single region, since its mutant was no longer caught with two.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -27,6 +27,7 @@
       | 24, 24    | both watchers                         |
       | 24, 24    | all hosts                             |
       | 3, 3, 2   | all hosts                             |
+      | 24, 24, 9 | both watchers and one of each other   |
 
   Scenario Outline: The loss of watchers delays no change
     Guards against hosts that place requests by an old manifest because their watchers failed.
@@ -41,13 +42,19 @@
       | 24, 24    | both watchers                         |
       | 24, 24    | both watchers and half of the others  |
 
-  Scenario: A watch that stops responding delays no change
+  Scenario Outline: A watch that stops responding delays no change
     Guards against a watcher whose open call to the store is lost without an error.
 
-    Given regions of 24, 24 hosts that have the manifest
-    When the watches of one watcher of the first region stop responding and the manifest changes
+    Given regions of <sizes> hosts that have the manifest
+    When the watches of <silent> of the first region stop responding and the manifest changes
     Then every host has it within 2 s
 
+    Examples:
+      | sizes  | silent        |
+      | 24     | one watcher   |
+      | 24, 24 | one watcher   |
+      | 24, 24 | both watchers |
+
   Scenario: A host that reaches the store but no other host queries the store itself
     Guards against a follower whose time-outs add up to more than the bound on applying a change.
 
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -50,8 +50,10 @@
 def step_path_lost(context, cut):
     def lose_path(fleet):
         hosts = [host for host in fleet.live_hosts() if host.member.region == FIRST_REGION]
-        if cut == 'both watchers':
+        if cut.startswith('both watchers'):
             hosts = fleet.watchers(FIRST_REGION)
+        if cut.endswith('one of each other'):
+            hosts.extend(fleet.watchers(region)[0] for region in sorted(fleet.sizes)[1:])
         for host in hosts:
             host.access.is_cut = True
 
@@ -76,10 +78,12 @@
     _run_with_fault(context, cut_power)
 
 
-@when('the watches of one watcher of the first region stop responding and the manifest changes')
-def step_silent(context):
+@when('the watches of {silent} of the first region stop responding and the manifest changes')
+def step_silent(context, silent):
     def silence(fleet):
-        fleet.watchers(FIRST_REGION)[0].access.is_silent = True
+        watchers = fleet.watchers(FIRST_REGION)
+        for host in watchers[:1] if silent == 'one watcher' else watchers:
+            host.access.is_silent = True
 
     _run_with_fault(context, silence)
 
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -180,6 +180,7 @@
     """Simulated hosts by name; ``sizes`` maps each region to its number of hosts."""
 
     def __init__(self, sizes):
+        self.sizes = sizes
         self.source = FakeSource()
         self.receivers = {}
         self.cut_off = set()
--- a/features/steps/watch_duty_steps.py
+++ b/features/steps/watch_duty_steps.py
@@ -20,7 +20,7 @@
 from balsamrail.fleet.feed_follower import FeedFollower
 from balsamrail.fleet.feed_hub import FeedHub
 from balsamrail.fleet.object_codec import pack_objects, unpack_objects
-from balsamrail.fleet.watch_assignment import WatcherState, assign_watch
+from balsamrail.fleet.watch_assignment import WatcherState, assign_watch, backup_sources
 
 SMALL_REGION = 3
 ZONES = ['a', 'b', 'c', 'd']
@@ -76,6 +76,75 @@
     check()
 
 
+def make_regions(sizes):
+    return [
+        platform_helpers.make_member(f'{region}-{number}', region=region)
+        for region, size in zip('abcde', sizes, strict=False)
+        for number in range(size)
+    ]
+
+
+def backups_by_host(members, failing=()):
+    def state_of(host):
+        return WatcherState.failing if host in failing else WatcherState.sound
+
+    return {
+        member.host: backup_sources(members, own=member, state_of=state_of) for member in members
+    }
+
+
+def check_fleets(check):
+    for_all(st.lists(st.integers(1, 6), min_size=1, max_size=5))(check)()
+
+
+@when('fleets of any regions and sizes have discovered each other')
+def step_regions_discovered(context):
+    context.backups_of = lambda sizes: backups_by_host(make_regions(sizes))
+
+
+@then('the first two hosts of each region follow one host of another region each, the others none')
+def step_backups(context):
+    def check(sizes):
+        found = context.backups_of(sizes)
+        for region, size in zip('abcde', sizes, strict=False):
+            following = [host for host in found if host.startswith(region) and found[host]]
+            assert len(following) == (min(2, size) if len(sizes) > 1 else 0), found
+        assert all(len(sources) <= 1 for sources in found.values()), found
+        assert all(s[0] != host[0] for host, sources in found.items() for s in sources), found
+
+    check_fleets(check)
+
+
+@then(
+    'with three regions or more these are of different regions, and each is a first or second host'
+)
+def step_different_regions(context):
+    def check(sizes):
+        found = context.backups_of(sizes)
+        first_two = {host for host, sources in found.items() if sources}
+        for region in 'abcde'[: len(sizes)]:
+            sources = [s for host in first_two if host.startswith(region) for s in found[host]]
+            assert len(sizes) < 3 or len({s[0] for s in sources}) == len(sources), found
+            assert set(sources) <= first_two, found
+
+    check_fleets(check)
+
+
+@then('if a followed host fails, another one of another region is followed as well')
+def step_backup_fails(context):
+    def check(sizes):
+        members = make_regions(sizes)
+        before = backups_by_host(members)
+        for host, (failed,) in [(host, found) for host, found in before.items() if found]:
+            candidates = {other for other in before if before[other] and other[0] != host[0]}
+            after = backups_by_host(members, failing={failed})[host]
+            assert after[0] == failed, after
+            assert len(after) == min(2, len(candidates)), (after, candidates)
+            assert all(s[0] != host[0] for s in after), after
+
+    check_fleets(check)
+
+
 @then('in smaller regions all hosts watch')
 def step_small(context):
     @for_all(st.lists(st.sampled_from(['a', 'b']), min_size=1, max_size=SMALL_REGION))
--- a/features/watch_duty.feature
+++ b/features/watch_duty.feature
@@ -6,6 +6,14 @@
     And each other host follows exactly these
     And in smaller regions all hosts watch
 
+  Scenario: The watchers of a region follow different regions
+    Guards against a region that hears of no change since all sources of its watchers are cut off.
+
+    When fleets of any regions and sizes have discovered each other
+    Then the first two hosts of each region follow one host of another region each, the others none
+    And with three regions or more these are of different regions, and each is a first or second host
+    And if a followed host fails, another one of another region is followed as well
+
   Scenario: In a large region relays forward the updates of the watchers
     Guards against watchers whose traffic grows with the region.
 
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -9,7 +9,12 @@
 from balsamrail.environment import Environment
 from balsamrail.fleet.currency_log import CurrencyLog
 from balsamrail.fleet.feed_follower import FeedFollower
-from balsamrail.fleet.watch_assignment import WatchAssignment, assign_watch, remote_sources
+from balsamrail.fleet.watch_assignment import (
+    WatchAssignment,
+    assign_watch,
+    backup_sources,
+    remote_sources,
+)
 from balsamrail.membership import Member
 
 _TICK_INTERVAL_S = 0.25
@@ -49,10 +54,11 @@
     """Watches the store directly or follows the hosts that do.
 
     A host without a current source watches the store itself, so that a loss of all watchers costs
-    additional calls to the store but leaves no host with outdated objects. A host whose region has
-    no current source follows hosts of other regions, since the store may refuse some hosts and
-    serve others. After a gap in the updates that it received, the host lists the store itself,
-    since it may have missed a removal.
+    additional calls to the store but leaves no host with outdated objects. The store may serve some
+    hosts and refuse others or leave them without an answer, so the watchers of a region always
+    follow a watcher of another region, and a host whose region has no current source follows hosts
+    of all other regions. After a gap in the updates that it received, the host lists the store
+    itself, since it may have missed a removal.
 
     :param members: provides the live members, this host included.
     """
@@ -177,9 +183,10 @@
         self._local_sources = self._with_kept_sources(assignment.sources)
         if self.is_current() or self._follower.has_current_source(self._local_sources):
             self._local_current_at = now
-        remote: tuple[str, ...] = ()
+        remote = backup_sources(members, own=own, state_of=self._follower.state_of)
         if now - self._local_current_at >= self._fallback_delay_s():
-            remote = remote_sources(members, own=own, state_of=self._follower.state_of)
+            found = remote_sources(members, own=own, state_of=self._follower.state_of)
+            remote = (*remote, *found)
         await self._follower.follow((*self._local_sources, *remote))
         self._currency_log.record(
             receives_changes=self.receives_changes(),
--- a/src/balsamrail/fleet/watch_assignment.py
+++ b/src/balsamrail/fleet/watch_assignment.py
@@ -105,6 +105,36 @@
     return tuple(sources)
 
 
+def backup_sources(
+    members: Sequence[Member],
+    *,
+    own: Member,
+    state_of: Callable[[str], WatcherState],
+) -> tuple[str, ...]:
+    """Return the hosts of other regions that a watcher always follows besides those of its own.
+
+    Both watchers of a region may lose the store at the same time, and a store that does not
+    answer is noticed only after seconds. Each of the two therefore also follows a watcher of
+    another region, not of the same one if there are several.
+    """
+    local = _ranked([member for member in members if member.region == own.region])
+    hosts = [member.host for member in local[:_WATCHERS_PER_REGION]]
+    if own.host not in hosts:
+        return ()
+    order: list[str] = []
+    for region in _other_regions(members, own, is_reversed=own.host != hosts[0]):
+        watchers = _ranked([member for member in members if member.region == region])
+        order.extend(member.host for member in watchers[:_WATCHERS_PER_REGION])
+    return _take_usable(order, state_of, unusable=_UNUSABLE_WATCHER_STATES, limit=1)
+
+
+def _other_regions(members: Sequence[Member], own: Member, *, is_reversed: bool) -> list[str]:
+    """Return the other regions in a cyclic order that begins next to the own one."""
+    regions = sorted({member.region for member in members}, reverse=is_reversed)
+    position = regions.index(own.region)
+    return [*regions[position + 1 :], *regions[:position]]
+
+
 def _take_usable(
     order: Sequence[str],
     state_of: Callable[[str], WatcherState],
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -43,6 +43,22 @@
         feature='features/watch_duty.feature',
         scenario='A listing of many targets',
     ),
+    Mutant(
+        mechanism='watchers follow a watcher of another region',
+        file='src/balsamrail/fleet/store_watch.py',
+        old='remote = backup_sources(members, own=own, state_of=self._follower.state_of)',
+        new='remote = ()',
+        feature='features/feed_currency.feature',
+        scenario='Watchers that the store stops answering',
+    ),
+    Mutant(
+        mechanism='the watchers of a region follow watchers of different regions',
+        file='src/balsamrail/fleet/watch_assignment.py',
+        old='is_reversed=own.host != hosts[0]',
+        new='is_reversed=False',
+        feature='features/watch_duty.feature',
+        scenario='The watchers of a region follow different regions',
+    ),
     Mutant(
         mechanism='a region without a current source follows other regions',
         file='src/balsamrail/fleet/store_watch.py',
