Believe a refusal without an id only as the first response on a connection

What callers would see: a target that writes an earlier refusal once more, without the request id, on a kept connection makes the next request count as not run. It is sent to a second target while the first one runs it, or its caller is told 503 or 429 ("not run") for a request that runs.

Cause: TargetProtocol.matches_request accepted every unsigned response without an echoed id, on a connection that had carried another exchange as well. There such a response proves nothing about the request that was written last. It is discarded now, as a response with another id is: the request gets its own response if that follows, and otherwise ends with an unknown outcome (504 at the deadline, 502 if the connection closes). On a new connection nothing was asked before, so there the first response without an id is believed as before.

Ruled out: a repeated refusal with its id (discarded by the id, example 4 passed before); one with the same id (no request is sent to the same target twice, see TargetSearch); one that arrives between two requests (is_idle closes the connection); health checks (each opens a connection of its own); the store (it passes no matches_request, and its exchanges are unchanged).

Evidence: 7 of the 8 examples failed before: six with "[2, 1]", the non-idempotent request ran at a second target, and one with a 429 passed on that the target's response contradicts. All 8 pass now, and that a refusal on a new connection is believed passes before and after.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -66,6 +66,29 @@
     When two callers send one request each, one after the other
     Then the second caller gets the response to its own request
 
+  Scenario Outline: A refusal without an id on a reused connection is not that of the request sent last
+    Guards against a repeated refusal that lets a request run twice, or be reported as not executed.
+
+    Given a target that, on a reused connection, first writes <refusal>, then <then>, and one that responds
+    When a caller sends a non-idempotent request behind another one on the same connection
+    Then it gets <told> from the first target, and the other target gets no request
+
+    Examples:
+      | refusal                 | then               | told               |
+      | 503 without an id       | its response       | the response       |
+      | 429 without an id       | its response       | the response       |
+      | 421 without an id       | its response       | the response       |
+      | 503 of the earlier id   | its response       | the response       |
+      | 503 without an id       | nothing            | an unknown outcome |
+      | 503 without an id       | closes             | an unknown outcome |
+      | 503 that ends           | nothing            | an unknown outcome |
+      | 429 that promises nothing | its response     | the response       |
+
+  Scenario: A refusal without an id on a new connection is believed
+    Given a target that refuses without an id and one that responds
+    When a caller sends a non-idempotent request
+    Then it gets the target's response after two attempts at different targets
+
   Scenario: An unsigned response is not forwarded as a success
     Guards against corrupt bytes that reach a caller as a response.
 
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -72,6 +72,82 @@
     context.delivery = DeliveryHarness([refuse, respond])
 
 
+async def refuse_without_id(number, headers, writer):
+    writer.write(REPEATED_REFUSALS['503 without an id'])
+
+
+def _refusal(status, **fields):
+    return whole(b'', **fields).replace(b'200 OK', status)
+
+
+REPEATED_REFUSALS = {
+    '503 without an id': _refusal(b'503 Busy', X_Not_Executed='1'),
+    '429 without an id': _refusal(b'429 Too Many Requests', X_Not_Executed='1'),
+    '421 without an id': _refusal(b'421 Misdirected Request'),
+    '503 of the earlier id': _refusal(b'503 Busy', X_Not_Executed='1', X_Request_Id='r-0'),
+    '503 that ends': _refusal(b'503 Busy', X_Not_Executed='1', Connection='close'),
+    '429 that promises nothing': _refusal(b'429 Too Many Requests'),
+}
+
+
+@given('a target that refuses without an id and one that responds')
+def step_refuses_unnamed(context):
+    context.delivery = DeliveryHarness([refuse_without_id, respond])
+
+
+@given(
+    'a target that, on a reused connection, first writes {refusal}, then {then}, and one that '
+    'responds'
+)
+def step_repeats_refusal(context, refusal, then):
+    async def respond_behind_refusal(number, headers, writer):
+        if number == 1:
+            writer.write(response_to(headers))
+            return
+        context.connections = context.delivery.targets[0].connections
+        writer.write(REPEATED_REFUSALS[refusal])
+        await asyncio.sleep(0.1)
+        if then == 'closes':
+            raise ConnectionError
+        if then == 'nothing':
+            await asyncio.sleep(60)
+        writer.write(response_to(headers, headers['x-request-id'].encode()))
+
+    context.delivery = DeliveryHarness([respond_behind_refusal, respond])
+
+
+@when('a caller sends a non-idempotent request behind another one on the same connection')
+def step_send_behind(context):
+    async def play():
+        delivery = await context.delivery.start()
+        key = delivery.key_that_prefers('i-0')
+        await delivery.send('r-0', path='/write/x', key=key)
+        context.error = None
+        try:
+            context.response = await delivery.send(
+                'r-1', path='/write/x', key=key, caller_timeout_s=0.5
+            )
+        except RequestError as error:
+            context.error = error
+        context.counts = delivery.attempts()
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('it gets {told} from the first target, and the other target gets no request')
+def step_told_by_first(context, told):
+    assert context.counts == [2, 0], context.counts
+    assert context.connections == 1, context.connections
+    if told == 'the response':
+        assert context.error is None, context.error
+        assert context.response.body == b'r-1', context.response
+    else:
+        assert context.error is not None, context.response
+        assert context.error.outcome == 'unknown', context.error
+        assert context.error.status in {502, 504}, context.error
+
+
 @given('targets that drop the connection after the request')
 def step_cut(context):
     context.delivery = DeliveryHarness([drop_connection] * 4)
--- a/src/balsamrail/delivery/http_connection.py
+++ b/src/balsamrail/delivery/http_connection.py
@@ -99,14 +99,14 @@
         request: HttpRequest,
         *,
         deadline: float,
-        matches_request: Callable[[HttpResponse], bool] | None = None,
+        matches_request: Callable[[HttpResponse, bool], bool] | None = None,
         on_head: Callable[[int, HTTPHeaders], None] | None = None,
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
         :param deadline: event loop time in seconds at which the request is abandoned.
-        :param matches_request: returns whether a response belongs to the request; other responses
-            are discarded.
+        :param matches_request: returns whether a response belongs to the request, given whether it
+            is the first one on the connection; other responses are discarded.
         :param on_head: called with the status and the headers of each response, including
             responses that are then discarded or truncated.
         :raises ExchangeError: if no complete response arrived.
@@ -115,7 +115,7 @@
         self._stream.begin_response(self._environment)
         try:
             async with asyncio.timeout_at(deadline):
-                response = await self._exchange(request, matches_request, on_head)
+                response = await self._exchange(request, reused, matches_request, on_head)
         except TimeoutError:
             self.close()
             raise ExchangeError(
@@ -152,7 +152,8 @@
     async def _exchange(
         self,
         request: HttpRequest,
-        matches_request: Callable[[HttpResponse], bool] | None,
+        reused: bool,
+        matches_request: Callable[[HttpResponse, bool], bool] | None,
         on_head: Callable[[int, HTTPHeaders], None] | None,
     ) -> HttpResponse | None:
         parameters = HTTP1ConnectionParameters(
@@ -160,12 +161,13 @@
         )
         connection = HTTP1Connection(self._stream, True, parameters)
         _write(connection, request)
-        for _ in range(_MAX_DISCARDED_RESPONSES + 1):
+        for discarded in range(_MAX_DISCARDED_RESPONSES + 1):
             reader = ResponseReader(method=request.method, on_head=on_head)
             response = await self._read(connection, reader)
             if response is None:
                 return None
-            if matches_request is None or matches_request(response):
+            is_first = not reused and not discarded
+            if matches_request is None or matches_request(response, is_first):
                 return response
             if not response.keep_alive or self._stream.closed():
                 return None
--- a/src/balsamrail/delivery/target_codec.py
+++ b/src/balsamrail/delivery/target_codec.py
@@ -22,8 +22,13 @@
         :param left_s: time that the target may take, in seconds.
         """
 
-    def matches_request(self, request: EntryRequest, response: HttpResponse) -> bool:
-        """Return whether a response belongs to a request."""
+    def matches_request(
+        self, request: EntryRequest, response: HttpResponse, *, is_first: bool
+    ) -> bool:
+        """Return whether a response belongs to a request.
+
+        :param is_first: whether it is the first response on its connection.
+        """
 
     def decode_response(self, response: HttpResponse) -> TargetResponse:
         """Return a response with its parsed headers."""
--- a/src/balsamrail/delivery/target_exchange.py
+++ b/src/balsamrail/delivery/target_exchange.py
@@ -111,7 +111,9 @@
             found = await connection.exchange(
                 self._codec.encode_request(request, entry=entry, left_s=left_s),
                 deadline=deadline,
-                matches_request=lambda response: self._codec.matches_request(request, response),
+                matches_request=lambda response, is_first: self._codec.matches_request(
+                    request, response, is_first=is_first
+                ),
                 on_head=lambda status, fields: self._notice_handler.handle(
                     state, self._codec.decode_notice(status, fields)
                 ),
--- a/src/balsamrail/platform/target_protocol.py
+++ b/src/balsamrail/platform/target_protocol.py
@@ -45,14 +45,17 @@
             method=request.method, path=request.path, headers=target_headers, body=request.body
         )
 
-    def matches_request(self, request: EntryRequest, response: HttpResponse) -> bool:
+    def matches_request(
+        self, request: EntryRequest, response: HttpResponse, *, is_first: bool
+    ) -> bool:
         """Return whether the response belongs to the request, judged by the echoed request id.
 
         A refusal may come without an id, since a target can refuse before it has read the header.
+        Only the first response on a connection is known to be no repetition of an earlier one.
         """
         echoed_id = response.headers.get(headers.REQUEST_ID)
         if echoed_id is None:
-            return headers.SIGNATURE not in response.headers
+            return is_first and headers.SIGNATURE not in response.headers
         return echoed_id == request.request_id
 
     def decode_response(self, response: HttpResponse) -> TargetResponse:
