Ignore the Retry-After of a response that belongs to another request

What callers would see: a target that repeats an earlier 503 with its Retry-After gets no requests of this host until that time has passed once more, although it serves: its objects go to targets that do not know them, or are rejected if there is no other one.

Cause: the headers of each response were applied to the target before the response was compared with the request, so that discarded ones counted. Server-Leaving still counts in any response of the connection, since a target that was leaving still is; a Retry-After of an earlier refusal is outdated and counts only in the response to the current request.

Ruled out: health checks, each of which has a connection of its own; 421, which was excluded before.

Evidence: both examples of "A Retry-After in a refusal of another request is ignored" failed before with "[2, 1]": after one repeated refusal the third request went to the other target. They pass now. The text of the mutant "announcements in responses that are not forwarded are read" follows the code that moved; the mutants were not run.

--- a/features/steps/target_standing_steps.py
+++ b/features/steps/target_standing_steps.py
@@ -154,6 +154,24 @@
     assert context.counts == [3, 3], context.counts
 
 
+@given('a target that repeats a refusal with a Retry-After of 9 {mark} before each later response')
+def step_repeats_refusal(context, mark):
+    ids = {'X_Request_Id': 'earlier'} if mark == 'with the earlier id' else {}
+    refusal = _with_status(BUSY, whole(b'', X_Not_Executed='1', Retry_After='9', **ids))
+
+    async def behave(number, headers, writer):
+        writer.write(response_to(headers) if number == 1 else refusal + response_to(headers))
+
+    context.delivery = DeliveryHarness([behave, answers])
+
+
+@then('the first target got each of them, and it was never excluded')
+def step_never_excluded(context):
+    assert context.counts == [3, 0], context.counts
+    assert [answer.body for answer in context.answers] == [b'whole'] * 3, context.errors
+    assert 'event=target_refusing' not in context.lines, context.lines
+
+
 @given('a slow target that announces its shutdown in a quick response, and one that responds')
 def step_slow_and_leaves(context):
     async def behave(number, headers, writer):
--- a/features/target_standing.feature
+++ b/features/target_standing.feature
@@ -118,6 +118,18 @@
       | soon                          |
       | Wed, 21 Oct 2026 07:28:00 GMT |
 
+  Scenario Outline: A Retry-After in a refusal of another request is ignored
+    This guards against a target that is excluded because it repeats an earlier refusal.
+
+    Given a target that repeats a refusal with a Retry-After of 9 <mark> before each later response
+    When callers send 3 consecutive requests that prefer the first target
+    Then the first target got each of them, and it was never excluded
+
+    Examples:
+      | mark                   |
+      | with the earlier id    |
+      | without an id          |
+
   Scenario: When all targets refuse requests, callers are told at once when to retry
     This guards against callers that wait in vain for targets, and that all retry at once.
 
--- a/src/balsamrail/delivery/http_connection.py
+++ b/src/balsamrail/delivery/http_connection.py
@@ -99,16 +99,17 @@
         request: HttpRequest,
         *,
         deadline: float,
-        matches_request: Callable[[HttpResponse, bool], bool] | None = None,
-        on_head: Callable[[int, HTTPHeaders], None] | None = None,
+        matches_request: Callable[[HTTPHeaders, bool], bool] | None = None,
+        on_head: Callable[[int, HTTPHeaders, bool], None] | None = None,
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
         :param deadline: event loop time in seconds at which the request is abandoned.
-        :param matches_request: returns whether a response belongs to the request, given whether it
-            is the first one on the connection; other responses are discarded.
+        :param matches_request: returns whether a response belongs to the request, given its headers
+            and whether it is the first one on the connection; other responses are discarded.
         :param on_head: called with the status and the headers of each response, including
-            responses that are then discarded or truncated.
+            responses that are then discarded or truncated, and whether it is the first one on the
+            connection.
         :raises ExchangeError: if no complete response arrived.
         """
         reused, self.was_used = self.was_used, True
@@ -153,8 +154,8 @@
         self,
         request: HttpRequest,
         reused: bool,
-        matches_request: Callable[[HttpResponse, bool], bool] | None,
-        on_head: Callable[[int, HTTPHeaders], None] | None,
+        matches_request: Callable[[HTTPHeaders, bool], bool] | None,
+        on_head: Callable[[int, HTTPHeaders, bool], None] | None,
     ) -> HttpResponse | None:
         parameters = HTTP1ConnectionParameters(
             max_header_size=_MAX_HEADER_BYTES, max_body_size=self._max_response_bytes
@@ -162,12 +163,12 @@
         connection = HTTP1Connection(self._stream, True, parameters)
         _write(connection, request)
         for discarded in range(_MAX_DISCARDED_RESPONSES + 1):
-            reader = ResponseReader(method=request.method, on_head=on_head)
+            is_first = not reused and not discarded
+            reader = ResponseReader(method=request.method, is_first=is_first, on_head=on_head)
             response = await self._read(connection, reader)
             if response is None:
                 return None
-            is_first = not reused and not discarded
-            if matches_request is None or matches_request(response, is_first):
+            if matches_request is None or matches_request(response.headers, is_first):
                 return response
             if not response.keep_alive or self._stream.closed():
                 return None
--- a/src/balsamrail/delivery/response_reader.py
+++ b/src/balsamrail/delivery/response_reader.py
@@ -16,15 +16,22 @@
 class ResponseReader(ResponseBuffer):
     """Parses one response, including responses delimited by the close of the connection.
 
-    :param on_head: called with the status and the headers of each response, before its body.
+    :param is_first: whether no response was read from the connection before.
+    :param on_head: called with the status and the headers of each response, before its body, and
+        with ``is_first``.
     """
 
-    __slots__ = ('_on_head',)
+    __slots__ = ('_is_first', '_on_head')
 
     def __init__(
-        self, *, method: str, on_head: Callable[[int, HTTPHeaders], None] | None = None
+        self,
+        *,
+        method: str,
+        is_first: bool,
+        on_head: Callable[[int, HTTPHeaders, bool], None] | None = None,
     ) -> None:
         super().__init__(method=method)
+        self._is_first = is_first
         self._on_head = on_head
 
     def headers_received(
@@ -33,7 +40,7 @@
         """Store the headers and report them to ``on_head``."""
         super().headers_received(start_line, headers)
         if self._on_head is not None and self.start is not None:
-            self._on_head(self.start.code, headers)
+            self._on_head(self.start.code, headers, self._is_first)
 
     def response(self) -> HttpResponse | None:
         """Return the complete response, ``None`` if it is incomplete or only interim."""
--- a/src/balsamrail/delivery/target_codec.py
+++ b/src/balsamrail/delivery/target_codec.py
@@ -23,15 +23,19 @@
         """
 
     def matches_request(
-        self, request: EntryRequest, response: HttpResponse, *, is_first: bool
+        self, request: EntryRequest, fields: HTTPHeaders, *, is_first: bool
     ) -> bool:
         """Return whether a response belongs to a request.
 
+        :param fields: the headers of the response.
         :param is_first: whether it is the first response on its connection.
         """
 
     def decode_response(self, response: HttpResponse) -> TargetResponse:
         """Return a response with its parsed headers."""
 
-    def decode_notice(self, status: int, fields: HTTPHeaders) -> TargetNotice:
-        """Return the state that the addressed target announced in the status and headers."""
+    def decode_notice(self, status: int, fields: HTTPHeaders, *, is_current: bool) -> TargetNotice:
+        """Return the state that the addressed target announced in the status and headers.
+
+        :param is_current: whether the response belongs to the request that was sent last.
+        """
--- a/src/balsamrail/delivery/target_exchange.py
+++ b/src/balsamrail/delivery/target_exchange.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from tornado.httputil import HTTPHeaders
+
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.notice_handler import NoticeHandler
@@ -107,16 +109,21 @@
             raise TargetExcludedError(reason=ruled_out.value)
         if not fresh_only:
             state.retryable_connections.add(connection)
+
+        def matches_request(fields: HTTPHeaders, is_first: bool) -> bool:
+            return self._codec.matches_request(request, fields, is_first=is_first)
+
+        def handle_head(status: int, fields: HTTPHeaders, is_first: bool) -> None:
+            is_current = matches_request(fields, is_first)
+            notice = self._codec.decode_notice(status, fields, is_current=is_current)
+            self._notice_handler.handle(state, notice)
+
         try:
             found = await connection.exchange(
                 self._codec.encode_request(request, entry=entry, left_s=left_s),
                 deadline=deadline,
-                matches_request=lambda response, is_first: self._codec.matches_request(
-                    request, response, is_first=is_first
-                ),
-                on_head=lambda status, fields: self._notice_handler.handle(
-                    state, self._codec.decode_notice(status, fields)
-                ),
+                matches_request=matches_request,
+                on_head=handle_head,
             )
         finally:
             state.retryable_connections.discard(connection)
--- a/src/balsamrail/platform/target_protocol.py
+++ b/src/balsamrail/platform/target_protocol.py
@@ -46,16 +46,16 @@
         )
 
     def matches_request(
-        self, request: EntryRequest, response: HttpResponse, *, is_first: bool
+        self, request: EntryRequest, fields: HTTPHeaders, *, is_first: bool
     ) -> bool:
         """Return whether the response belongs to the request, judged by the echoed request id.
 
         A refusal may come without an id, since a target can refuse before it has read the header.
         Only the first response on a connection is known to be no repetition of an earlier one.
         """
-        echoed_id = response.headers.get(headers.REQUEST_ID)
+        echoed_id = fields.get(headers.REQUEST_ID)
         if echoed_id is None:
-            return is_first and headers.SIGNATURE not in response.headers
+            return is_first and headers.SIGNATURE not in fields
         return echoed_id == request.request_id
 
     def decode_response(self, response: HttpResponse) -> TargetResponse:
@@ -68,18 +68,17 @@
             load=_parse_load(response.headers.get(headers.TARGET_LOAD)),
         )
 
-    def decode_notice(self, status: int, fields: HTTPHeaders) -> TargetNotice:
+    def decode_notice(self, status: int, fields: HTTPHeaders, *, is_current: bool) -> TargetNotice:
         """Return what the status and headers of a response report about the target.
 
         A misdirected request is answered by another target, whose response is no evidence about
-        this one.
+        this one. A target that was leaving still is, but an earlier Retry-After is outdated.
         """
         if status == _MISDIRECTED:
             return TargetNotice()
         is_leaving = '1' in fields.get_list(headers.SERVER_LEAVING)
-        text = (
-            fields.get(headers.RETRY_AFTER) if status == HTTPStatus.SERVICE_UNAVAILABLE else None
-        )
+        is_refusing = is_current and status == HTTPStatus.SERVICE_UNAVAILABLE
+        text = fields.get(headers.RETRY_AFTER) if is_refusing else None
         if text is None:
             return TargetNotice(is_leaving=is_leaving)
         refuses_for_s = _parse_seconds(text)
@@ -98,7 +97,7 @@
             is_usable=is_from_target
             and (response.status == HTTPStatus.OK or headers.NOT_EXECUTED in response.headers),
             cold_left_s=int(warmup_ms) / _MS_IN_S if warmup_ms.isdecimal() else None,
-            notice=self.decode_notice(response.status, response.headers)
+            notice=self.decode_notice(response.status, response.headers, is_current=True)
             if is_from_target
             else TargetNotice(),
         )
--- a/tools/mutants/target_standing.py
+++ b/tools/mutants/target_standing.py
@@ -14,8 +14,8 @@
     Mutant(
         mechanism='announcements in responses that are not forwarded are read',
         file='src/balsamrail/delivery/http_connection.py',
-        old='ResponseReader(method=request.method, on_head=on_head)',
-        new='ResponseReader(method=request.method)',
+        old='ResponseReader(method=request.method, is_first=is_first, on_head=on_head)',
+        new='ResponseReader(method=request.method, is_first=is_first)',
         feature='features/target_standing.feature',
         scenario='A target that announces its shutdown in a response',
     ),
