Send requests on a new connection where a repeated refusal could pass as their own

What callers would see on a node: a target that writes an earlier refusal once more on a kept connection makes the next booking count as not run, so that it runs at a second target as well.

Cause: where a service declares refusal_statuses but does not echo request ids, nothing tells whose refusal arrives on a connection that has carried another request, and it was believed. Requests that are not idempotent use only new connections there. The other choice, to call such a refusal an unknown outcome, would answer every refusal under load with 504, which callers may not repeat; a new connection costs about 1 ms and keeps the promise. Services without refusal_statuses, services that echo ids and idempotent requests reuse connections as before.

Ruled out: services that echo ids (a refusal with another id or none ends with outcome_unknown and closes the connection; both examples passed before); refusals between two requests (is_idle closes the connection).

Evidence: of the three examples of "A refusal that is repeated on a reused connection" the first failed before with "['a', 'b', 'b']": booking b ran at both targets. All pass now. Run after: forward_handler (27 passed), forwarding (57), upstream_framing (37), endless_bytes (73), lint and types. The benchmarks of a node were not run.

--- a/features/forward_handler.feature
+++ b/features/forward_handler.feature
@@ -61,6 +61,16 @@
     Then the response is a problem with status 503, code overloaded and outcome not_run
     And the caller is told to retry after 7 s
 
+  Scenario Outline: A refusal that is repeated on a reused connection; guards against a booking that runs twice
+    When two bookings reach a service that <echoes> ids and whose first target repeats <refusal> before each later response
+    Then the second booking ends with status <status> and runs at most once
+
+    Examples:
+      | echoes        | refusal              | status |
+      | does not echo | a refusal without id | 200    |
+      | echoes        | a refusal without id | 504    |
+      | echoes        | an earlier refusal   | 504    |
+
   Scenario: A key of another host; guards against two runs of a booking that is sent to two hosts
     When a caller sends the same keyed booking to two hosts
     Then both return the response of the single run
--- a/features/steps/forward_handler_fault_steps.py
+++ b/features/steps/forward_handler_fault_steps.py
@@ -108,6 +108,40 @@
     assert context.headers['Retry-After'] == str(retry_after_s)
 
 
+@when(
+    'two bookings reach a service that {echoes} ids and whose first target repeats {refusal} '
+    'before each later response'
+)
+def step_repeated_refusal(context, echoes, refusal):
+    text = 'POST /services/bookings/ HTTP/1.1\nHost: x\nBooking: {}\nContent-Length: 0\n\n'
+    ids = {'Request_Id': 'earlier'} if refusal == 'an earlier refusal' else {}
+    repeated = whole(b'', **ids).replace(b'200 OK', b'503 Busy')
+    context.runs = []
+    served = set()
+
+    async def answer(number, headers, writer):
+        context.runs.append(headers['booking'])
+        if writer in served:
+            writer.write(repeated)
+            await asyncio.sleep(0.05)
+        served.add(writer)
+        writer.write(whole(Request_Id=headers['request-id']))
+
+    async def main():
+        upstreams = [await RawUpstream(answer).start() for _ in range(2)]
+        fields = {'refusal_statuses': [503], 'echoes_request_id': echoes == 'echoes'}
+        async with serving(upstreams, **fields) as host:
+            context.answers = [await ask(host.port, text.format(name)) for name in 'ab']
+
+    asyncio.run(main())
+
+
+@then('the second booking ends with status {status:d} and runs at most once')
+def step_booked_once(context, status):
+    assert context.runs.count('b') == 1, context.runs
+    assert [answer[0] for answer in context.answers] == [200, status], context.answers
+
+
 class BrokenForwarder:
     def __init__(self, error):
         self.error = error
--- a/src/balsamrail/forwarding/connection_pool.py
+++ b/src/balsamrail/forwarding/connection_pool.py
@@ -47,7 +47,10 @@
             have become unresponsive while idle.
         :raises AttemptError: if no complete response arrived by ``deadline``.
         """
-        connection = await self._acquire(target, fresh=fresh, deadline=deadline)
+        idle = None
+        if not upstream_request.needs_new_connection:
+            idle = self._acquire_idle(target.address, fresh=fresh)
+        connection = idle or await self._open(target, deadline=deadline)
         if connection.used and reused_deadline is not None:
             deadline = min(deadline, reused_deadline)
         try:
@@ -111,12 +114,7 @@
             probe.close()
         return False
 
-    async def _acquire(
-        self, target: Target, *, fresh: bool, deadline: float
-    ) -> UpstreamConnection:
-        idle = self._acquire_idle(target.address, fresh=fresh)
-        if idle is not None:
-            return idle
+    async def _open(self, target: Target, *, deadline: float) -> UpstreamConnection:
         self._ensure_capacity(target)
         self._count_by_address[target.address] += 1
         limit = min(deadline, self._environment.clock.monotonic() + _CONNECT_TIMEOUT_S)
--- a/src/balsamrail/forwarding/upstream_request.py
+++ b/src/balsamrail/forwarding/upstream_request.py
@@ -18,7 +18,8 @@
     """The request that one attempt writes to an upstream connection.
 
     ``expected_request_id`` is the ``Request-Id`` that the response must have, ``None`` if the
-    upstream does not echo it.
+    upstream does not echo it. ``needs_new_connection`` is set if the response is only known to
+    belong to the request when the connection has carried no other one.
     """
 
     method: str
@@ -26,6 +27,7 @@
     headers: HTTPHeaders = field(default_factory=HTTPHeaders)
     body: bytes = b''
     expected_request_id: str | None = None
+    needs_new_connection: bool = False
 
 
 def make_upstream_request(
@@ -45,4 +47,11 @@
         headers=headers,
         body=plan.request.body,
         expected_request_id=request_id if plan.service.echoes_request_id else None,
+        needs_new_connection=_needs_new_connection(plan),
     )
+
+
+def _needs_new_connection(plan: Plan) -> bool:
+    # A refusal that a target repeats would let the request run at another target as well.
+    is_attributable = plan.route.idempotent or plan.service.echoes_request_id
+    return not is_attributable and bool(plan.service.refusal_statuses)
