--- a/tools/mutants/endless_bytes.py
+++ b/tools/mutants/endless_bytes.py
@@ -8,8 +8,8 @@
     Mutant(
         mechanism='the number of skipped responses to other requests is bounded',
         file='src/balsamrail/delivery/http_connection.py',
-        old='for _ in range(_MAX_DISCARDED_RESPONSES + 1):',
-        new='while True:',
+        old='for discarded in range(_MAX_DISCARDED_RESPONSES + 1):',
+        new='for discarded in iter(int, 1):',
         feature=_FEATURE,
         scenario='A target sends answers of another request at once',
     ),
--- a/tools/mutants/forwarding.py
+++ b/tools/mutants/forwarding.py
@@ -223,4 +223,12 @@
         feature='features/forward_handler.feature',
         scenario='Idle connections hang while new ones work',
     ),
+    Mutant(
+        mechanism='a refusal that cannot be attributed arrives on new connections only',
+        file='src/balsamrail/forwarding/connection_pool.py',
+        old='if not upstream_request.needs_new_connection:',
+        new='if True:',
+        feature='features/forward_handler.feature',
+        scenario='A refusal that is repeated on a reused connection',
+    ),
 )
--- a/tools/mutants/target_standing.py
+++ b/tools/mutants/target_standing.py
@@ -179,4 +179,20 @@
         feature='features/target_standing.feature',
         scenario='The dump and the metrics show',
     ),
+    Mutant(
+        mechanism='a refusal without an id is believed only on a new connection',
+        file='src/balsamrail/platform/target_protocol.py',
+        old='return is_first and headers.SIGNATURE not in fields',
+        new='return headers.SIGNATURE not in fields',
+        feature='features/delivery.feature',
+        scenario='A refusal without an id on a reused connection',
+    ),
+    Mutant(
+        mechanism='the Retry-After of a repeated refusal is ignored',
+        file='src/balsamrail/platform/target_protocol.py',
+        old='is_refusing = is_current and',
+        new='is_refusing =',
+        feature='features/target_standing.feature',
+        scenario='A Retry-After in a refusal of another request is ignored',
+    ),
 )
