Add a failing test of a store that comes back from an older copy

The stand-in of the store and the source in memory can now return from a copy: revisions go back and are given out again, a watch from one that was lost gets 410, and Store-Era rises by one. A scenario of platform_store shows that the stand-in does this, and that busy answers carry the header too.

When the manifest changes right after the return, no host of regions of 24, 24 or 3, 3, 2 has it within 12 s in virtual time; the bound is 2 s.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -29,6 +29,20 @@
       | 3, 3, 2   | all hosts                             |
       | 24, 24, 9 | both watchers and one of each other   |
 
+  Scenario Outline: A store that comes back from an older copy delays no change
+    Guards against hosts that ignore new objects since their revisions were given out before (CONFIG).
+
+    Given regions of <sizes> hosts that have the manifest
+    When the store comes back <returns> without the last changes and the manifest changes at any moment
+    Then every host has it within 2 s
+
+    Examples:
+      | sizes     | returns                               |
+      | 24, 24    | after 2 s                             |
+      | 24, 24    | after 0 s                             |
+      | 24, 24    | after 2 s and again after 1 s         |
+      | 3, 3, 2   | after 2 s                             |
+
   Scenario Outline: The loss of watchers delays no change
     Guards against hosts that place requests by an old manifest because their watchers failed.
 
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -27,6 +27,13 @@
     When the store discards its history and a watch continues from an older revision
     Then the watch raises HistoryGoneError
 
+  Scenario: A store that comes back from an older copy loses what was written since
+    Guards against a stand-in that keeps what the platform's store loses, which would hide failures.
+
+    When the stand-in comes back from a copy between two writes, and a watch continues
+    Then revisions go back and are given out again, and a watch from one that was lost raises HistoryGoneError
+    And every answer has the era, which has risen by one
+
   Scenario: Writes that were not executed and writes with an unknown outcome have different errors
     Guards against a repetition of a write that may have been executed.
 
--- a/features/steps/fake_source.py
+++ b/features/steps/fake_source.py
@@ -1,4 +1,7 @@
-"""An in-memory object source that can lose calls, discard its history and become unavailable."""
+"""An in-memory object source.
+
+It can lose calls, discard its history, become unavailable and come back from an older copy.
+"""
 
 import asyncio
 
@@ -11,6 +14,7 @@
 
 class FakeSource:
     def __init__(self):
+        self.era = 1
         self.revision = 1
         self.objects_by_name = {}
         self.history = []
@@ -36,6 +40,17 @@
         self.history.clear()
         self.oldest = self.revision
 
+    def copy_contents(self):
+        return self.revision, dict(self.objects_by_name), list(self.history)
+
+    def restore(self, contents):
+        """Lose what was written since the copy; watches that wait are not woken."""
+        revision, objects_by_name, history = contents
+        self.era += 1
+        self.revision = revision
+        self.objects_by_name = dict(objects_by_name)
+        self.history = list(history)
+
     def _record_event(self, event):
         self.history.append(event)
         self._changed.set()
@@ -63,8 +78,7 @@
     async def watch(self, kind, *, revision, wait_s):
         await self._reach()
         self._check_available()
-        if revision < self.oldest:
-            raise HistoryGoneError('gone')
+        self._check_history(revision)
         if not self._since(revision):
             try:
                 async with asyncio.timeout(wait_s):
@@ -72,7 +86,12 @@
             except TimeoutError:
                 pass
             self._check_available()
+            self._check_history(revision)
         return WatchAnswer(events=tuple(self._since(revision)), revision=self.revision)
 
+    def _check_history(self, revision):
+        if not self.oldest <= revision <= self.revision:
+            raise HistoryGoneError('gone')
+
     def _since(self, revision):
         return [event for event in self.history if event.stored.revision > revision]
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -237,3 +237,50 @@
 @then('a watch from the revision of the listing returns both changes')
 def step_both_changes(context):
     assert context.changes == [('i-0001', False), ('i-0002', True)], context.changes
+
+
+@when('the stand-in comes back from a copy between two writes, and a watch continues')
+def step_restore(context):
+    async def scenario(store, standin):
+        context.eras = []
+        call = ObjectStore._call
+
+        async def record_era(store, *arguments, **fields):
+            answer = await call(store, *arguments, **fields)
+            context.eras.append(answer.headers['Store-Era'])
+            return answer
+
+        with mock.patch.object(ObjectStore, '_call', record_era):
+            standin.put(KIND, 'x', 1)
+            contents = standin.copy_contents()
+            lost = await store.create(KIND, 'y', spec=1)
+            standin.restore(contents)
+            context.names = await _names(store)
+            context.error = await _error_of(store.watch(KIND, revision=lost.revision, wait_s=1))
+            again = await store.create(KIND, 'z', spec=1)
+            context.missing = await store.read(KIND, 'y')
+        context.revisions = (lost.revision, again.revision)
+        standin.mode = 'busy'
+        reader, writer = await asyncio.open_connection(*standin.address.split(':'))
+        writer.write(b'GET /balsamrail/objects/x HTTP/1.1\r\nHost: a\r\n\r\n')
+        context.refusal = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+
+    _run_with_store(context, scenario)
+
+
+@then(
+    'revisions go back and are given out again, and a watch from one that was lost raises'
+    ' HistoryGoneError'
+)
+def step_given_out_again(context):
+    assert context.names == {'x': 1}, context.names
+    assert context.missing is None
+    assert context.revisions[0] == context.revisions[1], context.revisions
+    assert context.error is HistoryGoneError, context.error
+
+
+@then('every answer has the era, which has risen by one')
+def step_era(context):
+    assert context.eras == ['1', '2', '2', '2', '2'], context.eras
+    assert b'\r\nStore-Era: 2\r\n' in context.refusal, context.refusal
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,10 +1,11 @@
 """An in-process stand-in for the platform's metadata store that implements its published protocol.
 
 Supports objects by kind and name, watches and conditional writes. It can simulate outages, refused
-calls, lost responses and compaction of the event history.
+calls, lost responses, compaction of the event history and a return from an older copy.
 """
 
 import asyncio
+import copy
 import json
 import time
 from typing import Any
@@ -14,6 +15,7 @@
 
 from standins.serving import drop_connection, listen
 
+_ERA_HEADER = 'Store-Era'
 _PAGE_SIZE = 500
 _MAX_BODY_BYTES = 2_097_152
 # Exceeds the timeouts of all clients.
@@ -26,6 +28,7 @@
     def __init__(self, *, address: str = '127.0.0.1:0') -> None:
         self._listen_address = address
         self.address = ''
+        self.era = 1
         self.revision = 1
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.events: dict[str, list[dict[str, Any]]] = {}
@@ -77,6 +80,24 @@
         self.events.clear()
         self.compacted_revision = self.revision
 
+    def copy_contents(self) -> dict[str, Any]:
+        """Return a copy of the objects, the history and the revision for :meth:`restore`."""
+        contents = {'revision': self.revision, 'objects': self.objects, 'events': self.events}
+        return copy.deepcopy(contents)
+
+    def restore(self, contents: dict[str, Any]) -> None:
+        """Come back from an older copy: what was written since is lost, and the era rises."""
+        contents = copy.deepcopy(contents)
+        self.era += 1
+        self.revision = contents['revision']
+        self.objects = contents['objects']
+        self.events = contents['events']
+        self._wake_watches()
+
+    def has_history_since(self, revision: int) -> bool:
+        """Return whether a watch can continue from a revision."""
+        return self.compacted_revision <= revision <= self.revision
+
     def events_after(self, kind: str, revision: int) -> list[dict[str, Any]]:
         """Return the events of a kind with a revision above ``revision``."""
         return [
@@ -95,6 +116,9 @@
 
     def _publish(self, kind: str, event: dict[str, Any]) -> None:
         self.events.setdefault(kind, []).append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -116,6 +140,10 @@
                 await asyncio.sleep(_SILENCE_S)
                 self.finish()
 
+    def finish(self, chunk: Any = None) -> asyncio.Future[None]:
+        self.set_header(_ERA_HEADER, str(self.store.era))
+        return super().finish(chunk)
+
     def answer(self, status: int, body: Any) -> None:
         if self.store.losing and self.request.method != 'GET':
             drop_connection(self)
@@ -154,7 +182,7 @@
 
     async def _watch(self, kind: str, revision: int) -> None:
         wait_until = time.monotonic() + int(self.get_query_argument('waitMs', '0')) / 1_000
-        while revision >= self.store.compacted_revision and not self.store.events_after(
+        while self.store.has_history_since(revision) and not self.store.events_after(
             kind, revision
         ):
             left_s = wait_until - time.monotonic()
@@ -163,10 +191,10 @@
             await self.store.wait_for_change(left_s)
         if self.store.mode == 'silent':
             await asyncio.sleep(_SILENCE_S)
-        if revision < self.store.compacted_revision:
-            self.answer(410, {})
-        else:
+        if self.store.has_history_since(revision):
             self.answer(200, {'events': self.store.events_after(kind, revision)})
+        else:
+            self.answer(410, {})
 
 
 class _ObjectHandler(_StoreHandler):
