Order what the store gives out by its era first

After a return of the store from an older copy, callers would get 404 for a route that had been added, and confined requests would go to the region of before: hosts kept the objects from before the return for good, since the store gave out their revisions again and a view takes only higher ones. Watches went on from a number that stands for another change.

A revision is now the era of the store, from the header Store-Era of each answer, and the number. A view orders by both, so that a listing of a new era replaces what older eras had, and late reports of an old era restore nothing. A watch that is answered in another era lists again, a listing of an older era or of two eras is not used, and the check of the store takes a new era for a recovery even if no check failed. Hosts pass eras on to each other: a host sends a full listing to its followers when the era changes, and a source that has not learned of the era is not current for a host that has. A removal that a listing shows carries the revision of the listing.

The property tests of views and feeds play returns from copies too.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -48,7 +48,7 @@
   Scenario: A feed stays in sync with the store in spite of failures
     This guards against a host that keeps an old state after history or responses were lost.
 
-    When the store changes, loses calls, discards history and becomes unavailable at random
+    When the store changes, loses calls, discards history, becomes unavailable and comes back older
     Then the feed equals the store within 3 s of its recovery
 
   Scenario: Targets survive an outage in which their registrations expired
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -34,6 +34,18 @@
     Then revisions go back and are given out again, and a watch from one that was lost raises HistoryGoneError
     And every answer has the era, which has risen by one
 
+  Scenario: A listing whose pages are from two eras of the store is not used
+    Guards against a view in which objects that the store has lost count as listed.
+
+    When the store comes back from a copy while the second page is read
+    Then the listing raises StoreError
+
+  Scenario: An era that cannot be read is no failure
+    Guards against hosts that are without targets since a header of the store is missing.
+
+    When answers of the store have no era or one that is not a number
+    Then the revisions have the era 0
+
   Scenario: Writes that were not executed and writes with an unknown outcome have different errors
     Guards against a repetition of a write that may have been executed.
 
--- a/features/steps/catalog_entry_steps.py
+++ b/features/steps/catalog_entry_steps.py
@@ -104,12 +104,12 @@
         with contextlib.suppress(EntryError):
             read_target(target_id='i-1', spec=found, region_by_availability_zone=REGION_BY_ZONE)
         with contextlib.suppress(StoreError):
-            read_object(found)
+            read_object(found, era=1)
         if isinstance(found, dict):
             with contextlib.suppress(StoreError):
-                read_items(found)
+                read_items(found, era=1)
             with contextlib.suppress(StoreError):
-                read_events({**found, 'events': found.get('spec'), 'storeRevision': 1})
+                read_events({**found, 'events': found.get('spec'), 'storeRevision': 1}, era=1)
 
     check()
 
--- a/features/steps/catalog_feed_steps.py
+++ b/features/steps/catalog_feed_steps.py
@@ -17,7 +17,7 @@
 from balsamrail.platform.catalog_reader import CatalogReader
 
 
-@when('the store changes, loses calls, discards history and becomes unavailable at random')
+@when('the store changes, loses calls, discards history, becomes unavailable and comes back older')
 def step_random_store(context):
     context.seeds = range(1, 31)
 
@@ -35,8 +35,10 @@
     contact = StoreMonitor(environment=environment, source=source, kind='evacuations')
     feed = Feed(environment=environment, source=source, view=view, contact=contact)
     tasks = [asyncio.create_task(contact.run()), asyncio.create_task(feed.run())]
+    copies = [source.copy_contents()]
     for _ in range(40):
-        match rng.randrange(6):
+        copies.append(source.copy_contents())
+        match rng.randrange(7):
             case 0:
                 source.is_up = not source.is_up
             case 1:
@@ -45,12 +47,14 @@
                 source.forget()
             case 3:
                 source.remove(rng.choice('abc'))
+            case 4:
+                source.restore(rng.choice(copies[-5:]))
             case _:
                 source.write(rng.choice('abc'), source.revision)
         await asyncio.sleep(rng.choice((0.0, 0.1, 2.0, 20.0)))
     source.is_up, source.losses = True, 0
     await asyncio.sleep(bound_s)
-    assert view.objects_by_name == source.objects_by_name
+    assert view.objects_by_name == {stored.name: stored for stored in source.listed()}
     source.write('d', 1)
     await asyncio.sleep(bound_s)
     assert 'd' in view.objects_by_name
--- a/features/steps/catalog_target_steps.py
+++ b/features/steps/catalog_target_steps.py
@@ -9,6 +9,7 @@
 from virtual_time import run_virtual
 
 from balsamrail.catalog.catalog import Catalog
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import Listing, StoreObject
 from balsamrail.platform.catalog_reader import CatalogReader
 
@@ -31,7 +32,8 @@
     assert 'i-1' in context.catalog.entries_by_id
 
 
-def _list(context, revision, *specs):
+def _list(context, number, *specs):
+    revision = Revision(number=number)
     objects = tuple(StoreObject(name='i-1', revision=revision, spec=spec) for spec in specs)
     context.view.apply_listing(Listing(objects=objects, revision=revision))
 
--- a/features/steps/catalog_view_steps.py
+++ b/features/steps/catalog_view_steps.py
@@ -1,10 +1,12 @@
 """Steps of catalog.feature on the order in which changes reach a view."""
 
 import random
+from dataclasses import replace
 
 from behave import then, when
 
 from balsamrail.catalog.object_view import ObjectView
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import Listing, ObjectEvent, StoreObject
 
 
@@ -35,9 +37,9 @@
         for event in events:
             name, revision = event.stored.name, event.stored.revision
             if event.is_removal:
-                assert revision >= highest.get(name, 0), (name, revision, highest)
+                assert revision >= highest.get(name, Revision()), (name, revision, highest)
             else:
-                assert revision > highest.get(name, 0), (name, revision, highest)
+                assert revision > highest.get(name, Revision()), (name, revision, highest)
             highest[name] = revision
 
     view.subscribe(changed)
@@ -54,9 +56,19 @@
 
 
 def _listing_and_updates(rng):
-    """Return the final listing of a store, and the listings and events that led to it."""
-    held, updates = {}, []
-    for revision in range(1, 30):
+    """Return the final listing of a store, and the listings and events that led to it.
+
+    The store comes back from older copies now and then.
+    """
+    held, updates, era, number = {}, [], 1, 0
+    copies = [(0, {})]
+    for _ in range(30):
+        if rng.random() < 0.1:
+            era += 1
+            number, copied = rng.choice(copies)
+            held = {name: _in_era(stored, era) for name, stored in copied.items()}
+        number += 1
+        revision = Revision(era=era, number=number)
         name = rng.choice('abc')
         stored = StoreObject(name=name, revision=revision, spec=revision)
         is_removal = name in held and rng.random() < 0.4
@@ -67,11 +79,21 @@
         updates.append([ObjectEvent(stored=stored, is_removal=is_removal)])
         if rng.random() < 0.3:
             updates.append(Listing(objects=tuple(held.values()), revision=revision))
-    return Listing(objects=tuple(held.values()), revision=30), updates
+        copies.append((number, dict(held)))
+    last = Revision(era=era, number=number + 1)
+    return Listing(objects=tuple(held.values()), revision=last), updates
 
 
-def _stored(name, revision):
-    return StoreObject(name=name, revision=revision, spec=revision)
+def _in_era(stored, era):
+    return replace(stored, revision=replace(stored.revision, era=era))
+
+
+def _stored(name, number):
+    return StoreObject(name=name, revision=Revision(number=number), spec=number)
+
+
+def _listing(number, *objects):
+    return Listing(objects=objects, revision=Revision(number=number))
 
 
 @when(
@@ -79,14 +101,13 @@
 )
 def step_outdated_listing(context):
     context.view = ObjectView(kind='servers')
-    context.view.apply_listing(Listing(objects=(_stored('i-1', 4),), revision=9))
-    outdated = (_stored('i-1', 3), _stored('i-2', 5))
-    context.view.apply_listing(Listing(objects=outdated, revision=6))
+    context.view.apply_listing(_listing(9, _stored('i-1', 4)))
+    context.view.apply_listing(_listing(6, _stored('i-1', 3), _stored('i-2', 5)))
 
 
 @then('the view does not contain that object, and contains it when it is written again')
 def step_not_restored(context):
     found = context.view.objects_by_name
-    assert {name: stored.revision for name, stored in found.items()} == {'i-1': 4}, found
+    assert {name: stored.revision.number for name, stored in found.items()} == {'i-1': 4}, found
     context.view.apply_events([ObjectEvent(stored=_stored('i-2', 12), is_removal=False)])
-    assert found['i-2'].revision == 12
+    assert found['i-2'].revision.number == 12
--- a/features/steps/fake_source.py
+++ b/features/steps/fake_source.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+from dataclasses import replace
 
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import Listing, ObjectEvent, StoreObject, WatchAnswer
 from balsamrail.errors import HistoryGoneError, StoreUnavailableError
 
@@ -26,14 +28,14 @@
 
     def write(self, name, spec):
         self.revision += 1
-        stored = StoreObject(name=name, revision=self.revision, spec=spec)
+        stored = StoreObject(name=name, revision=self._stamp(self.revision), spec=spec)
         self.objects_by_name[name] = stored
         self._record_event(ObjectEvent(stored=stored, is_removal=False))
 
     def remove(self, name):
         if self.objects_by_name.pop(name, None) is not None:
             self.revision += 1
-            gone = StoreObject(name=name, revision=self.revision, spec=None)
+            gone = StoreObject(name=name, revision=self._stamp(self.revision), spec=None)
             self._record_event(ObjectEvent(stored=gone, is_removal=True))
 
     def forget(self):
@@ -41,13 +43,14 @@
         self.oldest = self.revision
 
     def copy_contents(self):
-        return self.revision, dict(self.objects_by_name), list(self.history)
+        return self.revision, self.oldest, dict(self.objects_by_name), list(self.history)
 
     def restore(self, contents):
         """Lose what was written since the copy; watches that wait are not woken."""
-        revision, objects_by_name, history = contents
+        revision, oldest, objects_by_name, history = contents
         self.era += 1
         self.revision = revision
+        self.oldest = oldest
         self.objects_by_name = dict(objects_by_name)
         self.history = list(history)
 
@@ -73,25 +76,38 @@
     async def list_objects(self, kind, *, is_stale_allowed=False):
         await self._reach()
         self._check_available()
-        return Listing(objects=tuple(self.objects_by_name.values()), revision=self.revision)
+        return Listing(objects=self.listed(), revision=self._stamp(self.revision))
 
     async def watch(self, kind, *, revision, wait_s):
         await self._reach()
         self._check_available()
-        self._check_history(revision)
-        if not self._since(revision):
+        self._check_history(revision.number)
+        if not self._since(revision.number):
             try:
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
             except TimeoutError:
                 pass
             self._check_available()
-            self._check_history(revision)
-        return WatchAnswer(events=tuple(self._since(revision)), revision=self.revision)
+            self._check_history(revision.number)
+        events = tuple(
+            ObjectEvent(stored=self._in_era(event.stored), is_removal=event.is_removal)
+            for event in self._since(revision.number)
+        )
+        return WatchAnswer(events=events, revision=self._stamp(self.revision))
+
+    def listed(self):
+        return tuple(self._in_era(stored) for stored in self.objects_by_name.values())
+
+    def _in_era(self, stored):
+        return replace(stored, revision=self._stamp(stored.revision.number))
+
+    def _stamp(self, number):
+        return Revision(era=self.era, number=number)
 
     def _check_history(self, revision):
         if not self.oldest <= revision <= self.revision:
             raise HistoryGoneError('gone')
 
     def _since(self, revision):
-        return [event for event in self.history if event.stored.revision > revision]
+        return [event for event in self.history if event.stored.revision.number > revision]
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -7,9 +7,11 @@
 from behave import given, then, when
 from platform_helpers import make_environment, run_real
 
+from balsamrail.catalog.revision import Revision
 from balsamrail.errors import (
     HistoryGoneError,
     StoreConflictError,
+    StoreError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -276,7 +278,10 @@
 def step_given_out_again(context):
     assert context.names == {'x': 1}, context.names
     assert context.missing is None
-    assert context.revisions[0] == context.revisions[1], context.revisions
+    assert context.revisions == (
+        Revision(era=1, number=3),
+        Revision(era=2, number=3),
+    ), context.revisions
     assert context.error is HistoryGoneError, context.error
 
 
@@ -284,3 +289,44 @@
 def step_era(context):
     assert context.eras == ['1', '2', '2', '2', '2'], context.eras
     assert b'\r\nStore-Era: 2\r\n' in context.refusal, context.refusal
+
+
+@when('the store comes back from a copy while the second page is read')
+def step_restore_between_pages(context):
+    async def scenario(store, standin):
+        for number in range(600):
+            standin.put(KIND, f'i-{number:04}', number)
+        contents = standin.copy_contents()
+        call = ObjectStore._call
+
+        async def restore_after(store, method, path, **fields):
+            answer = await call(store, method, path, **fields)
+            if 'after=' not in path:
+                standin.restore(contents)
+            return answer
+
+        with mock.patch.object(ObjectStore, '_call', restore_after):
+            context.error = await _error_of(store.list_objects(KIND))
+
+    _run_with_store(context, scenario)
+
+
+@then('the listing raises StoreError')
+def step_mixed_listing(context):
+    assert context.error is StoreError, context.error
+
+
+@when('answers of the store have no era or one that is not a number')
+def step_no_era(context):
+    async def scenario(store, standin):
+        context.revisions = []
+        for era in ('', '-1', '1.5', '9' * 40):
+            standin.era = era
+            context.revisions.append((await store.list_objects(KIND)).revision)
+
+    _run_with_store(context, scenario)
+
+
+@then('the revisions have the era 0')
+def step_era_zero(context):
+    assert context.revisions == [Revision(era=0, number=1)] * 4, context.revisions
--- a/features/steps/watch_duty_steps.py
+++ b/features/steps/watch_duty_steps.py
@@ -14,6 +14,7 @@
 
 from balsamrail.catalog.feed import Feed
 from balsamrail.catalog.object_view import ObjectView
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.store_monitor import StoreMonitor
 from balsamrail.catalog.stored_objects import StoreObject
 from balsamrail.errors import PeerError
@@ -23,6 +24,7 @@
 from balsamrail.fleet.watch_assignment import WatcherState, assign_watch, backup_sources
 
 SMALL_REGION = 3
+REVISIONS = st.builds(Revision, era=st.integers(0, 2**40), number=st.integers(0, 2**60))
 ZONES = ['a', 'b', 'c', 'd']
 ZONES_BY_HOST = st.lists(st.sampled_from(['a', 'b', 'c']), min_size=1, max_size=14)
 
@@ -399,7 +401,7 @@
     return [
         StoreObject(
             name=f'i-{rng.getrandbits(32):08x}',
-            revision=1_000 + number,
+            revision=Revision(era=1, number=1_000 + number),
             spec={
                 'service': rng.choice(['diary', 'bookings', 'shopfront']),
                 'address': f'10.{rng.randrange(10)}.{rng.randrange(256)}.{rng.randrange(256)}:80',
@@ -426,9 +428,7 @@
     specs = st.dictionaries(
         st.text(), st.none() | st.integers(0, 2**40) | st.text() | st.floats(0, 1)
     )
-    objects = st.builds(
-        StoreObject, name=st.text(), revision=st.integers(0, 2**60), spec=st.none() | specs
-    )
+    objects = st.builds(StoreObject, name=st.text(), revision=REVISIONS, spec=st.none() | specs)
 
     @for_all(st.lists(objects, max_size=40))
     def check(stored):
--- a/src/balsamrail/catalog/feed.py
+++ b/src/balsamrail/catalog/feed.py
@@ -5,6 +5,7 @@
 
 from balsamrail.catalog.object_source import ObjectSource
 from balsamrail.catalog.object_view import ObjectView
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.store_monitor import StoreMonitor
 from balsamrail.environment import Environment
 from balsamrail.errors import HistoryGoneError, StoreError
@@ -20,6 +21,9 @@
 class Feed:
     """Lists a kind, then watches it, and lists it again if the store has discarded the history.
 
+    A store that comes back from an older copy gives out revisions again, so a watch cannot be
+    continued in another era than that of the listing.
+
     :param view: the view to which listings and events are applied.
     :param contact: tracks whether the store is reachable, so that no calls are made during outages.
     """
@@ -48,7 +52,7 @@
         self._view = view
         self._contact = contact
         contact.subscribe(self.relist)
-        self._revision = 0
+        self._revision = Revision()
         self._is_relist_due = True
         self._is_current = False
         self._watch: asyncio.Task[Any] | None = None
@@ -90,7 +94,11 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
-        return {'kind': self.kind, 'revision': self._revision, 'is_current': self.is_current()}
+        return {
+            'kind': self.kind,
+            'revision': str(self._revision),
+            'is_current': self.is_current(),
+        }
 
     async def _list_or_watch(self) -> None:
         if self._is_relist_due:
@@ -108,6 +116,8 @@
             raise
         finally:
             self._watch = None
+        if answer.revision.era != self._revision.era:
+            raise HistoryGoneError(f'the store is in the era {answer.revision.era}')
         self._revision = answer.revision
         self._view.apply_events(answer.events)
         self._view.note_complete(answer.revision)
@@ -118,6 +128,8 @@
         self._is_relist_due = False
         try:
             listing = await self._source.list_objects(self.kind)
+            if listing.revision.era < self._revision.era:
+                raise StoreError(f'a listing of the older era {listing.revision.era}')
         except StoreError:
             self._is_relist_due = True
             raise
--- a/src/balsamrail/catalog/object_view.py
+++ b/src/balsamrail/catalog/object_view.py
@@ -1,8 +1,10 @@
 """A view of the objects of one kind, merged from several sources."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import Listing, ObjectEvent, StoreObject
 
 _MAX_TOMBSTONES = 4_096
@@ -13,7 +15,8 @@
 
     The store and several peers may report the same change at different times. An object is
     therefore replaced only by a higher revision, and a removed object is restored only with a
-    higher revision than that of its tombstone::
+    higher revision than that of its tombstone. A listing of a newer era of the store replaces
+    everything that older eras had, and its subscribers are notified even if it changes nothing::
 
         view = ObjectView(kind='servers')
         view.subscribe(lambda changes: ...)
@@ -33,9 +36,9 @@
         self.kind = kind
         self.is_listed = False
         # All changes up to this revision of the store have been applied.
-        self.complete_revision = 0
+        self.complete_revision = Revision()
         self.objects_by_name: dict[str, StoreObject] = {}
-        self._tombstone_revisions_by_name: dict[str, int] = {}
+        self._tombstone_revisions_by_name: dict[str, Revision] = {}
         self._subscribers: list[Callable[[list[ObjectEvent]], None]] = []
 
     def subscribe(self, on_change: Callable[[list[ObjectEvent]], None]) -> None:
@@ -47,15 +50,19 @@
         self.is_listed = True
         listed = {stored.name for stored in listing.objects}
         gone = [
-            ObjectEvent(stored=known, is_removal=True)
+            # Stamped with the listing, so that no older report restores the object at a follower.
+            ObjectEvent(stored=replace(known, revision=listing.revision), is_removal=True)
             for name, known in self.objects_by_name.items()
             if name not in listed and known.revision <= listing.revision
         ]
         found = [ObjectEvent(stored=stored, is_removal=False) for stored in listing.objects]
-        self.apply_events([*gone, *found])
+        is_new_era = listing.revision.era > self.complete_revision.era
+        new_events = [event for event in (*gone, *found) if self._merge(event)]
         self.note_complete(listing.revision)
+        if new_events or is_new_era:
+            self._notify(new_events)
 
-    def note_complete(self, revision: int) -> None:
+    def note_complete(self, revision: Revision) -> None:
         """Record that all changes up to a revision have been applied."""
         self.complete_revision = max(self.complete_revision, revision)
 
@@ -63,19 +70,26 @@
         """Apply the events that are newer than the current state."""
         new_events = [event for event in events if self._merge(event)]
         if new_events:
-            for on_change in self._subscribers:
-                on_change(new_events)
+            self._notify(new_events)
 
     def dump(self) -> dict[str, Any]:
         """Return a summary as plain data."""
         return {
             'kind': self.kind,
             'objects': len(self.objects_by_name),
-            'highest_revision': max(
-                (stored.revision for stored in self.objects_by_name.values()), default=0
+            'complete_revision': str(self.complete_revision),
+            'highest_revision': str(
+                max(
+                    (stored.revision for stored in self.objects_by_name.values()),
+                    default=Revision(),
+                )
             ),
         }
 
+    def _notify(self, events: list[ObjectEvent]) -> None:
+        for on_change in self._subscribers:
+            on_change(events)
+
     def _merge(self, event: ObjectEvent) -> bool:
         stored = event.stored
         known = self.objects_by_name.get(stored.name)
@@ -90,7 +104,8 @@
         if known is None and stored.revision <= self.complete_revision:
             # It was removed before the listing that is complete up to this revision.
             return False
-        if self._tombstone_revisions_by_name.get(stored.name, -1) >= stored.revision:
+        tombstone_revision = self._tombstone_revisions_by_name.get(stored.name)
+        if tombstone_revision is not None and tombstone_revision >= stored.revision:
             return False
         self.objects_by_name[stored.name] = stored
         return True
--- a/src/balsamrail/catalog/store_monitor.py
+++ b/src/balsamrail/catalog/store_monitor.py
@@ -23,14 +23,17 @@
 
     A pending watch does not show whether the store still responds, so an outage would be noticed
     only when the watch times out. When the store responds again after an outage, all feeds list
-    their kinds again, since a watch may have been lost without an error.
+    their kinds again, since a watch may have been lost without an error. A new era of the store is
+    treated like an outage, even if no check has failed.
 
     :param kind: the kind that is listed, which should have few objects.
     """
 
     __slots__ = (
         '_environment',
+        '_era',
         '_kind',
+        '_latest_era',
         '_recovery_callbacks',
         '_source',
         '_up_event',
@@ -41,12 +44,14 @@
         self._environment = environment
         self._source = source
         self._kind = kind
+        self._era = 0
+        self._latest_era = 0
         self._up_event = asyncio.Event()
         self._up_since = environment.clock.monotonic()
         self._recovery_callbacks: list[Callable[[], None]] = []
 
     def subscribe(self, on_recovery: Callable[[], None]) -> None:
-        """Call ``on_recovery`` whenever the store becomes reachable."""
+        """Call ``on_recovery`` whenever the store becomes reachable or has a new era."""
         self._recovery_callbacks.append(on_recovery)
 
     def is_up(self) -> bool:
@@ -85,7 +90,8 @@
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     async def _check(self) -> None:
-        await self._source.list_objects(self._kind, is_stale_allowed=True)
+        listing = await self._source.list_objects(self._kind, is_stale_allowed=True)
+        self._latest_era = max(self._latest_era, listing.revision.era)
 
     async def _wait_for_recovery(self, max_interval_s: float) -> None:
         """Start checks periodically, without waiting for the previous ones.
@@ -117,7 +123,7 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
-        return {'is_up': self.is_up(), 'up_for_s': self.up_for_s()}
+        return {'is_up': self.is_up(), 'up_for_s': self.up_for_s(), 'era': self._era}
 
     def _record_failure(self, error: StoreError) -> None:
         if self.is_up():
@@ -126,10 +132,11 @@
             self._environment.log.event('store_lost', reason=error)
 
     def _record_success(self) -> None:
-        if self.is_up():
+        if self.is_up() and self._era == self._latest_era:
             return
+        self._era = self._latest_era
         self._up_event.set()
         self._up_since = self._environment.clock.monotonic()
-        self._environment.log.event('store_reached')
+        self._environment.log.event('store_reached', era=self._era)
         for on_recovery in self._recovery_callbacks:
             on_recovery()
--- a/src/balsamrail/catalog/stored_objects.py
+++ b/src/balsamrail/catalog/stored_objects.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from balsamrail.catalog.revision import Revision
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoreObject:
@@ -13,7 +15,7 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
     spec: Any
 
 
@@ -22,7 +24,7 @@
     """All objects of a kind, with the store's revision of the listing."""
 
     objects: tuple[StoreObject, ...]
-    revision: int
+    revision: Revision
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -38,4 +40,4 @@
     """The events after a revision, and the revision from which to continue."""
 
     events: tuple[ObjectEvent, ...]
-    revision: int
+    revision: Revision
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from balsamrail.catalog.object_view import ObjectView
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import Listing, ObjectEvent
 from balsamrail.environment import Environment
 from balsamrail.errors import PeerError
@@ -35,6 +36,7 @@
 @dataclass(slots=True, kw_only=True)
 class _Source:
     number: int = 0
+    era: int = 0
     is_complete: bool = False
     is_current: bool = False
     hops: int = 0
@@ -53,6 +55,7 @@
     Updates of all sources are applied, so that a source that is cut off from the store does not
     delay changes that the others deliver. Only the first listing of a kind has to come from a
     source that is current, see :class:`~balsamrail.fleet.unconfirmed_listings.UnconfirmedListings`.
+    A source that has not learned of the store's era that this host knows is not current.
     """
 
     __slots__ = (
@@ -161,7 +164,8 @@
     def _is_healthy(self, source: _Source) -> bool:
         status_age_s = self._environment.clock.monotonic() - source.last_status_at
         is_synced = source.is_complete and source.is_current and source.hops <= _MAX_HOPS
-        return is_synced and status_age_s < _STATUS_TIMEOUT_S
+        known_era = min(view.complete_revision.era for view in self._views_by_kind.values())
+        return is_synced and source.era >= known_era and status_age_s < _STATUS_TIMEOUT_S
 
     async def _send_subscribe(self, host: str, source: _Source) -> None:
         source.subscribed_at = self._environment.clock.monotonic()
@@ -186,7 +190,9 @@
             return
         self._check_sequence(source, message)
         if message.is_listing:
-            listing = Listing(objects=tuple(written), revision=message.revision)
+            source.era = max(source.era, message.era)
+            revision = Revision(era=message.era, number=message.revision)
+            listing = Listing(objects=tuple(written), revision=revision)
             if view.is_listed:
                 view.apply_listing(listing)
             else:
@@ -209,6 +215,7 @@
             self._record_gap(source)
         was_current = source.is_current
         source.is_current = message.is_current
+        source.era = max(source.era, message.era)
         source.hops = message.hops
         source.store_up_s = message.store_up_ms / _MS_IN_S
         source.last_status_at = self._environment.clock.monotonic()
--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -43,10 +43,18 @@
     """Publishes this host's copy of the store's objects to its subscribers.
 
     A subscriber gets a full listing if it asks for one, each change, and a status several times a
-    second. Messages are numbered, so that the subscriber detects a loss by a gap.
+    second. Messages are numbered, so that the subscriber detects a loss by a gap. When the store
+    has a new era, all subscribers get a full listing, which replaces what older eras had.
     """
 
-    __slots__ = ('_environment', '_network', '_subscriptions_by_host', '_views', '_watch')
+    __slots__ = (
+        '_environment',
+        '_era_by_kind',
+        '_network',
+        '_subscriptions_by_host',
+        '_views',
+        '_watch',
+    )
 
     def __init__(
         self,
@@ -61,6 +69,7 @@
         self._views = tuple(views)
         self._watch = watch
         self._subscriptions_by_host: dict[str, _Subscription] = {}
+        self._era_by_kind: dict[str, int] = {}
         network.subscribe(FeedSubscribe, self._on_subscribe)
         for view in self._views:
             view.subscribe(self._make_forwarder(view))
@@ -86,6 +95,7 @@
             is_current=self._watch.receives_changes(),
             hops=self._watch.hops(),
             store_up_ms=int(self._watch.store_up_for_s() * _MS_IN_S),
+            era=min(view.complete_revision.era for view in self._views),
         )
         if not await self._network.send(host, status):
             self._subscriptions_by_host.pop(host, None)
@@ -111,8 +121,12 @@
 
     def _make_forwarder(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
         def forward(events: list[ObjectEvent]) -> None:
+            era = view.complete_revision.era
+            is_new_era = era > self._era_by_kind.get(view.kind, era)
+            self._era_by_kind[view.kind] = era
             if self._subscriptions_by_host:
-                asyncio.create_task(self._forward(_make_update(view.kind, events)))
+                update = _make_listing(view) if is_new_era else _make_update(view.kind, events)
+                asyncio.create_task(self._forward(update))
 
         return forward
 
@@ -128,6 +142,7 @@
             number=subscription.number,
             kind=update.kind,
             is_listing=update.is_listing,
+            era=update.era,
             revision=update.revision,
             written=update.written,
             removed=update.removed,
@@ -142,7 +157,8 @@
         number=0,
         kind=view.kind,
         is_listing=True,
-        revision=view.complete_revision,
+        era=view.complete_revision.era,
+        revision=view.complete_revision.number,
         written=pack_objects(stored),
         removed=[],
     )
@@ -153,6 +169,7 @@
         number=0,
         kind=kind,
         is_listing=False,
+        era=0,
         revision=0,
         written=pack_objects(event.stored for event in events if not event.is_removal),
         removed=pack_objects(event.stored for event in events if event.is_removal),
--- a/src/balsamrail/fleet/object_codec.py
+++ b/src/balsamrail/fleet/object_codec.py
@@ -4,6 +4,7 @@
 
 import msgpack
 
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import StoreObject
 from balsamrail.errors import PeerError
 from balsamrail.messages.compression import compress, decompress
@@ -39,7 +40,8 @@
 
 
 def _pack_object(stored: StoreObject) -> bytes:
-    packed: bytes = msgpack.packb([stored.name, stored.revision, stored.spec])
+    revision = stored.revision
+    packed: bytes = msgpack.packb([stored.name, revision.era, revision.number, stored.spec])
     return packed
 
 
@@ -51,7 +53,7 @@
 
 
 def _unpack_object(item: bytes) -> StoreObject:
-    name, revision, spec = msgpack.unpackb(item, strict_map_key=False)
-    if type(name) is not str or type(revision) is not int:
-        raise TypeError('name is not a string or revision is not an integer')
-    return StoreObject(name=name, revision=revision, spec=spec)
+    name, era, number, spec = msgpack.unpackb(item, strict_map_key=False)
+    if type(name) is not str or type(era) is not int or type(number) is not int:
+        raise TypeError('name is not a string or revision is not two integers')
+    return StoreObject(name=name, revision=Revision(era=era, number=number), spec=spec)
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -26,7 +26,14 @@
     :param store_up_for_s: returns for how many seconds the store has been reachable.
     """
 
-    __slots__ = ('_catalog', '_delayed_removal', '_environment', '_store_up_for_s', 'views')
+    __slots__ = (
+        '_catalog',
+        '_delayed_removal',
+        '_environment',
+        '_era_by_kind',
+        '_store_up_for_s',
+        'views',
+    )
 
     def __init__(
         self,
@@ -39,6 +46,7 @@
         self._catalog = catalog
         self._store_up_for_s = store_up_for_s
         self._delayed_removal = DelayedRemoval(catalog=catalog)
+        self._era_by_kind: dict[str, int] = {}
         manifests = ObjectView(kind=MANIFESTS)
         manifests.subscribe(self._on_manifests_changed)
         targets = ObjectView(kind=TARGETS)
@@ -46,6 +54,27 @@
         evacuations = ObjectView(kind=EVACUATIONS)
         evacuations.subscribe(lambda _: self._on_evacuations_changed(evacuations))
         self.views = (manifests, targets, evacuations)
+        for view in self.views:
+            view.subscribe(self._make_era_observer(view))
+
+    def _make_era_observer(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
+        def observe(events: list[ObjectEvent]) -> None:
+            revision = view.complete_revision
+            old_era = self._era_by_kind.get(view.kind, revision.era)
+            self._era_by_kind[view.kind] = revision.era
+            if revision.era > old_era:
+                self._environment.metrics.count('store_era_changes')
+                self._environment.log.event(
+                    'store_era_changed',
+                    kind=view.kind,
+                    old=old_era,
+                    new=revision.era,
+                    revision=revision.number,
+                    objects=len(view.objects_by_name),
+                    removed=sum(event.is_removal for event in events),
+                )
+
+        return observe
 
     def _on_manifests_changed(self, events: list[ObjectEvent]) -> None:
         for event in events:
--- a/src/balsamrail/platform/headers.py
+++ b/src/balsamrail/platform/headers.py
@@ -1,4 +1,4 @@
-"""Names of HTTP headers and cookies of the platform's callers and targets."""
+"""Names of HTTP headers and cookies of the platform's callers, targets and store."""
 
 REQUEST_ID = 'X-Request-Id'
 TIMEOUT_MS = 'X-Timeout-Ms'
@@ -12,3 +12,5 @@
 RETRY_AFTER = 'Retry-After'
 # '1' in answers of a target that accepts no new requests and is about to stop.
 SERVER_LEAVING = 'Server-Leaving'
+# Rises by one each time that the store comes back from an older copy.
+STORE_ERA = 'Store-Era'
--- a/src/balsamrail/platform/object_store.py
+++ b/src/balsamrail/platform/object_store.py
@@ -8,6 +8,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import Listing, StoreObject, WatchAnswer
 from balsamrail.delivery.http_connection import HttpConnection
 from balsamrail.delivery.http_message import HttpRequest, HttpResponse
@@ -20,7 +21,13 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from balsamrail.platform.store_codec import read_body, read_events, read_items, read_object
+from balsamrail.platform.store_codec import (
+    read_body,
+    read_era,
+    read_events,
+    read_items,
+    read_object,
+)
 from balsamrail.platform.store_codec import read_revision as revision_of
 
 _OBJECTS_PATH = '/balsamrail/objects'
@@ -43,6 +50,9 @@
         listing = await store.list_objects('servers')
         answer = await store.watch('servers', revision=listing.revision, wait_s=30)
 
+    Revisions in answers carry the era of the store. The store itself knows only their numbers, so
+    that a watch or a conditional write can meet the same number of a later era.
+
     Every method raises :class:`StoreUnavailableError` if the call was not executed, and
     :class:`StoreError` if the answer is malformed or has an unexpected status.
     """
@@ -59,18 +69,21 @@
         :param is_stale_allowed: accept an answer that may be seconds old, at a tenth of the cost.
         """
         objects: list[StoreObject] = []
-        revision: int | None = None
+        revision: Revision | None = None
         query: dict[str, Any] = {'allowStale': 1} if is_stale_allowed else {}
         while True:
             suffix = f'?{urlencode(query)}' if query else ''
             answer = await self._call('GET', f'{_OBJECTS_PATH}/{kind}{suffix}', metric='list')
             payload = read_body(_require_ok(answer).body)
-            page = read_items(payload)
+            era = read_era(answer.headers)
+            page = read_items(payload, era=era)
             objects.extend(page)
             if revision is None:
                 # Objects of earlier pages may change while later ones are read; a watch from the
                 # first page's revision returns these changes.
-                revision = revision_of(payload)
+                revision = revision_of(payload, era=era)
+            if era != revision.era:
+                raise StoreError(f'the era of the store changed from {revision.era} to {era}')
             if not payload.get('hasMore') or not page:
                 return Listing(objects=tuple(objects), revision=revision)
             query['after'] = page[-1].name
@@ -86,14 +99,14 @@
         answer = await self._call('GET', f'{_object_path(kind, name)}{query}', metric='read')
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        return read_object(read_body(_require_ok(answer).body))
+        return _read_stored(_require_ok(answer))
 
-    async def watch(self, kind: str, *, revision: int, wait_s: float) -> WatchAnswer:
+    async def watch(self, kind: str, *, revision: Revision, wait_s: float) -> WatchAnswer:
         """Return the events of a kind since ``revision``; empty if none occurred within ``wait_s``.
 
         :raises HistoryGoneError: if the store has dropped the history since ``revision``.
         """
-        query = urlencode({'watch': revision, 'waitMs': int(wait_s * _MS_IN_S)})
+        query = urlencode({'watch': revision.number, 'waitMs': int(wait_s * _MS_IN_S)})
         answer = await self._call(
             'GET',
             f'{_OBJECTS_PATH}/{kind}?{query}',
@@ -104,7 +117,7 @@
             raise HistoryGoneError(
                 f'the history of {kind} since revision {revision} has been discarded'
             )
-        return read_events(read_body(_require_ok(answer).body))
+        return read_events(read_body(_require_ok(answer).body), era=read_era(answer.headers))
 
     async def create(self, kind: str, name: str, *, spec: Any) -> StoreObject:
         """Create an object.
@@ -117,7 +130,7 @@
         return _read_written(name, answer)
 
     async def replace(
-        self, kind: str, name: str, *, spec: Any, revision: int | None = None
+        self, kind: str, name: str, *, spec: Any, revision: Revision | None = None
     ) -> StoreObject:
         """Replace the ``spec`` of an object.
 
@@ -127,17 +140,17 @@
         """
         metadata: dict[str, Any] = {'name': name}
         if revision is not None:
-            metadata['revision'] = revision
+            metadata['revision'] = revision.number
         body = {'metadata': metadata, 'spec': spec}
         answer = await self._call('PUT', _object_path(kind, name), metric='replace', body=body)
         return _read_written(name, answer)
 
-    async def delete(self, kind: str, name: str, *, revision: int) -> None:
+    async def delete(self, kind: str, name: str, *, revision: Revision) -> None:
         """Remove an object if it is at ``revision``; an object that no longer exists is no error.
 
         :raises StoreConflictError: if it is at another revision.
         """
-        path = f'{_object_path(kind, name)}?{urlencode({"revision": revision})}'
+        path = f'{_object_path(kind, name)}?{urlencode({"revision": revision.number})}'
         answer = await self._call('DELETE', path, metric='delete')
         if answer.status != HTTPStatus.NOT_FOUND:
             _read_written(name, answer)
@@ -221,11 +234,14 @@
     return answer
 
 
+def _read_stored(answer: HttpResponse) -> StoreObject:
+    return read_object(read_body(answer.body), era=read_era(answer.headers))
+
+
 def _read_written(name: str, answer: HttpResponse) -> StoreObject:
     if answer.status == HTTPStatus.CONFLICT:
-        payload = read_body(answer.body)
-        revision = read_object(payload).revision if payload.get('metadata') else 0
-        raise StoreConflictError(name=name, version=revision)
+        known = _read_stored(answer) if read_body(answer.body).get('metadata') else None
+        raise StoreConflictError(name=name, version=known.revision.number if known else 0)
     if answer.status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
         raise StoreError(f'unexpected status {answer.status} from the store for {name}')
-    return read_object(read_body(answer.body))
+    return _read_stored(answer)
--- a/src/balsamrail/platform/store_codec.py
+++ b/src/balsamrail/platform/store_codec.py
@@ -1,13 +1,20 @@
 """Parses the response bodies of the platform's store."""
 
 import json
+import re
 from contextlib import suppress
 from typing import Any
 
+from tornado.httputil import HTTPHeaders
+
+from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject, WatchAnswer
 from balsamrail.errors import StoreError
+from balsamrail.platform import headers
 from balsamrail.platform.fields import FIELD_ERRORS
 
+_ERA_FORMAT = re.compile(r'\d{1,18}', re.ASCII)
+
 
 def read_body(body: bytes) -> dict[str, Any]:
     """Return the JSON object in ``body``.
@@ -23,33 +30,40 @@
     return payload
 
 
-def read_object(payload: Any) -> StoreObject:
+def read_era(answer_headers: HTTPHeaders) -> int:
+    """Return the era of the store, 0 if the header is missing or malformed."""
+    text = answer_headers.get(headers.STORE_ERA, '')
+    return int(text) if _ERA_FORMAT.fullmatch(text) else 0
+
+
+def read_object(payload: Any, *, era: int) -> StoreObject:
     """Return the object in a listing, an event or an answer.
 
+    :param era: the era of the store that gave the answer.
     :raises StoreError: if the name is missing or the revision is malformed.
     """
     try:
         metadata = payload['metadata']
         return StoreObject(
             name=str(metadata['name']),
-            revision=int(metadata.get('revision') or 0),
+            revision=Revision(era=era, number=int(metadata.get('revision') or 0)),
             spec=payload.get('spec'),
         )
     except FIELD_ERRORS as error:
         raise StoreError(f'malformed object: {error!r}') from error
 
 
-def read_items(payload: dict[str, Any]) -> list[StoreObject]:
+def read_items(payload: dict[str, Any], *, era: int) -> list[StoreObject]:
     """Return the objects of one page of a listing, without malformed ones."""
     objects = []
     for entry in _read_entries(payload, 'items'):
         # An object whose name is unknown cannot be reported or stored.
         with suppress(StoreError):
-            objects.append(read_object(entry))
+            objects.append(read_object(entry, era=era))
     return objects
 
 
-def read_events(payload: dict[str, Any]) -> WatchAnswer:
+def read_events(payload: dict[str, Any], *, era: int) -> WatchAnswer:
     """Return the events of a watch.
 
     :raises StoreError: if the answer has no revision to continue from or an event is malformed.
@@ -58,12 +72,12 @@
     for entry in _read_entries(payload, 'events'):
         if not isinstance(entry, dict):
             raise StoreError(f'malformed event: {entry!r}')
-        stored = read_object(entry.get('object'))
+        stored = read_object(entry.get('object'), era=era)
         events.append(ObjectEvent(stored=stored, is_removal=bool(entry.get('tombstone'))))
-    return WatchAnswer(events=tuple(events), revision=read_revision(payload))
+    return WatchAnswer(events=tuple(events), revision=read_revision(payload, era=era))
 
 
-def read_revision(payload: dict[str, Any]) -> int:
+def read_revision(payload: dict[str, Any], *, era: int) -> Revision:
     """Return the store's revision.
 
     :raises StoreError: if the answer does not contain it.
@@ -71,7 +85,7 @@
     revision = payload.get('storeRevision')
     if type(revision) is not int:
         raise StoreError('the answer of the store has no revision')
-    return revision
+    return Revision(era=era, number=revision)
 
 
 def _read_entries(payload: dict[str, Any], name: str) -> list[Any]:
