Take the first listing of a kind for no change of the era

A host that had events of other hosts before its own first listing forwarded that listing to all followers, as if the store had come back.

--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -122,7 +122,7 @@
     def _make_forwarder(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
         def forward(events: list[ObjectEvent]) -> None:
             era = view.complete_revision.era
-            is_new_era = era > self._era_by_kind.get(view.kind, era)
+            is_new_era = 0 < self._era_by_kind.get(view.kind, 0) < era
             self._era_by_kind[view.kind] = era
             if self._subscriptions_by_host:
                 update = _make_listing(view) if is_new_era else _make_update(view.kind, events)
