Keep the newest manifest in views when the store comes back older

A host that restarts between the return of the store and the operator's next write would serve by the manifest of the copy: 404 for added routes, and confined requests in the region of before, until the operator writes again.

The hosts that stayed up keep the newest manifest in their catalog, but their views took the copy's manifest, since it has the newer era, and passed it on. A view now gets a function that returns the version of a manifest. The manifest keeps the content of the highest version under the highest revision, whatever the order in which listings and reports come, so that followers and restarted hosts get it; the operator's next write has a higher revision and version and is taken. A malformed manifest follows the ordinary order, as before.

Ruled out: the catalog, whose version never decreases; the unconfirmed listings, since the sources were current.

Open: if both watchers of a region restart in that gap, they list the store and no host tells them better.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -20,6 +20,20 @@
     When manifests are offered in any order
     Then the active version only increases and ends at the highest
 
+  Scenario Outline: The newest manifest stays when the store comes back older
+    Guards against followers and restarted hosts that get a manifest which was replaced (CONFIG).
+
+    Given a view of the manifest at version 3
+    When its store <change>
+    Then the view has version <version>, and version 5 once the operator writes it
+
+    Examples:
+      | change                                        | version |
+      | comes back with version 2                     | 3       |
+      | comes back without a manifest                 | 3       |
+      | gets a malformed manifest with version 9      | 9       |
+      | comes back and an old report has version 4    | 4       |
+
   Scenario: The route with the longest matching prefix is selected
     This guards against a request that is handled by the rules of another route.
 
--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -43,6 +43,19 @@
       | 24, 24    | after 2 s and again after 1 s         |
       | 3, 3, 2   | after 2 s                             |
 
+  Scenario Outline: A host that restarts after the store came back older uses no replaced manifest
+    Guards against hosts that serve by an older manifest until the operator has written it again (CONFIG).
+
+    Given regions of <sizes> hosts that have the manifest
+    When the store comes back older and <restarted> restart before the manifest is written again
+    Then they have the manifest in force within <in_force> s of their start, and keep it
+
+    Examples:
+      | sizes     | restarted       | in_force |
+      | 24, 24    | followers       | 0.6      |
+      | 24, 24    | one watcher     | 0.6      |
+      | 3, 3, 2   | one watcher     | 0.6      |
+
   Scenario Outline: The loss of watchers delays no change
     Guards against hosts that place requests by an old manifest because their watchers failed.
 
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -73,12 +73,16 @@
             raise StoreUnavailableError('the store answered 503')
 
 
+def _version_of(stored):
+    return stored.spec if stored.name == 'main' else None
+
+
 class FleetHost:
     def __init__(self, fleet, member):
         self.fleet = fleet
         self.member = member
         self.access = StoreAccess(fleet.source)
-        self.view = ObjectView(kind=KIND)
+        self.view = ObjectView(kind=KIND, content_version=_version_of)
         self.tasks = []
         self.died_at = None
         self.log = platform_helpers.RecordedLog()
--- a/src/balsamrail/catalog/object_view.py
+++ b/src/balsamrail/catalog/object_view.py
@@ -21,9 +21,15 @@
         view = ObjectView(kind='servers')
         view.subscribe(lambda changes: ...)
         view.apply_listing(listing)
+
+    :param content_version: returns the version that the spec of an object states, ``None`` if it
+        states none. An object with a version is never removed or replaced by a lower version: it
+        keeps its spec and takes the higher revision. The store can come back without the latest
+        version, and followers and hosts that restart have to get it nevertheless.
     """
 
     __slots__ = (
+        '_content_version',
         '_subscribers',
         '_tombstone_revisions_by_name',
         'complete_revision',
@@ -32,8 +38,14 @@
         'objects_by_name',
     )
 
-    def __init__(self, *, kind: str) -> None:
+    def __init__(
+        self,
+        *,
+        kind: str,
+        content_version: Callable[[StoreObject], int | None] | None = None,
+    ) -> None:
         self.kind = kind
+        self._content_version = content_version
         self.is_listed = False
         # All changes up to this revision of the store have been applied.
         self.complete_revision = Revision()
@@ -57,7 +69,7 @@
         ]
         found = [ObjectEvent(stored=stored, is_removal=False) for stored in listing.objects]
         is_new_era = listing.revision.era > self.complete_revision.era
-        new_events = [event for event in (*gone, *found) if self._merge(event)]
+        new_events = self._merge_all([*gone, *found])
         self.note_complete(listing.revision)
         if new_events or is_new_era:
             self._notify(new_events)
@@ -68,7 +80,7 @@
 
     def apply_events(self, events: Iterable[ObjectEvent]) -> None:
         """Apply the events that are newer than the current state."""
-        new_events = [event for event in events if self._merge(event)]
+        new_events = self._merge_all(events)
         if new_events:
             self._notify(new_events)
 
@@ -90,6 +102,39 @@
         for on_change in self._subscribers:
             on_change(events)
 
+    def _merge_all(self, events: Iterable[ObjectEvent]) -> list[ObjectEvent]:
+        """Apply events and return those that changed the view, with the specs that were kept."""
+        new_events = []
+        for event in events:
+            newest = self._with_newest_content(event)
+            if newest is not None:
+                if self.objects_by_name.get(newest.name) != newest:
+                    self.objects_by_name[newest.name] = newest
+                    new_events.append(ObjectEvent(stored=newest, is_removal=False))
+            elif self._merge(event):
+                new_events.append(event)
+        return new_events
+
+    def _with_newest_content(self, event: ObjectEvent) -> StoreObject | None:
+        """Return the object of an event as it is to be kept; ``None`` if it states no version."""
+        stored = event.stored
+        known = self.objects_by_name.get(stored.name)
+        if self._content_version is None:
+            return None
+        if stored == known and not event.is_removal:
+            return known
+        version = None if event.is_removal else self._content_version(stored)
+        if version is None and not event.is_removal:
+            return None
+        known_version = None if known is None else self._content_version(known)
+        if known is None or known_version is None:
+            return None if version is None else stored
+        is_newer = version is not None and (
+            (version, stored.revision) > (known_version, known.revision)
+        )
+        newest = stored if is_newer else known
+        return replace(newest, revision=max(known.revision, stored.revision))
+
     def _merge(self, event: ObjectEvent) -> bool:
         stored = event.stored
         known = self.objects_by_name.get(stored.name)
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -47,7 +47,7 @@
         self._store_up_for_s = store_up_for_s
         self._delayed_removal = DelayedRemoval(catalog=catalog)
         self._era_by_kind: dict[str, int] = {}
-        manifests = ObjectView(kind=MANIFESTS)
+        manifests = ObjectView(kind=MANIFESTS, content_version=_manifest_version)
         manifests.subscribe(self._on_manifests_changed)
         targets = ObjectView(kind=TARGETS)
         targets.subscribe(self._on_targets_changed)
@@ -60,9 +60,9 @@
     def _make_era_observer(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
         def observe(events: list[ObjectEvent]) -> None:
             revision = view.complete_revision
-            old_era = self._era_by_kind.get(view.kind, revision.era)
+            old_era = self._era_by_kind.get(view.kind, 0)
             self._era_by_kind[view.kind] = revision.era
-            if revision.era > old_era:
+            if 0 < old_era < revision.era:
                 self._environment.metrics.count('store_era_changes')
                 self._environment.log.event(
                     'store_era_changed',
@@ -121,3 +121,12 @@
     def _report_rejected(self, event: str, stored: StoreObject, error: EntryError) -> None:
         self._environment.metrics.count(event)
         self._environment.log.event(event, object=stored.name, reason=error)
+
+
+def _manifest_version(stored: StoreObject) -> int | None:
+    if stored.name != _MANIFEST_NAME:
+        return None
+    try:
+        return read_manifest(stored.spec).version
+    except EntryError:
+        return None
