Drop a response without a length if this host closed its connection

What callers would see: a 200 with the first part of a body, framed as whole. The target sends a response without a length, its machine loses power within the body, and the check of silent targets closes the connection so that the idempotent request is retried elsewhere.

Cause: tornado takes any end of the connection for the end of such a body. ResponseReader counted it as complete unless the stream had an error, and a close by this host left none. HttpConnection.close now gives one, so the response is incomplete and the request is retried.

Ruled out as other ends of the connection without an error: the deadline (raises), a caller that left (raises), the memory limit and stray bytes (close with an error), TCP keepalive and user timeout (the system reports an error), a reset.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -101,6 +101,13 @@
     When a caller sends an idempotent request
     Then it gets the target's response after two attempts at different targets
 
+  Scenario: A response without a length whose target falls silent is not forwarded as complete
+    Guards against taking the end of a connection that this host closed for the end of the body.
+
+    Given a target that stops within a body without a length, and one that responds
+    When the machine of the first target loses power while it sends the body
+    Then the caller gets the response of the other target
+
   Scenario: The caller gets a response within its timeout
     Guards against callers that wait longer than the timeout that they sent.
 
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import time
 
 from behave import given, then, when
@@ -40,6 +42,30 @@
     raise ConnectionError
 
 
+async def stop_within_body(number, headers, writer):
+    writer.write(_framed('without a length', headers)[:-2])
+    await asyncio.sleep(60)
+
+
+def _framed(framing, headers):
+    """Return a signed response with the body ``whole``, in one of the forms of HTTP."""
+    own = f'X-Request-Id: {headers["x-request-id"]}\r\nX-Response-Signature: signed\r\n'.encode()
+    start = b'HTTP/1.1 200 OK\r\n'
+    chunked = b'Transfer-Encoding: chunked\r\n\r\n'
+    match framing:
+        case 'with a length':
+            return start + own + b'Content-Length: 12\r\n\r\nwhole  whole'
+        case 'with chunks':
+            return start + own + chunked + b'7\r\nwhole  \r\n5\r\nwhole\r\n0\r\n\r\n'
+        case 'with an interim':
+            return b'HTTP/1.1 103 Early Hints\r\n\r\n' + _framed('with a length', headers)
+        case 'with bare feeds':
+            return _framed('with a length', headers).replace(b'\r\n', b'\n')
+        case 'without a length':
+            return start + own + b'Connection: close\r\n\r\nwhole  whole'
+    raise AssertionError(framing)
+
+
 async def never_respond(number, headers, writer):
     await asyncio.sleep(60)
 
@@ -234,6 +260,89 @@
     run_real(play())
 
 
+@given('a target that stops within a body without a length, and one that responds')
+def step_stops_within_body(context):
+    context.delivery = DeliveryHarness([stop_within_body, respond])
+
+
+@when('the machine of the first target loses power while it sends the body')
+def step_power_loss_within_body(context):
+    async def play():
+        delivery = await context.delivery.start()
+        task = asyncio.create_task(delivery.send('r-1', key=delivery.key_that_prefers('i-0')))
+        await asyncio.sleep(0.1)
+        with simulate_power_loss(delivery.targets[0]):
+            context.response = await task
+        context.counts = delivery.attempts()
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('the caller gets the response of the other target')
+def step_answer_of_other(context):
+    assert context.response.body == b'whole', context.response
+    assert context.counts == [1, 1], context.counts
+
+
+@given('a target that ends its response {framing} to {method} by {end} after each of its bytes')
+def step_cut_everywhere(context, framing, method, end):
+    async def cut(number, headers, writer):
+        text = _framed(framing, headers)
+        context.head_bytes = max(text.find(b'\r\n\r\nw'), text.find(b'\n\nw')) + 4
+        if method == 'HEAD':
+            text = text[: context.head_bytes]
+        context.whole_bytes = len(text)
+        writer.write(text[: number - 1])
+        await asyncio.sleep(0.002)
+        if end == 'reset':
+            linger = struct.pack('ii', 1, 0)
+            writer.get_extra_info('socket').setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        raise ConnectionError
+
+    context.method = method
+    context.delivery = DeliveryHarness([cut])
+
+
+@when('callers send non-idempotent requests until the response is whole')
+def step_send_cut(context):
+    async def play():
+        delivery = await context.delivery.start()
+        context.outcomes = []
+        context.whole_bytes = 1
+        while len(context.outcomes) <= context.whole_bytes:
+            request = delivery.request('r-1', '/write/x', 'x', 2.0)
+            request.method = context.method
+            try:
+                response = await delivery.dispatcher.handle(request)
+            except RequestError as error:
+                context.outcomes.append(error)
+            else:
+                context.outcomes.append(response.body)
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('each gets an unknown outcome until the bytes of {part} have arrived')
+def step_unknown_until(context, part):
+    # The list starts with the response of which no byte arrived.
+    count = {
+        'the response': context.whole_bytes,
+        'the head': context.head_bytes,
+        'no response': len(context.outcomes),
+    }[part]
+    cut, rest = context.outcomes[:count], context.outcomes[count:]
+    for number, outcome in enumerate(cut):
+        assert isinstance(outcome, RequestError), (number, outcome)
+        assert outcome.outcome == 'unknown', (number, outcome)
+    body = b'' if context.method == 'HEAD' else b'whole  whole'
+    for number, outcome in enumerate(rest):
+        is_close_delimited = part == 'the head' and context.method != 'HEAD'
+        expected = body[:number] if is_close_delimited else body
+        assert outcome == expected, (count + number, outcome)
+
+
 @when('a caller sends a request')
 @when('a caller sends an idempotent request')
 def step_send(context):
--- a/src/balsamrail/delivery/http_connection.py
+++ b/src/balsamrail/delivery/http_connection.py
@@ -92,7 +92,8 @@
 
     def close(self) -> None:
         """Close the connection, which cancels a request in flight on it."""
-        self._stream.close()
+        # Without an error, a response without a length would count as complete.
+        self._stream.close(exc_info=ConnectionAbortedError('closed by this host'))
 
     async def exchange(
         self,
@@ -136,10 +137,9 @@
         finally:
             self._stream.end_response()
         if response is None:
+            detail = self._failure_detail()
             self.close()
-            raise ExchangeError(
-                detail=self._failure_detail(), may_have_run=True, was_reused=reused
-            )
+            raise ExchangeError(detail=detail, may_have_run=True, was_reused=reused)
         self.last_used = self._environment.clock.monotonic()
         self.server_idle_timeout_s = response.keep_alive_timeout_s
         if not response.keep_alive or not self.is_idle():
--- a/tools/mutants/liveness.py
+++ b/tools/mutants/liveness.py
@@ -45,4 +45,12 @@
         feature=_FEATURE,
         scenario='A response during a probe',
     ),
+    Mutant(
+        mechanism='a response without a length is incomplete if this host closed its connection',
+        file='src/balsamrail/delivery/http_connection.py',
+        old="self._stream.close(exc_info=ConnectionAbortedError('closed by this host'))",
+        new='self._stream.close()',
+        feature='features/delivery.feature',
+        scenario='A response without a length whose target falls silent',
+    ),
 )
