Let the store's stand-in come back from a copy

PUT /copy takes a copy of the objects and the host list, POST /copy brings it back: later writes are gone, versions are given out again, open watches end, a watch from a version that the stand-in does not have gets 410, and Store-Era, in all answers of the API, rises by one. A write or watch may name the era that its version belongs to; this is an addition of ours to our own store protocol (design, 3.1), since a version alone no longer says which state it stands for.

--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -1,9 +1,11 @@
 """Steps of store_client.feature."""
 
 import asyncio
+import json
 
 from behave import given, then, when
 from platform_helpers import make_environment, run_real
+from tornado.httpclient import AsyncHTTPClient
 
 from balsamrail.errors import BalsamrailError, StoreError
 from balsamrail.store import HttpStore, ListedHost
@@ -134,3 +136,38 @@
             raise AssertionError('the store accepted a value that is too large')
 
     run_real(with_store(main))
+
+
+async def call(stand_in, path, **options):
+    response = await AsyncHTTPClient().fetch(
+        f'http://{stand_in.address}{path}', raise_error=False, **options
+    )
+    return response.code, response.headers.get('Store-Era'), response.body
+
+
+@then('a stand-in that comes back from a copy twice loses later writes and raises its era')
+def step_copy(context):
+    async def put(stand_in, body, **headers):
+        return await call(stand_in, '/objects/x', method='PUT', body=body, headers=headers)
+
+    async def main(store, stand_in):
+        assert (await call(stand_in, '/copy', method='POST', body=''))[0] == 409
+        await store.write('x', value=1, version=0)
+        await call(stand_in, '/copy', method='PUT', body='')
+        listed = ListedHost(host='h1', address='127.0.0.1:9', state='live')
+        for era in ('1', '2'):
+            assert (await put(stand_in, '2', **{'If-Match': '"1"'}))[0] == 200
+            await store.write('y', value=2, version=0)
+            await store.announce_host(listed)
+            await call(stand_in, '/copy', method='POST', body='')
+            code, seen_era, body = await call(stand_in, '/objects/x')
+            assert (code, seen_era) == (200, era)
+            assert json.loads(body) == {'name': 'x', 'version': 1, 'value': 1}
+            assert (await call(stand_in, '/objects/y'))[:2] == (404, era)
+            assert (await call(stand_in, '/hosts')) == (200, era, b'{"hosts": []}')
+            assert (await call(stand_in, '/objects/x?watch=2'))[:2] == (410, era)
+            assert (await call(stand_in, '/objects/x?watch=1&era=0'))[:2] == (410, era)
+            earlier = {'If-Match': '"1"', 'Store-Era': str(int(era) - 1)}
+            assert (await put(stand_in, '3', **earlier))[:2] == (412, era)
+
+    run_real(with_store(main))
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -46,3 +46,7 @@
   # Guards against values that are truncated or corrupted in transit.
   Scenario: A value of nearly 1 MB is accepted and a larger one is rejected
     Then a value of 999000 bytes is read back and one of 1000001 bytes is rejected
+
+  # Guards against a stand-in that cannot lose what it acknowledged, so that no test shows the loss.
+  Scenario: The stand-in comes back from a copy
+    Then a stand-in that comes back from a copy twice loses later writes and raises its era
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -22,6 +22,15 @@
         while len(history) > 1 and history[1][0] < now - _HISTORY_S:
             history.pop(0)
 
+    def copy(self) -> dict[str, dict[str, Any] | None]:
+        """Return a copy of the current entries."""
+        return {host: history[-1][1] for host, history in self._history_by_host.items()}
+
+    def restore(self, entry_by_host: dict[str, dict[str, Any] | None]) -> None:
+        """Set all entries to those of a copy."""
+        for host in list(self._history_by_host):
+            self.put(host, entry_by_host.get(host))
+
     def snapshot(self, *, lag_s: float) -> list[dict[str, Any]]:
         """Return the list as of ``lag_s`` seconds ago."""
         instant = asyncio.get_running_loop().time() - lag_s
--- a/standins/store.py
+++ b/standins/store.py
@@ -11,7 +11,7 @@
 
 from standins.rate_limit import RateLimit
 from standins.serving import listen, serve_forever
-from standins.store_control import CountersHandler, FaultsHandler
+from standins.store_control import CopyHandler, CountersHandler, FaultsHandler
 from standins.store_faults import StoreFaults
 from standins.store_handlers import (
     MAX_VALUE_BYTES,
@@ -66,6 +66,7 @@
                 (r'/hosts', HostsHandler, arguments),
                 (r'/hosts/([^/]+)', HostHandler, arguments),
                 (r'/faults', FaultsHandler, arguments),
+                (r'/copy', CopyHandler, arguments),
                 (r'/counters', CountersHandler, arguments),
             ],
             log_function=lambda _: None,
--- a/standins/store_control.py
+++ b/standins/store_control.py
@@ -34,6 +34,25 @@
         self.write(asdict(self.state.faults))
 
 
+class CopyHandler(RequestHandler):
+    """``/copy``: PUT takes a copy, POST lets the store come back from it."""
+
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    def put(self) -> None:
+        self.state.take_copy()
+
+    def post(self) -> None:
+        try:
+            self.state.restore()
+        except ValueError as error:
+            self.set_status(409)
+            self.write({'error': str(error)})
+            return
+        self.write({'era': self.state.era})
+
+
 class CountersHandler(RequestHandler):
     """``/counters``: number of calls by kind."""
 
--- a/standins/store_handlers.py
+++ b/standins/store_handlers.py
@@ -11,16 +11,21 @@
 from standins.host_list import HostList
 from standins.rate_limit import RateLimit
 from standins.serving import drop_connection
+from standins.store_copy import StoreCopy
 from standins.store_faults import StoreFaults
 from standins.store_objects import StoreObjects
 
 MAX_VALUE_BYTES = 1_000_000
+ERA_HEADER = 'Store-Era'
 GARBLED_ANSWER = b'{"version": "'
 
 
 @dataclass(slots=True, kw_only=True)
 class StoreState:
-    """State shared by the handlers."""
+    """State shared by the handlers.
+
+    ``era`` rises by one each time the store comes back from a copy.
+    """
 
     objects: StoreObjects = field(default_factory=StoreObjects)
     hosts: HostList = field(default_factory=HostList)
@@ -29,6 +34,25 @@
     write_limit: RateLimit
     read_limit: RateLimit
     watching: set['CallHandler'] = field(default_factory=set)
+    era: int = 0
+    copy: StoreCopy | None = None
+
+    def take_copy(self) -> None:
+        """Keep a copy of the objects and the host list, in place of an earlier one."""
+        self.copy = StoreCopy(entry_by_name=self.objects.copy(), entry_by_host=self.hosts.copy())
+
+    def restore(self) -> None:
+        """Come back from the copy: watches end, and later writes are lost.
+
+        :raises ValueError: if no copy was taken.
+        """
+        if self.copy is None:
+            raise ValueError('no copy was taken')
+        for watcher in list(self.watching):
+            drop_connection(watcher)
+        self.era += 1
+        self.objects.restore(self.copy.entry_by_name)
+        self.hosts.restore(self.copy.entry_by_host)
 
 
 class CallHandler(RequestHandler):
@@ -39,6 +63,10 @@
     def initialize(self, state: StoreState) -> None:
         self.state = state
 
+    def finish(self, chunk: Any = None) -> 'asyncio.Future[None]':
+        self.set_header(ERA_HEADER, str(self.state.era))
+        return super().finish(chunk)
+
     async def begin(self, kind: str) -> None:
         """Count a call, inject faults and enforce the rate limits."""
         state = self.state
@@ -118,9 +146,10 @@
         if self.state.faults.down:
             self.drop()
         self.read_body()
-        new_version = self.state.objects.write(
-            name, text=self.request.body, version=self._expected_version()
-        )
+        expected = self._expected_version()
+        new_version = None
+        if self._is_era_current(self.request.headers.get(ERA_HEADER)):
+            new_version = self.state.objects.write(name, text=self.request.body, version=expected)
         if new_version is None:
             version, text = self.state.objects.read(name)
             self.state.calls_by_kind['conflict'] += 1
@@ -142,8 +171,14 @@
             self.answer(400, {'error': 'If-Match or If-None-Match is missing'})
         return int(expected)
 
+    def _is_era_current(self, era: str | None) -> bool:
+        return era is None or era == str(self.state.era)
+
     async def _watch(self, name: str, version: int, wait_s: float) -> None:
         objects = self.state.objects
+        is_known = self._is_era_current(self.get_query_argument('era', None))
+        if not is_known or version > objects.read(name)[0]:
+            self.answer(410, {'error': 'no such version'})
         self._waiting = asyncio.ensure_future(
             objects.wait_change(name, version=version, wait_s=wait_s)
         )
--- a/standins/store_objects.py
+++ b/standins/store_objects.py
@@ -23,9 +23,7 @@
         if current != version:
             return None
         self._entry_by_name[name] = (current + 1, text)
-        for waiter in self._waiters_by_name.pop(name, set()):
-            if not waiter.done():
-                waiter.set_result(None)
+        self._wake(name)
         return current + 1
 
     async def wait_change(self, name: str, *, version: int, wait_s: float) -> bool:
@@ -47,3 +45,18 @@
         """Return the versions of all objects whose names start with ``prefix``."""
         entries = sorted(self._entry_by_name.items())
         return {name: version for name, (version, _) in entries if name.startswith(prefix)}
+
+    def copy(self) -> dict[str, tuple[int, bytes]]:
+        """Return a copy of all objects with their versions."""
+        return dict(self._entry_by_name)
+
+    def restore(self, entry_by_name: dict[str, tuple[int, bytes]]) -> None:
+        """Replace all objects by those of a copy, whose versions are then given out again."""
+        self._entry_by_name = dict(entry_by_name)
+        for name in list(self._waiters_by_name):
+            self._wake(name)
+
+    def _wake(self, name: str) -> None:
+        for waiter in self._waiters_by_name.pop(name, set()):
+            if not waiter.done():
+                waiter.set_result(None)
