Make a write on a version that the store has lost conflict

Callers would see: a host that last read an object before the store came back from a copy replaces what others wrote since, without a conflict. A later declaration, claims of other hosts or a share epoch are gone, and their writers were told that they are in the store.

Cause: a version was the store's number alone. After a copy the numbers are given out again, so the condition of a write also holds for another state that got the same number.

A version now orders first by Store-Era and then by the store's number, and is the number itself in era 0. Versions of a new era are higher than all earlier ones, so the comparisons of hosts (block map, share epochs, tracker) take the copy for what it is, the later state.

Ruled out: VerifiedWrite needs no change, since a version of another era is neither the one that it wrote on nor the one after, so that a lost response is reported as unknown unless the mark is found. Not covered: a first write (version 0) names no era.

Evidence: the new scenario failed before with 'a write on a lost version took effect'.

--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -7,7 +7,7 @@
 from platform_helpers import make_environment, run_real
 from tornado.httpclient import AsyncHTTPClient
 
-from balsamrail.errors import BalsamrailError, StoreError
+from balsamrail.errors import BalsamrailError, StoreConflictError, StoreError
 from balsamrail.store import HttpStore, ListedHost
 from standins.store import StoreStandIn
 
@@ -171,3 +171,40 @@
             assert (await put(stand_in, '3', **earlier))[:2] == (412, era)
 
     run_real(with_store(main))
+
+
+async def lose_second_write(store, stand_in):
+    await store.write('x', value=1, version=0)
+    stand_in.state.take_copy()
+    lost = await store.write('x', value='lost', version=1)
+    stand_in.state.restore()
+    return lost
+
+
+@then('a write on a lost version conflicts when another write was given the same version')
+def step_lost_version(context):
+    async def main(store, stand_in):
+        lost = await lose_second_write(store, stand_in)
+        copied = await store.read('x')
+        assert await store.write('x', value='other', version=copied.version)
+        try:
+            await store.write('x', value='late', version=lost)
+        except StoreConflictError:
+            pass
+        else:
+            raise AssertionError('a write on a lost version took effect')
+        assert (await store.read('x')).value == 'other'
+
+    run_real(with_store(main))
+
+
+@then('the versions that are read, written and listed are higher after the store came back')
+def step_higher_versions(context):
+    async def main(store, stand_in):
+        lost = await lose_second_write(store, stand_in)
+        copied = await store.read('x')
+        assert copied.version > lost
+        assert await store.list_names(prefix='x') == {'x': copied.version}
+        assert await store.write('x', value=3, version=copied.version) == copied.version + 1
+
+    run_real(with_store(main))
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -50,3 +50,8 @@
   # Guards against a stand-in that cannot lose what it acknowledged, so that no test shows the loss.
   Scenario: The stand-in comes back from a copy
     Then a stand-in that comes back from a copy twice loses later writes and raises its era
+
+  # Guards against a write on a lost version that replaces another state which has the same version.
+  Scenario: A conditional write after the store came back from a copy
+    Then a write on a lost version conflicts when another write was given the same version
+    And the versions that are read, written and listed are higher after the store came back
--- a/src/balsamrail/store/_responses.py
+++ b/src/balsamrail/store/_responses.py
@@ -1,10 +1,24 @@
 """Encoding and decoding of the bodies exchanged with the store."""
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
 from balsamrail.errors import StoreError
 
+ERA_HEADER = 'Store-Era'
+
+
+def decode_era(headers: Mapping[str, str]) -> int:
+    """Return how many times the store has come back from a copy, 0 if no header tells it.
+
+    :raises StoreError: if the header is not a number.
+    """
+    text = headers.get(ERA_HEADER, '0')
+    if not (text.isascii() and text.isdigit()):
+        raise StoreError(f'the header {ERA_HEADER} is not a number')
+    return int(text)
+
 
 def decode_response(body: bytes) -> dict[str, Any]:
     """Return the JSON object in a response body.
--- a/src/balsamrail/store/http_store.py
+++ b/src/balsamrail/store/http_store.py
@@ -11,9 +11,16 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreConflictError, StoreError
 from balsamrail.store._connection import StoreConnection
-from balsamrail.store._responses import decode_response, decode_version, encode_value
+from balsamrail.store._responses import (
+    ERA_HEADER,
+    decode_era,
+    decode_response,
+    decode_version,
+    encode_value,
+)
 from balsamrail.store.listed_host import ListedHost
 from balsamrail.store.stored_object import StoredObject
+from balsamrail.store.versions import join_version, split_version
 
 ValueT = TypeVar('ValueT')
 
@@ -45,25 +52,26 @@
 
     async def write(self, name: str, *, value: Any, version: int) -> int:
         """Write if the object is at ``version``, 0 to create it, and return the new version."""
-        condition = {'If-Match': f'"{version}"'} if version else {'If-None-Match': '*'}
+        condition = _write_condition(version)
         response = await self._connection.put(
             _object_path(name), kind='write', body=encode_value(value), headers=condition
         )
         match response.code:
             case HTTPStatus.OK:
                 try:
-                    return decode_version(response.body)
+                    return _decode_version(response)
                 except StoreError as error:
                     raise self._connection.outcome_unknown_error(error) from error
             case HTTPStatus.PRECONDITION_FAILED:
                 self._environment.metrics.count('store_conflicts')
-                raise StoreConflictError(name=name, version=decode_version(response.body))
+                raise StoreConflictError(name=name, version=_decode_version(response))
         _raise_unexpected(response)
 
     async def watch(self, name: str, *, version: int) -> StoredObject | None:
         """Wait for another version and return it, ``None`` if there is none within ``watch_s``."""
         watch_s = self._environment.settings.store.watch_s
-        query = urlencode({'watch': version, 'wait_s': watch_s})
+        _, number = split_version(version)
+        query = urlencode({'watch': number, 'wait_s': watch_s})
         response = await self._connection.get(
             f'{_object_path(name)}?{query}', kind='watch', wait_s=watch_s
         )
@@ -78,7 +86,7 @@
         with _validated_fields():
             objects = _decode_ok(response)['objects']
             return {
-                _require_type(entry['name'], str): _require_type(entry['version'], int)
+                _require_type(entry['name'], str): _join_version(response, entry['version'])
                 for entry in objects
             }
 
@@ -127,9 +135,27 @@
 
 def _stored_object(name: str, response: HTTPResponse) -> StoredObject:
     answer = _decode_ok(response)
-    if type(answer.get('version')) is not int or 'value' not in answer:
-        raise StoreError(f'the response for {name} has no version or no value')
-    return StoredObject(name=name, version=answer['version'], value=answer['value'])
+    if 'value' not in answer:
+        raise StoreError(f'the response for {name} has no value')
+    return StoredObject(name=name, version=_decode_version(response), value=answer['value'])
+
+
+def _decode_version(response: HTTPResponse) -> int:
+    return _join_version(response, decode_version(response.body))
+
+
+def _join_version(response: HTTPResponse, number: Any) -> int:
+    try:
+        return join_version(era=decode_era(response.headers), number=_require_type(number, int))
+    except ValueError as error:
+        raise StoreError(str(error)) from error
+
+
+def _write_condition(version: int) -> dict[str, str]:
+    era, number = split_version(version)
+    condition = {'If-Match': f'"{number}"'} if number else {'If-None-Match': '*'}
+    # Without the era, the condition would also hold for another state with the same number.
+    return {**condition, ERA_HEADER: str(era)} if version else condition
 
 
 def _decode_ok(response: HTTPResponse) -> dict[str, Any]:
