Refuse keys whose claims the store may have lost with a copy

Callers would see: a request that is not idempotent runs twice. Host b claims a caller's key and runs the request; the store comes back from an older copy; the caller resends to host c, the host that writes the part of the key space has restarted or reads the copy after a conflict, finds no claim, and claims the key for c.

Cause: the claims object was trusted to hold every claim that was acknowledged.

The object now tells the era in which it was written (under the empty key, which no caller can use, so hosts of the version before still read it). A host that finds an object of an earlier era writes the claims that it knows again and marks the loss. A key without a claim is then refused as outcome unknown, code store_unavailable, until one lifetime of its claim (expiry minus now) has passed since the loss: whatever was claimed before has expired by then. Writes name the era, so several hosts that do this cannot overwrite each other. An answer tells the time at which a host first saw an era; all acknowledgements of earlier eras lie before it.

Bounds: new keys are refused as well in that time (600 s by default), since they cannot be told from resends; collecting the keys of all live hosts could shorten it and is not done. Clocks of hosts that differ shorten or lengthen it by the difference. A part without an object in the copy counts as new in era 0 and 1, since the first era of a store is not known.

Ruled out: the holder's own resends (its record proves the claim, no store needed) and the cached claims of a running owner; both stayed right, which the new scenario shows for the owner.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -15,3 +15,19 @@
     Guards against callers that wait until their deadline while the store is down.
     When a key is claimed while the store is down
     Then the claim fails with code "store_unavailable" within 1 second
+
+  Scenario: A store that comes back from a copy never lets a key be claimed twice
+    Guards against a second holder of a key whose acknowledged claim was lost with the copy.
+    When 4 hosts claim keys while the store comes back from copies and hosts restart
+    Then every key has one holder on all hosts
+
+  Scenario Outline: A resend of a key whose claim was lost with the copy
+    Guards against a request that runs again at a host that does not know of its first run.
+    Given a key whose claim the store acknowledged and lost, with an owner that <owner>
+    Then a resend to another host gets <answer>
+    And a key that was never sent is claimed when the lifetime of claims has passed
+
+    Examples:
+      | owner        | answer                     |
+      | keeps going  | the first holder           |
+      | restarted    | code "store_unavailable"   |
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+from behave import given as given_step
 from behave import then, when
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -10,7 +11,7 @@
 
 from balsamrail.errors import KeyClaimError
 from balsamrail.forwarding.claim_partition import ClaimPartition
-from balsamrail.forwarding.claim_registry import ClaimRegistry
+from balsamrail.forwarding.claim_registry import ClaimRegistry, _partition_number
 from balsamrail.metrics import Metrics
 from standins.memory_store import MemoryStore
 
@@ -151,3 +152,115 @@
     assert context.error is not None
     assert context.error.code == code
     assert context.duration_s <= most_s, context.duration_s
+
+
+async def claim_across_restores(views, plan, outcomes, events):
+    store = MemoryStore(delay_s=0.005)
+    registry_by_host = make_registries(store, views)
+    copies = []
+
+    async def claim(host, number, delay_ms):
+        await asyncio.sleep(delay_ms / 1000)
+        try:
+            return number, await registry_by_host[host].claim(f'key-{number}', expiry_wall_s=1.1e6)
+        except KeyClaimError:
+            return number, None
+
+    async def disturb(event, delay_ms):
+        await asyncio.sleep(delay_ms / 1000)
+        match event:
+            case 'copy':
+                copies.append(store.copy())
+            case 'restore':
+                store.restore(copies[-1], wall_s=1e6 + asyncio.get_running_loop().time())
+            case host:
+                registry_by_host[host] = make_registries(store, views)[host]
+
+    # The first copy holds the partitions, since a copy without them looks like a new store.
+    await asyncio.gather(*(claim('a', number, 0) for number in range(100, 150)))
+    copies.append(store.copy())
+    store.script = [(0.005, outcome) for outcome in outcomes]
+    disturbances = [asyncio.create_task(disturb(*event)) for event in events]
+    answers = await asyncio.gather(*(claim(*step) for step in plan))
+    await asyncio.gather(*disturbances)
+    await store.settle()
+    holders_by_number = {}
+    for number, holder in answers:
+        if holder:
+            holders_by_number.setdefault(number, set()).add(holder)
+    return holders_by_number
+
+
+@when('4 hosts claim keys while the store comes back from copies and hosts restart')
+def step_restored_race(context):
+    context.checked = 0
+    views = {host: HOSTS for host in HOSTS}
+
+    @settings(max_examples=300)
+    @given(
+        plan=st.lists(
+            st.tuples(st.sampled_from(HOSTS), st.integers(0, 3), st.integers(0, 1500)),
+            min_size=2,
+            max_size=24,
+        ),
+        outcomes=st.lists(st.sampled_from(WRITE_OUTCOMES), max_size=20),
+        events=st.lists(
+            st.tuples(
+                st.sampled_from(['copy', 'restore', 'restore', *HOSTS]), st.integers(0, 1600)
+            ),
+            max_size=12,
+        ),
+    )
+    def check(plan, outcomes, events):
+        for holders in run_virtual(claim_across_restores(views, plan, outcomes, events)).values():
+            assert len(holders) == 1, holders
+            context.checked += 1
+
+    check()
+
+
+KEY_LIFETIME_S = 600
+
+
+async def claim_lost_key(owner):
+    store = MemoryStore(delay_s=0.005)
+    registry_by_host = make_registries(store, {host: ['a'] for host in 'abc'})
+    now = make_environment('a').clock.wall
+
+    async def claim(host, key):
+        try:
+            return await registry_by_host[host].claim(key, expiry_wall_s=now() + KEY_LIFETIME_S)
+        except KeyClaimError as error:
+            return f'code "{error.code}"'
+
+    assert await claim('a', 'order-0') == 'a@1'
+    number = next(number for number in range(1, 99) if partition_of(number) == partition_of(0))
+    lost, unsent = f'order-{number}', 'order-0'
+    copy = store.copy()
+    assert await claim('b', lost) == 'b@1'
+    store.restore(copy, wall_s=now())
+    if owner == 'restarted':
+        registry_by_host = make_registries(store, {host: ['a'] for host in 'abc'})
+    answers = [await claim('c', lost), await claim('c', lost)]
+    await asyncio.sleep(KEY_LIFETIME_S + 1)
+    return answers, await claim('c', unsent)
+
+
+def partition_of(number):
+    return _partition_number(f'order-{number}')
+
+
+@given_step('a key whose claim the store acknowledged and lost, with an owner that {owner}')
+def step_lost_claim(context, owner):
+    context.answers, context.later = run_virtual(claim_lost_key(owner))
+
+
+@then('a resend to another host gets {answer}')
+def step_lost_answer(context, answer):
+    expected = answer.replace('the first holder', 'b@1')
+    assert context.answers == [expected, expected], context.answers
+
+
+@then('a key that was never sent is claimed when the lifetime of claims has passed')
+def step_later_claim(context):
+    assert context.later == 'c@1', context.later
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -204,6 +204,7 @@
         lost = await lose_second_write(store, stand_in)
         copied = await store.read('x')
         assert copied.version > lost
+        assert store.era.number == 1, store.era
         assert await store.list_names(prefix='x') == {'x': copied.version}
         assert await store.write('x', value=3, version=copied.version) == copied.version + 1
 
--- a/src/balsamrail/forwarding/claim_partition.py
+++ b/src/balsamrail/forwarding/claim_partition.py
@@ -1,16 +1,18 @@
 """One partition of the key space of caller-generated keys, stored as one object."""
 
 import asyncio
-from typing import Any
 
 from balsamrail.environment import Environment
 from balsamrail.errors import KeyClaimError, StoreConflictError, StoreError
+from balsamrail.forwarding.stored_claims import StoredClaims, decode_claims, encode_claims
 from balsamrail.store import Store
+from balsamrail.store.versions import join_version, split_version
 
 # A store value holds 1 MB; a claim with a long key takes about 150 bytes.
 _MAX_CLAIMS = 5_000
 _MAX_ATTEMPTS = 5
 _RETRY_DELAY_S = 0.05
+_LOST_RETRY_AFTER_S = 30
 # 16 partitions at 10 writes per second use 160 of the several hundred writes per second that the
 # store sustains. Without the interval, claims are hardly ever batched: 1.00 writes per booking.
 _WRITE_INTERVAL_S = 0.1
@@ -22,11 +24,17 @@
     The object maps each key to ``[holder, expiry]``. An existing claim never changes before its
     expiry, so the holder found in a cached copy is final. Claims are idempotent for the same
     holder; a write whose response was lost is therefore retried on the current value.
+
+    A store that came back from a copy may lack claims that it acknowledged. Those that this
+    partition knows are written again. Any other key without a claim may have been claimed before,
+    so it is not claimed until the claims of the earlier era have expired.
     """
 
     __slots__ = (
         '_claim_by_key',
+        '_confirmed_claims',
         '_environment',
+        '_lost_at_wall_s',
         '_name',
         '_next_write',
         '_pending_claims',
@@ -48,13 +56,16 @@
         self._version: int | None = None
         self._next_write: float = 0
         self._claim_by_key: dict[str, tuple[str, float]] = {}
+        self._confirmed_claims = StoredClaims(era=0)
+        self._lost_at_wall_s: float = 0
         self._pending_claims: dict[tuple[str, str, float], asyncio.Future[str]] = {}
         self._writer: asyncio.Task[None] | None = None
 
     async def claim(self, key: str, *, holder: str, expiry_wall_s: float) -> str:
         """Return the current holder of ``key``, which may differ from ``holder``.
 
-        :raises KeyClaimError: if the claim cannot be written, or the partition is full.
+        :raises KeyClaimError: if the claim cannot be written, the partition is full, or the key
+            may have a claim that the store has lost.
         """
         current = self._claim_by_key.get(key)
         if current and current[1] > self._environment.clock.wall():
@@ -110,34 +121,73 @@
         raise error
 
     def _merge(self, batch: list[tuple[str, str, float]]) -> bool:
-        """Add the claims that do not exist yet and return whether there were any."""
+        """Add the claims that do not exist yet and return whether a write is needed."""
         now = self._environment.clock.wall()
         live = {key: entry for key, entry in self._claim_by_key.items() if entry[1] > now}
-        added = False
+        era = split_version(self._version or 0)[0]
+        needs_write = self._confirmed_claims.era < era
         for key, holder, expiry_wall_s in batch:
+            if self._may_be_lost(expiry_wall_s, now=now):
+                continue
             if key not in live:
                 live[key] = (holder, expiry_wall_s)
-                added = True
+                needs_write = True
         if len(live) > _MAX_CLAIMS:
             self._invalidate_copy()
             raise KeyClaimError(detail=f'{self._name} holds {_MAX_CLAIMS} keys', retry_after_s=5)
         self._claim_by_key = live
-        return added
+        return needs_write
+
+    def _may_be_lost(self, expiry_wall_s: float, *, now: float) -> bool:
+        """Return whether the store may have lost a claim that has not expired yet.
+
+        Claims of a key have the same lifetime, so one that was lost expires within it.
+        """
+        lifetime_s = expiry_wall_s - now
+        return self._lost_at_wall_s > 0 and now < self._lost_at_wall_s + lifetime_s
 
     async def _read(self) -> None:
         stored = await self._store.read(self._name)
-        self._version = stored.version if stored else 0
-        self._claim_by_key = _decode_claims(stored.value) if stored else {}
+        claims = StoredClaims() if stored is None else decode_claims(stored.value)
+        absent_version = join_version(era=self._store.era.number, number=0)
+        self._version = absent_version if stored is None else stored.version
+        era = split_version(self._version)[0]
+        known = self._confirmed_claims
+        is_behind = known.era < era and bool(known.claim_by_key)
+        self._claim_by_key = dict(claims.claim_by_key)
+        if is_behind:
+            self._add_known(known.claim_by_key)
+        self._lost_at_wall_s = claims.lost_at_wall_s
+        if claims.era < era or (is_behind and stored is None):
+            self._lost_at_wall_s = self._store.era.seen_at_wall_s
+        elif not is_behind:
+            self._confirm(era)
+
+    def _add_known(self, known_by_key: dict[str, tuple[str, float]]) -> None:
+        """Add claims that were confirmed in an earlier era; of two, the later one counts."""
+        for key, entry in known_by_key.items():
+            stored = self._claim_by_key.get(key)
+            if stored is None or stored[1] < entry[1]:
+                self._claim_by_key[key] = entry
 
     async def _write(self) -> None:
-        value = {key: list(entry) for key, entry in self._claim_by_key.items()}
         version = self._version or 0
+        era = split_version(version)[0]
+        claims = StoredClaims(
+            era=era, lost_at_wall_s=self._lost_at_wall_s, claim_by_key=self._claim_by_key
+        )
         # Until the write is confirmed, the store may not hold all claims of the copy.
         pending, self._claim_by_key = self._claim_by_key, {}
-        self._version = await self._store.write(self._name, value=value, version=version)
+        self._version = await self._store.write(
+            self._name, value=encode_claims(claims), version=version
+        )
         self._claim_by_key = pending
+        self._confirm(era)
         self._environment.metrics.count('claim_writes')
 
+    def _confirm(self, era: int) -> None:
+        self._confirmed_claims = StoredClaims(era=era, claim_by_key=self._claim_by_key)
+
     def _invalidate_copy(self) -> None:
         self._version = None
         self._claim_by_key = {}
@@ -152,16 +202,11 @@
             self._pending_claims.pop(claim, None)
             if future.done():
                 continue
+            entry = self._claim_by_key.get(claim[0])
             if error:
                 future.set_exception(error)
+            elif entry:
+                future.set_result(entry[0])
             else:
-                future.set_result(self._claim_by_key[claim[0]][0])
-
-
-def _decode_claims(value: Any) -> dict[str, tuple[str, float]]:
-    if not isinstance(value, dict):
-        raise StoreError('the claims object is not a map')
-    try:
-        return {key: (str(holder), float(expiry)) for key, (holder, expiry) in value.items()}
-    except (TypeError, ValueError) as error:
-        raise StoreError(f'malformed claim: {error}') from error
+                lost = 'the store came back from a copy and may have lost the claim of this key'
+                future.set_exception(KeyClaimError(detail=lost, retry_after_s=_LOST_RETRY_AFTER_S))
--- a/src/balsamrail/store/_connection.py
+++ b/src/balsamrail/store/_connection.py
@@ -9,6 +9,8 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from balsamrail.store._ip_address_resolver import IpAddressResolver
+from balsamrail.store._responses import decode_era
+from balsamrail.store.store_era import StoreEra
 
 # A watch occupies one of them until it returns.
 _MAX_CONCURRENT_CALLS = 64
@@ -21,10 +23,11 @@
 class StoreConnection:
     """Sends calls and counts them as ``store_calls_<kind>`` and ``store_errors_<code>``."""
 
-    __slots__ = ('_client', '_environment')
+    __slots__ = ('_client', '_environment', 'era')
 
     def __init__(self, *, environment: Environment) -> None:
         self._environment = environment
+        self.era = StoreEra()
         self._client = AsyncHTTPClient(
             force_instance=True,
             max_clients=_MAX_CONCURRENT_CALLS,
@@ -102,6 +105,9 @@
         started_at = self._environment.clock.monotonic()
         response = await self._client.fetch(request, raise_error=False)
         metrics.record(f'store_{kind}', self._environment.clock.monotonic() - started_at)
+        era = decode_era(response.headers)
+        if era > self.era.number:
+            self.era = StoreEra(number=era, seen_at_wall_s=self._environment.clock.wall())
         return response
 
     def _url(self, path: str) -> str:
--- a/src/balsamrail/store/http_store.py
+++ b/src/balsamrail/store/http_store.py
@@ -19,6 +19,7 @@
     encode_value,
 )
 from balsamrail.store.listed_host import ListedHost
+from balsamrail.store.store_era import StoreEra
 from balsamrail.store.stored_object import StoredObject
 from balsamrail.store.versions import join_version, split_version
 
@@ -43,6 +44,11 @@
         self._environment = environment
         self._connection = StoreConnection(environment=environment)
 
+    @property
+    def era(self) -> StoreEra:
+        """The latest era that an answer told."""
+        return self._connection.era
+
     async def read(self, name: str) -> StoredObject | None:
         """Return the object, ``None`` if it does not exist."""
         response = await self._connection.get(_object_path(name), kind='read')
--- a/src/balsamrail/store/store.py
+++ b/src/balsamrail/store/store.py
@@ -3,6 +3,7 @@
 from typing import Any, Protocol
 
 from balsamrail.store.host_directory import HostDirectory
+from balsamrail.store.store_era import StoreEra
 from balsamrail.store.stored_object import StoredObject
 
 
@@ -14,6 +15,10 @@
     was lost.
     """
 
+    @property
+    def era(self) -> StoreEra:
+        """The latest era that an answer told."""
+
     async def read(self, name: str) -> StoredObject | None:
         """Return the object, ``None`` if it does not exist."""
 
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -11,7 +11,8 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from balsamrail.store import StoredObject
+from balsamrail.store import StoredObject, StoreEra
+from balsamrail.store.versions import join_version, split_version
 
 _LATE_WRITE_DELAY_S = 3
 
@@ -35,6 +36,7 @@
         self.script = list(script)
         self.delay_s = delay_s
         self.down = False
+        self.era = StoreEra()
         self.values_by_name: dict[str, list[str]] = {}
         self.calls: Counter[str] = Counter()
         self._late: list[asyncio.Task[None]] = []
@@ -47,7 +49,7 @@
         values = self.values_by_name.get(name)
         if not values:
             return None
-        found = StoredObject(name=name, version=len(values), value=json.loads(values[-1]))
+        found = StoredObject(name=name, version=self.version(name), value=json.loads(values[-1]))
         await asyncio.sleep(delay)
         return found
 
@@ -64,15 +66,25 @@
                 self._late.append(asyncio.create_task(self._apply_late(name, text, version)))
                 raise StoreOutcomeUnknownError(fate)
         taken = self._apply(name, text, version)
+        written_version = self.version(name)
         await asyncio.sleep(delay)
         if fate == 'lost':
             raise StoreOutcomeUnknownError(fate)
         if not taken:
             raise StoreConflictError(name=name, version=self.version(name))
-        return version + 1
+        return written_version
 
     def version(self, name: str) -> int:
-        return len(self.values_by_name.get(name, ()))
+        return join_version(era=self.era.number, number=len(self.values_by_name.get(name, ())))
+
+    def copy(self) -> dict[str, list[str]]:
+        """Return a copy of all values that were written."""
+        return {name: list(values) for name, values in self.values_by_name.items()}
+
+    def restore(self, values_by_name: dict[str, list[str]], *, wall_s: float) -> None:
+        """Come back from a copy in a new era, which all hosts see at ``wall_s``."""
+        self.values_by_name = {name: list(values) for name, values in values_by_name.items()}
+        self.era = StoreEra(number=self.era.number + 1, seen_at_wall_s=wall_s)
 
     def values(self, name: str) -> list[Any]:
         return [json.loads(text) for text in self.values_by_name.get(name, ())]
@@ -82,7 +94,8 @@
         await asyncio.gather(*self._late)
 
     def _apply(self, name: str, text: str, version: int) -> bool:
-        if self.version(name) != version:
+        names_no_era = not version and not split_version(self.version(name))[1]
+        if self.version(name) != version and not names_no_era:
             return False
         self.values_by_name.setdefault(name, []).append(text)
         return True
