Watch the record anew when the store has lost the watched version

Callers would see: a declaration that was confirmed after the store came back from a copy is not in force on hosts that learn of changes from the store. Their watches name a version that the store no longer has: it answers 410 to each, or waits for a change of a version that it gave out again.

Cause: the watcher kept the version of its last answer whatever the store answered, and the client took 410 for an unexpected status.

A watch now names the era of its version. 410, or 304 in an answer of another era, raises HistoryGoneError, and the record's watcher starts again without a version, so that the store answers with what it holds. Watches without a version are as before.

Ruled out: heartbeats and announcements, which carry a record further only once a watcher has it.

--- a/features/record_sync.feature
+++ b/features/record_sync.feature
@@ -63,3 +63,11 @@
     Then any record patched to any other equals it
     And the patch for one changed weight of a 100 KB declaration is under 300 bytes
     And the examples of RFC 7396 hold
+
+  Scenario: A change after the store came back from a copy
+    # Guards against a watch that goes on from a lost version and never sees a later change.
+    Given a fleet of 9 hosts
+    When record 1 is written and then record 2
+    And 5 s pass
+    And the store comes back with record 1 and then record 3 is written
+    Then every running host has record 3 within 8 s
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -10,12 +10,13 @@
 from balsamrail.clock import Clock
 from balsamrail.configuration.record_sync import RecordSync
 from balsamrail.environment import Environment
-from balsamrail.errors import StoreUnavailableError
+from balsamrail.errors import HistoryGoneError, StoreUnavailableError
 from balsamrail.logs import Log
 from balsamrail.membership import FailureDetector, HeartbeatStatus, Members, PeerNetwork
 from balsamrail.membership.updates import make_update
 from balsamrail.settings import Settings, StoreSettings
 from balsamrail.store import ListedHost, StoredObject
+from balsamrail.store.versions import join_version, split_version
 from features.steps.memory_network import CURRENT_GATE, Gate, MemoryNetwork, make_task
 
 START_WALL_S = 1_700_000_000
@@ -28,6 +29,7 @@
     """
 
     def __init__(self):
+        self.era = 0
         self.stored = None
         self.changed = asyncio.Event()
         self.down = False
@@ -38,7 +40,17 @@
 
     def put(self, value):
         version = self.stored.version + 1 if self.stored else 1
-        self.stored = StoredObject(name='record', version=version, value=value)
+        self.replace(StoredObject(name='record', version=version, value=value))
+
+    def restore(self, copy):
+        """Come back from an earlier ``stored`` object in a new era."""
+        self.era += 1
+        _, number = split_version(copy.version)
+        version = join_version(era=self.era, number=number)
+        self.replace(StoredObject(name='record', version=version, value=copy.value))
+
+    def replace(self, stored):
+        self.stored = stored
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -56,6 +68,8 @@
 
     async def watch(self, name, *, version):
         await self._simulate_call()
+        if version and split_version(version)[0] != self.era:
+            raise HistoryGoneError(f'version {version} is gone')
         if self.stored is None or self.stored.version == version:
             try:
                 await asyncio.wait_for(self.changed.wait(), 30)
@@ -63,6 +77,8 @@
                 return None
         if self.down:
             raise StoreUnavailableError('the store is down')
+        if version and split_version(version)[0] != self.era:
+            raise StoreUnavailableError('the watch ended when the store came back')
         return self.stored
 
     async def list_hosts(self):
--- a/features/steps/record_sync_steps.py
+++ b/features/steps/record_sync_steps.py
@@ -37,6 +37,7 @@
 @when('record 1 is written and then record 2')
 def step_write_two(context):
     run(context, put(context, 1))
+    context.copy = context.fleet.store.stored
     run(context, asyncio.sleep(3))
     run(context, put(context, 2))
 
@@ -90,6 +91,15 @@
     run(context, hang())
 
 
+@when('the store comes back with record 1 and then record {number:d} is written')
+def step_come_back(context, number):
+    async def come_back():
+        context.fleet.store.restore(context.copy)
+        await put(context, number)
+
+    run(context, come_back())
+
+
 @when('the store is down for {seconds:d} s')
 def step_down_for(context, seconds):
     context.fleet.store.down = True
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -7,7 +7,12 @@
 from platform_helpers import make_environment, run_real
 from tornado.httpclient import AsyncHTTPClient
 
-from balsamrail.errors import BalsamrailError, StoreConflictError, StoreError
+from balsamrail.errors import (
+    BalsamrailError,
+    HistoryGoneError,
+    StoreConflictError,
+    StoreError,
+)
 from balsamrail.store import HttpStore, ListedHost
 from standins.store import StoreStandIn
 
@@ -209,3 +214,22 @@
         assert await store.write('x', value=3, version=copied.version) == copied.version + 1
 
     run_real(with_store(main))
+
+
+@then('a watch from a lost version ends at once, also when its number was given out again')
+def step_lost_watch(context):
+    async def main(store, stand_in):
+        lost = await lose_second_write(store, stand_in)
+        for given_out in (1, 2):
+            assert (await store.read('x')).version % 2**32 == given_out
+            try:
+                async with asyncio.timeout(1):
+                    await store.watch('x', version=lost)
+            except HistoryGoneError:
+                pass
+            else:
+                raise AssertionError('the watch went on')
+            found = await store.watch('x', version=0)
+            await store.write('x', value=given_out, version=found.version)
+
+    run_real(with_store(main))
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -55,3 +55,7 @@
   Scenario: A conditional write after the store came back from a copy
     Then a write on a lost version conflicts when another write was given the same version
     And the versions that are read, written and listed are higher after the store came back
+
+  # Guards against a watch that waits for a change which another version of the same number hides.
+  Scenario: A watch from a version that the store has lost
+    Then a watch from a lost version ends at once, also when its number was given out again
--- a/src/balsamrail/configuration/record_sync.py
+++ b/src/balsamrail/configuration/record_sync.py
@@ -12,7 +12,7 @@
 from balsamrail.configuration.watchers import choose_watchers
 from balsamrail.documents import encode_value
 from balsamrail.environment import Environment
-from balsamrail.errors import StoreError
+from balsamrail.errors import HistoryGoneError, StoreError
 from balsamrail.membership.members import Members
 from balsamrail.membership.network import Network
 from balsamrail.messages import (
@@ -173,8 +173,12 @@
     async def _watch_once(self, version: int) -> int:
         settings = self._environment.settings.store
         # Bounds a watch on a dead connection: the watch's duration plus the timeout of a call.
-        async with asyncio.timeout(settings.watch_s + settings.timeout_s):
-            stored = await self._store.watch(_RECORD_NAME, version=version)
+        try:
+            async with asyncio.timeout(settings.watch_s + settings.timeout_s):
+                stored = await self._store.watch(_RECORD_NAME, version=version)
+        except HistoryGoneError:
+            self._environment.log.event('record_version_gone', version=version)
+            return 0
         if stored is None:
             return version
         self._adopt(stored.value, version=stored.version)
--- a/src/balsamrail/store/http_store.py
+++ b/src/balsamrail/store/http_store.py
@@ -9,7 +9,7 @@
 from tornado.httpclient import HTTPResponse
 
 from balsamrail.environment import Environment
-from balsamrail.errors import StoreConflictError, StoreError
+from balsamrail.errors import HistoryGoneError, StoreConflictError, StoreError
 from balsamrail.store._connection import StoreConnection
 from balsamrail.store._responses import (
     ERA_HEADER,
@@ -74,13 +74,23 @@
         _raise_unexpected(response)
 
     async def watch(self, name: str, *, version: int) -> StoredObject | None:
-        """Wait for another version and return it, ``None`` if there is none within ``watch_s``."""
+        """Wait for another version and return it, ``None`` if there is none within ``watch_s``.
+
+        :raises HistoryGoneError: if the store does not have ``version``, since it came back from a
+            copy.
+        """
         watch_s = self._environment.settings.store.watch_s
-        _, number = split_version(version)
-        query = urlencode({'watch': number, 'wait_s': watch_s})
+        era, number = split_version(version)
+        known = {'watch': number, 'era': era} if version else {'watch': number}
+        query = urlencode({**known, 'wait_s': watch_s})
         response = await self._connection.get(
             f'{_object_path(name)}?{query}', kind='watch', wait_s=watch_s
         )
+        is_lost = version > 0 and era != decode_era(response.headers)
+        if response.code == HTTPStatus.GONE or (
+            is_lost and response.code == HTTPStatus.NOT_MODIFIED
+        ):
+            raise HistoryGoneError(f'version {version} of {name} is gone')
         if response.code == HTTPStatus.NOT_MODIFIED:
             return None
         return _stored_object(name, response)
--- a/src/balsamrail/store/store.py
+++ b/src/balsamrail/store/store.py
@@ -29,7 +29,10 @@
         """
 
     async def watch(self, name: str, *, version: int) -> StoredObject | None:
-        """Wait for another version and return it, ``None`` if there is none within ``watch_s``."""
+        """Wait for another version and return it, ``None`` if there is none within ``watch_s``.
+
+        :raises balsamrail.errors.HistoryGoneError: if the store has lost ``version``.
+        """
 
     async def list_names(self, *, prefix: str) -> dict[str, int]:
         """Return the version of each object whose name starts with ``prefix``."""
