--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -1,11 +1,18 @@
 """Steps of store_client.feature."""
 
 import asyncio
+import json
 
 from behave import given, then, when
 from platform_helpers import make_environment, run_real
-
-from balsamrail.errors import BalsamrailError, StoreError
+from tornado.httpclient import AsyncHTTPClient
+
+from balsamrail.errors import (
+    BalsamrailError,
+    HistoryGoneError,
+    StoreConflictError,
+    StoreError,
+)
 from balsamrail.store import HttpStore, ListedHost
 from standins.store import StoreStandIn
 
@@ -134,3 +141,95 @@
             raise AssertionError('the store accepted a value that is too large')
 
     run_real(with_store(main))
+
+
+async def call(stand_in, path, **options):
+    response = await AsyncHTTPClient().fetch(
+        f'http://{stand_in.address}{path}', raise_error=False, **options
+    )
+    return response.code, response.headers.get('Store-Era'), response.body
+
+
+@then('a stand-in that comes back from a copy twice loses later writes and raises its era')
+def step_copy(context):
+    async def put(stand_in, body, **headers):
+        return await call(stand_in, '/objects/x', method='PUT', body=body, headers=headers)
+
+    async def main(store, stand_in):
+        assert (await call(stand_in, '/copy', method='POST', body=''))[0] == 409
+        await store.write('x', value=1, version=0)
+        await call(stand_in, '/copy', method='PUT', body='')
+        listed = ListedHost(host='h1', address='127.0.0.1:9', state='live')
+        for era in ('1', '2'):
+            assert (await put(stand_in, '2', **{'If-Match': '"1"'}))[0] == 200
+            await store.write('y', value=2, version=0)
+            await store.announce_host(listed)
+            await call(stand_in, '/copy', method='POST', body='')
+            code, seen_era, body = await call(stand_in, '/objects/x')
+            assert (code, seen_era) == (200, era)
+            assert json.loads(body) == {'name': 'x', 'version': 1, 'value': 1}
+            assert (await call(stand_in, '/objects/y'))[:2] == (404, era)
+            assert (await call(stand_in, '/hosts')) == (200, era, b'{"hosts": []}')
+            assert (await call(stand_in, '/objects/x?watch=2'))[:2] == (410, era)
+            assert (await call(stand_in, '/objects/x?watch=1&era=0'))[:2] == (410, era)
+            earlier = {'If-Match': '"1"', 'Store-Era': str(int(era) - 1)}
+            assert (await put(stand_in, '3', **earlier))[:2] == (412, era)
+
+    run_real(with_store(main))
+
+
+async def lose_second_write(store, stand_in):
+    await store.write('x', value=1, version=0)
+    stand_in.state.take_copy()
+    lost = await store.write('x', value='lost', version=1)
+    stand_in.state.restore()
+    return lost
+
+
+@then('a write on a lost version conflicts when another write was given the same version')
+def step_lost_version(context):
+    async def main(store, stand_in):
+        lost = await lose_second_write(store, stand_in)
+        copied = await store.read('x')
+        assert await store.write('x', value='other', version=copied.version)
+        try:
+            await store.write('x', value='late', version=lost)
+        except StoreConflictError:
+            pass
+        else:
+            raise AssertionError('a write on a lost version took effect')
+        assert (await store.read('x')).value == 'other'
+
+    run_real(with_store(main))
+
+
+@then('the versions that are read, written and listed are higher after the store came back')
+def step_higher_versions(context):
+    async def main(store, stand_in):
+        lost = await lose_second_write(store, stand_in)
+        copied = await store.read('x')
+        assert copied.version > lost
+        assert store.era.number == 1, store.era
+        assert await store.list_names(prefix='x') == {'x': copied.version}
+        assert await store.write('x', value=3, version=copied.version) == copied.version + 1
+
+    run_real(with_store(main))
+
+
+@then('a watch from a lost version ends at once, also when its number was given out again')
+def step_lost_watch(context):
+    async def main(store, stand_in):
+        lost = await lose_second_write(store, stand_in)
+        for given_out in (1, 2):
+            assert (await store.read('x')).version % 2**32 == given_out
+            try:
+                async with asyncio.timeout(1):
+                    await store.watch('x', version=lost)
+            except HistoryGoneError:
+                pass
+            else:
+                raise AssertionError('the watch went on')
+            found = await store.watch('x', version=0)
+            await store.write('x', value=given_out, version=found.version)
+
+    run_real(with_store(main))
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -46,3 +46,16 @@
   # Guards against values that are truncated or corrupted in transit.
   Scenario: A value of nearly 1 MB is accepted and a larger one is rejected
     Then a value of 999000 bytes is read back and one of 1000001 bytes is rejected
+
+  # Guards against a stand-in that cannot lose what it acknowledged, so that no test shows the loss.
+  Scenario: The stand-in comes back from a copy
+    Then a stand-in that comes back from a copy twice loses later writes and raises its era
+
+  # Guards against a write on a lost version that replaces another state which has the same version.
+  Scenario: A conditional write after the store came back from a copy
+    Then a write on a lost version conflicts when another write was given the same version
+    And the versions that are read, written and listed are higher after the store came back
+
+  # Guards against a watch that waits for a change which another version of the same number hides.
+  Scenario: A watch from a version that the store has lost
+    Then a watch from a lost version ends at once, also when its number was given out again
--- a/src/balsamrail/store/http_store.py
+++ b/src/balsamrail/store/http_store.py
@@ -9,11 +9,19 @@
 from tornado.httpclient import HTTPResponse
 
 from balsamrail.environment import Environment
-from balsamrail.errors import StoreConflictError, StoreError
+from balsamrail.errors import HistoryGoneError, StoreConflictError, StoreError
 from balsamrail.store._connection import StoreConnection
-from balsamrail.store._responses import decode_response, decode_version, encode_value
+from balsamrail.store._responses import (
+    ERA_HEADER,
+    decode_era,
+    decode_response,
+    decode_version,
+    encode_value,
+)
 from balsamrail.store.listed_host import ListedHost
+from balsamrail.store.store_era import StoreEra
 from balsamrail.store.stored_object import StoredObject
+from balsamrail.store.versions import join_version, split_version
 
 ValueT = TypeVar('ValueT')
 
@@ -36,6 +44,11 @@
         self._environment = environment
         self._connection = StoreConnection(environment=environment)
 
+    @property
+    def era(self) -> StoreEra:
+        """The latest era that an answer told."""
+        return self._connection.era
+
     async def read(self, name: str) -> StoredObject | None:
         """Return the object, ``None`` if it does not exist."""
         response = await self._connection.get(_object_path(name), kind='read')
@@ -45,28 +58,39 @@
 
     async def write(self, name: str, *, value: Any, version: int) -> int:
         """Write if the object is at ``version``, 0 to create it, and return the new version."""
-        condition = {'If-Match': f'"{version}"'} if version else {'If-None-Match': '*'}
+        condition = _write_condition(version)
         response = await self._connection.put(
             _object_path(name), kind='write', body=encode_value(value), headers=condition
         )
         match response.code:
             case HTTPStatus.OK:
                 try:
-                    return decode_version(response.body)
+                    return _decode_version(response)
                 except StoreError as error:
                     raise self._connection.outcome_unknown_error(error) from error
             case HTTPStatus.PRECONDITION_FAILED:
                 self._environment.metrics.count('store_conflicts')
-                raise StoreConflictError(name=name, version=decode_version(response.body))
+                raise StoreConflictError(name=name, version=_decode_version(response))
         _raise_unexpected(response)
 
     async def watch(self, name: str, *, version: int) -> StoredObject | None:
-        """Wait for another version and return it, ``None`` if there is none within ``watch_s``."""
+        """Wait for another version and return it, ``None`` if there is none within ``watch_s``.
+
+        :raises HistoryGoneError: if the store does not have ``version``, since it came back from a
+            copy.
+        """
         watch_s = self._environment.settings.store.watch_s
-        query = urlencode({'watch': version, 'wait_s': watch_s})
+        era, number = split_version(version)
+        known = {'watch': number, 'era': era} if version else {'watch': number}
+        query = urlencode({**known, 'wait_s': watch_s})
         response = await self._connection.get(
             f'{_object_path(name)}?{query}', kind='watch', wait_s=watch_s
         )
+        is_lost = version > 0 and era != decode_era(response.headers)
+        if response.code == HTTPStatus.GONE or (
+            is_lost and response.code == HTTPStatus.NOT_MODIFIED
+        ):
+            raise HistoryGoneError(f'version {version} of {name} is gone')
         if response.code == HTTPStatus.NOT_MODIFIED:
             return None
         return _stored_object(name, response)
@@ -78,7 +102,7 @@
         with _validated_fields():
             objects = _decode_ok(response)['objects']
             return {
-                _require_type(entry['name'], str): _require_type(entry['version'], int)
+                _require_type(entry['name'], str): _join_version(response, entry['version'])
                 for entry in objects
             }
 
@@ -127,9 +151,27 @@
 
 def _stored_object(name: str, response: HTTPResponse) -> StoredObject:
     answer = _decode_ok(response)
-    if type(answer.get('version')) is not int or 'value' not in answer:
-        raise StoreError(f'the response for {name} has no version or no value')
-    return StoredObject(name=name, version=answer['version'], value=answer['value'])
+    if 'value' not in answer:
+        raise StoreError(f'the response for {name} has no value')
+    return StoredObject(name=name, version=_decode_version(response), value=answer['value'])
+
+
+def _decode_version(response: HTTPResponse) -> int:
+    return _join_version(response, decode_version(response.body))
+
+
+def _join_version(response: HTTPResponse, number: Any) -> int:
+    try:
+        return join_version(era=decode_era(response.headers), number=_require_type(number, int))
+    except ValueError as error:
+        raise StoreError(str(error)) from error
+
+
+def _write_condition(version: int) -> dict[str, str]:
+    era, number = split_version(version)
+    condition = {'If-Match': f'"{number}"'} if number else {'If-None-Match': '*'}
+    # Without the era, the condition would also hold for another state with the same number.
+    return {**condition, ERA_HEADER: str(era)} if version else condition
 
 
 def _decode_ok(response: HTTPResponse) -> dict[str, Any]:
--- a/src/balsamrail/store/store.py
+++ b/src/balsamrail/store/store.py
@@ -3,6 +3,7 @@
 from typing import Any, Protocol
 
 from balsamrail.store.host_directory import HostDirectory
+from balsamrail.store.store_era import StoreEra
 from balsamrail.store.stored_object import StoredObject
 
 
@@ -14,6 +15,10 @@
     was lost.
     """
 
+    @property
+    def era(self) -> StoreEra:
+        """The latest era that an answer told."""
+
     async def read(self, name: str) -> StoredObject | None:
         """Return the object, ``None`` if it does not exist."""
 
@@ -24,7 +29,10 @@
         """
 
     async def watch(self, name: str, *, version: int) -> StoredObject | None:
-        """Wait for another version and return it, ``None`` if there is none within ``watch_s``."""
+        """Wait for another version and return it, ``None`` if there is none within ``watch_s``.
+
+        :raises balsamrail.errors.HistoryGoneError: if the store has lost ``version``.
+        """
 
     async def list_names(self, *, prefix: str) -> dict[str, int]:
         """Return the version of each object whose name starts with ``prefix``."""
