Keep lost targets and evacuations until they can be written again

When the store came back older, a host removed the targets that the copy lacks at once unless an outage had just ended for all of its sources, and lifted the evacuations that the copy lacks in any case: callers would be refused for lack of targets, and requests go to an evacuated zone, until targets and operator had written again (about two seconds).

The grace for registrations was counted from the end of an outage as the sources tell it, and evacuations had none. A removal that a listing of a newer era shows is now marked as lost, and its object stays in force for 2 s, or until it is written again. Objects that are removed in the new era itself go at once.

Test: "What a store lost when it came back older stays in force until it is written again" failed before (evacuation gone at the return, for an outage that ended 0 s ago as well) and passes now. "A target that leaves after the store came back older is removed at once" passed before and guards the change.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -79,6 +79,20 @@
     When the store recovers without the target
     Then the target is removed 2 s after the recovery and not before
 
+  Scenario: What a store lost when it came back older stays in force until it is written again
+    Guards against requests that are refused for lack of targets, or sent to an evacuated zone.
+
+    Given a catalog with a registered target
+    When the store comes back older without the target and an evacuation, at any time after an outage
+    Then both stay in force for 2 s, and for good if they are written again within that time
+
+  Scenario: A target that leaves after the store came back older is removed at once
+    Guards against requests to a target that has left, for the time that lost entries are kept.
+
+    Given a catalog with a registered target
+    When the store comes back older with the target and an evacuation, and both are removed
+    Then both are gone at once
+
   Scenario: A host that was cut off from the store learns in time of targets that left meanwhile
     This guards against requests to a target that shut down while this host was cut off. Found by
     a randomized run: selo-ops scale-2, seed 339403990409, DRAIN.
--- a/src/balsamrail/catalog/object_view.py
+++ b/src/balsamrail/catalog/object_view.py
@@ -62,8 +62,12 @@
         self.is_listed = True
         listed = {stored.name for stored in listing.objects}
         gone = [
-            # Stamped with the listing, so that no older report restores the object at a follower.
-            ObjectEvent(stored=replace(known, revision=listing.revision), is_removal=True)
+            ObjectEvent(
+                # Stamped with the listing, so that no older report restores it at a follower.
+                stored=replace(known, revision=listing.revision),
+                is_removal=True,
+                is_lost=known.revision.era < listing.revision.era,
+            )
             for name, known in self.objects_by_name.items()
             if name not in listed and known.revision <= listing.revision
         ]
--- a/src/balsamrail/catalog/stored_objects.py
+++ b/src/balsamrail/catalog/stored_objects.py
@@ -29,10 +29,15 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ObjectEvent:
-    """The write of an object, or its removal if ``is_removal``."""
+    """The write of an object, or its removal if ``is_removal``.
+
+    :param is_lost: whether the store lost the object when it came back from an older copy, so that
+        nobody may have removed it.
+    """
 
     stored: StoreObject
     is_removal: bool
+    is_lost: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -1,5 +1,6 @@
 """Updates the catalog from objects of the platform's store."""
 
+import asyncio
 from collections.abc import Callable
 
 from balsamrail.catalog.catalog import Catalog
@@ -16,7 +17,8 @@
 EVACUATIONS = 'evacuations'
 _MANIFEST_NAME = 'main'
 # A target whose registration expired while the store was unavailable registers again within this
-# time after the store is back.
+# time after the store is back. What the store lost by a return from an older copy is written again
+# in that time too.
 _REGISTRATION_GRACE_S = 2.0
 
 
@@ -31,6 +33,7 @@
         '_delayed_removal',
         '_environment',
         '_era_by_kind',
+        '_lost_evacuations',
         '_store_up_for_s',
         'views',
     )
@@ -47,12 +50,13 @@
         self._store_up_for_s = store_up_for_s
         self._delayed_removal = DelayedRemoval(catalog=catalog)
         self._era_by_kind: dict[str, int] = {}
+        self._lost_evacuations: dict[str, asyncio.TimerHandle] = {}
         manifests = ObjectView(kind=MANIFESTS, content_version=_manifest_version)
         manifests.subscribe(self._on_manifests_changed)
         targets = ObjectView(kind=TARGETS)
         targets.subscribe(self._on_targets_changed)
         evacuations = ObjectView(kind=EVACUATIONS)
-        evacuations.subscribe(lambda _: self._on_evacuations_changed(evacuations))
+        evacuations.subscribe(lambda events: self._on_evacuations_changed(evacuations, events))
         self.views = (manifests, targets, evacuations)
         for view in self.views:
             view.subscribe(self._make_era_observer(view))
@@ -90,7 +94,11 @@
     def _on_targets_changed(self, events: list[ObjectEvent]) -> None:
         for event in events:
             if event.is_removal:
-                self._remove_target(event.stored.name, reason='removed')
+                self._remove_target(
+                    event.stored.name,
+                    reason='removed',
+                    up_for_s=0 if event.is_lost else self._store_up_for_s(),
+                )
             else:
                 self._put_target(event.stored)
         self._catalog.publish()
@@ -106,17 +114,33 @@
             )
         except EntryError as error:
             self._report_rejected('target_rejected', stored, error)
-            self._remove_target(stored.name, reason='unreadable')
+            self._remove_target(stored.name, reason='unreadable', up_for_s=self._store_up_for_s())
             return
         self._delayed_removal.cancel(stored.name)
         self._catalog.put_target(entry)
 
-    def _remove_target(self, target_id: str, *, reason: str) -> None:
-        after_s = _REGISTRATION_GRACE_S - self._store_up_for_s()
+    def _remove_target(self, target_id: str, *, reason: str, up_for_s: float) -> None:
+        after_s = _REGISTRATION_GRACE_S - up_for_s
         self._delayed_removal.remove(target_id, after_s=after_s, reason=reason)
 
-    def _on_evacuations_changed(self, view: ObjectView) -> None:
-        self._catalog.set_evacuated(frozenset(view.objects_by_name))
+    def _on_evacuations_changed(self, view: ObjectView, events: list[ObjectEvent]) -> None:
+        for event in events:
+            timer = self._lost_evacuations.pop(event.stored.name, None)
+            if timer is not None:
+                timer.cancel()
+            if event.is_lost:
+                self._lost_evacuations[event.stored.name] = asyncio.get_running_loop().call_later(
+                    _REGISTRATION_GRACE_S, self._end_lost_evacuation, view, event.stored.name
+                )
+        self._publish_evacuations(view)
+
+    def _end_lost_evacuation(self, view: ObjectView, zone: str) -> None:
+        self._lost_evacuations.pop(zone, None)
+        self._publish_evacuations(view)
+
+    def _publish_evacuations(self, view: ObjectView) -> None:
+        zones = frozenset((*view.objects_by_name, *self._lost_evacuations))
+        self._catalog.set_evacuated(zones)
 
     def _report_rejected(self, event: str, stored: StoreObject, error: EntryError) -> None:
         self._environment.metrics.count(event)
