--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -11,6 +11,7 @@
 from placement_parts import make_route
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
+from balsamrail.catalog.revision import Revision
 from balsamrail.configuration import Target
 from balsamrail.delivery.health_checker import HealthChecker
 from balsamrail.errors import ExchangeError, RequestError, StoreUnavailableError
@@ -390,7 +391,7 @@
         store = ObjectStore(environment=environment)
         calls = {
             'list': lambda: store.list_objects('servers'),
-            'watch': lambda: store.watch('servers', revision=1, wait_s=0.1),
+            'watch': lambda: store.watch('servers', revision=Revision(number=1), wait_s=0.1),
         }
         try:
             context.result, context.took_s = await timed(calls[call]())
