Don't believe entries of targets that are older than what is known

When the store came back from an older copy, a target that drained was used again as ready, one that had left came back, and one that had been started again got the address of its former start, until the targets had written again (one heartbeat) or the entry had lapsed (three): callers would get 503 and lost connections.

The new era makes the copy's entries newer than those that were known. The entries of one start of a target are numbered by sequence, and starts by born. A host now remembers how far each target has come, also those that have left. For three heartbeats from a new era it ignores entries that are not as far, then believes what is still there. Entries without sequence and born are believed.

Open: a host that restarts in that time has no memory of this and believes the copy.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -93,6 +93,19 @@
     When the store comes back older with the target and an evacuation, and both are removed
     Then both are gone at once
 
+  Scenario Outline: Targets keep the state that is known when the store came back older
+    Guards against requests to targets that drain or have left, by entries from the older copy.
+
+    Given a catalog with a registered target
+    When the target has <changed> and the store comes back older with its first entry
+    Then its state is kept until the target writes again, or for three heartbeats
+
+    Examples:
+      | changed                |
+      | begun to drain         |
+      | left                   |
+      | been started again     |
+
   Scenario: A host that was cut off from the store learns in time of targets that left meanwhile
     This guards against requests to a target that shut down while this host was cut off. Found by
     a randomized run: selo-ops scale-2, seed 339403990409, DRAIN.
--- a/features/steps/catalog_restore_steps.py
+++ b/features/steps/catalog_restore_steps.py
@@ -13,6 +13,7 @@
 from balsamrail.catalog.stored_objects import Listing, ObjectEvent, StoreObject
 from balsamrail.platform.catalog_reader import EVACUATIONS, TARGETS, CatalogReader
 
+HEARTBEAT_S = 1.5
 UP_FOR_S = (0.0, 1.0, 100.0)
 ENTRIES = {TARGETS: ('i-1', TARGET), EVACUATIONS: ('attiki-b', {})}
 
@@ -43,6 +44,19 @@
             event = ObjectEvent(stored=self._stored(kind), is_removal=is_removal)
             self.view_by_kind[kind].apply_events([event])
 
+    def put_target(self, spec):
+        revision = Revision(era=self.era, number=self.number)
+        stored = StoreObject(name='i-1', revision=revision, spec=spec)
+        self.view_by_kind[TARGETS].apply_events([ObjectEvent(stored=stored, is_removal=False)])
+
+    def list_targets(self, spec):
+        revision = Revision(era=self.era, number=self.number)
+        stored = StoreObject(name='i-1', revision=revision, spec=spec)
+        self.view_by_kind[TARGETS].apply_listing(Listing(objects=(stored,), revision=revision))
+
+    def addresses(self):
+        return [(entry.address, entry.slots) for entry in self.catalog.targets_of('lepu')]
+
     def in_force(self):
         targets = self.catalog.targets_of('lepu')
         return bool(targets), bool(self.catalog.evacuated_zones)
@@ -106,3 +120,45 @@
 @then('both are gone at once')
 def step_gone_at_once(context):
     assert context.found == [(True, True), (False, False)], context.found
+
+
+@when('the target has {changed} and the store comes back older with its first entry')
+def step_changed(context, changed):
+    first = {**TARGET, 'sequence': 5, 'born': 1_000}
+    last = {
+        'begun to drain': {**first, 'sequence': 9, 'state': 'draining'},
+        'left': first,
+        'been started again': {**first, 'sequence': 1, 'born': 2_000, 'address': '127.0.0.1:8'},
+    }[changed]
+    renewed = {**last, 'sequence': 10, 'state': 'ready', 'slots': 3}
+
+    async def play(*, is_renewed):
+        store = RestoredStore()
+        store.list_targets(first)
+        for number, spec in ((1, first), (9, last)):
+            store.number = number
+            store.put_target(spec)
+        if changed == 'left':
+            store.change_entries(is_removal=True)
+        expected = store.addresses()
+        await asyncio.sleep(60)
+        store.era, store.number = 2, 4
+        store.list_targets(first)
+        found = [store.addresses()]
+        await asyncio.sleep(3 * HEARTBEAT_S - 0.1)
+        found.append(store.addresses())
+        if is_renewed:
+            store.number = 6
+            store.put_target(renewed)
+            return expected, found, store.addresses() == [(renewed['address'], 3)]
+        await asyncio.sleep(0.2)
+        return expected, found, store.addresses() == [(first['address'], 2)]
+
+    context.found = [run_virtual(play(is_renewed=value)) for value in (True, False)]
+
+
+@then('its state is kept until the target writes again, or for three heartbeats')
+def step_state_kept(context):
+    for expected, found, is_believed in context.found:
+        assert found == [expected, expected], (expected, found)
+        assert is_believed
--- a/src/balsamrail/catalog/target_entry.py
+++ b/src/balsamrail/catalog/target_entry.py
@@ -1,6 +1,6 @@
 """The registration of a target in the platform's store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -11,6 +11,7 @@
         with the same id; 0 if it is not known.
     :param is_draining: whether the target is about to shut down and accepts no new requests.
     :param cold_left_s: the remaining warm-up time when the entry was written, in seconds.
+    :param sequence: numbers the entries of an incarnation; says nothing about the target itself.
     """
 
     target_id: str
@@ -23,3 +24,4 @@
     is_draining: bool
     cold_left_s: float
     born_ms: int
+    sequence: int = field(default=0, compare=False)
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -6,6 +6,7 @@
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.catalog.delayed_removal import DelayedRemoval
 from balsamrail.catalog.object_view import ObjectView
+from balsamrail.catalog.outdated_entries import OutdatedEntries
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject
 from balsamrail.environment import Environment
 from balsamrail.errors import EntryError
@@ -20,6 +21,9 @@
 # time after the store is back. What the store lost by a return from an older copy is written again
 # in that time too.
 _REGISTRATION_GRACE_S = 2.0
+# The entry of a target that does not renew it is removed after this number of heartbeats, so that an
+# entry which is still there then is believed.
+_LAPSE_HEARTBEATS = 3
 
 
 class CatalogReader:
@@ -34,7 +38,10 @@
         '_environment',
         '_era_by_kind',
         '_lost_evacuations',
+        '_outdated_entries',
         '_store_up_for_s',
+        '_suspicion_timer',
+        '_unbelieved_ids',
         'views',
     )
 
@@ -51,15 +58,18 @@
         self._delayed_removal = DelayedRemoval(catalog=catalog)
         self._era_by_kind: dict[str, int] = {}
         self._lost_evacuations: dict[str, asyncio.TimerHandle] = {}
+        self._outdated_entries = OutdatedEntries()
+        self._suspicion_timer: asyncio.TimerHandle | None = None
+        self._unbelieved_ids: set[str] = set()
         manifests = ObjectView(kind=MANIFESTS, content_version=_manifest_version)
-        manifests.subscribe(self._on_manifests_changed)
         targets = ObjectView(kind=TARGETS)
-        targets.subscribe(self._on_targets_changed)
         evacuations = ObjectView(kind=EVACUATIONS)
-        evacuations.subscribe(lambda events: self._on_evacuations_changed(evacuations, events))
         self.views = (manifests, targets, evacuations)
         for view in self.views:
             view.subscribe(self._make_era_observer(view))
+        manifests.subscribe(self._on_manifests_changed)
+        targets.subscribe(self._on_targets_changed)
+        evacuations.subscribe(lambda events: self._on_evacuations_changed(evacuations, events))
 
     def _make_era_observer(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
         def observe(events: list[ObjectEvent]) -> None:
@@ -77,9 +87,29 @@
                     objects=len(view.objects_by_name),
                     removed=sum(event.is_removal for event in events),
                 )
+                if view.kind == TARGETS:
+                    self._suspect_entries(view)
 
         return observe
 
+    def _suspect_entries(self, targets: ObjectView) -> None:
+        self._outdated_entries.is_suspect = True
+        if self._suspicion_timer is not None:
+            self._suspicion_timer.cancel()
+        period_s = _LAPSE_HEARTBEATS * self._environment.settings.store.target_heartbeat_s
+        self._suspicion_timer = asyncio.get_running_loop().call_later(
+            period_s, self._believe_all, targets
+        )
+
+    def _believe_all(self, targets: ObjectView) -> None:
+        self._outdated_entries.is_suspect = False
+        for target_id in sorted(self._unbelieved_ids):
+            stored = targets.objects_by_name.get(target_id)
+            if stored is not None:
+                self._put_target(stored)
+        self._unbelieved_ids.clear()
+        self._catalog.publish()
+
     def _on_manifests_changed(self, events: list[ObjectEvent]) -> None:
         for event in events:
             if event.stored.name != _MANIFEST_NAME or event.is_removal:
@@ -94,6 +124,8 @@
     def _on_targets_changed(self, events: list[ObjectEvent]) -> None:
         for event in events:
             if event.is_removal:
+                if not event.is_lost:
+                    self._outdated_entries.leave(event.stored.name)
                 self._remove_target(
                     event.stored.name,
                     reason='removed',
@@ -116,6 +148,14 @@
             self._report_rejected('target_rejected', stored, error)
             self._remove_target(stored.name, reason='unreadable', up_for_s=self._store_up_for_s())
             return
+        if self._outdated_entries.contains(entry):
+            self._unbelieved_ids.add(stored.name)
+            self._environment.log.event(
+                'target_entry_outdated', target=stored.name, sequence=entry.sequence
+            )
+            return
+        self._unbelieved_ids.discard(stored.name)
+        self._outdated_entries.believe(entry)
         self._delayed_removal.cancel(stored.name)
         self._catalog.put_target(entry)
 
--- a/src/balsamrail/platform/target_reader.py
+++ b/src/balsamrail/platform/target_reader.py
@@ -33,8 +33,6 @@
         raise ValueError(f'the state {spec["state"]!r} is unknown')
     split_address(fields.string(spec['address']))
     zone = fields.string(spec['zone'])
-    # Not used, but a wrong type shows that the entry was written by another client.
-    fields.integer(spec.get('sequence', 0))
     return TargetEntry(
         target_id=target_id,
         service=fields.string(spec['service']),
@@ -46,4 +44,5 @@
         is_draining=spec['state'] == 'draining',
         cold_left_s=max(0, fields.number(spec.get('warmupLeftS', 0))),
         born_ms=fields.integer(spec.get('born', 0)),
+        sequence=fields.integer(spec.get('sequence', 0)),
     )
