Register hosts again when the store came back older

When the store came back from a copy older than the registration of a host, the entry of that host was gone for good: hosts that start later find it only through others, and after a restart of the whole fleet not at all.

A host registered once and trusted the acknowledgement. It now registers again when its views learn of a new era, with a fresh read (a stale one may show the entry that was just lost) and a write only if the entry is gone or differs.

Open: a host that registered in the old era but has its first listing in the new one does not notice.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -37,6 +37,14 @@
     When the store does not respond for 4 s and its registrations are missing for 1 s
     Then every request gets the response of a target
 
+  Scenario: Hosts whose entries the store lost register again
+    Guards against hosts that start later and find no other host, since the store came back older.
+
+    Given 5 hosts in attiki and 1 in makedonia with targets in both
+    When the store comes back from a copy without the entries of three hosts
+    Then all hosts are listed in the store 6 s later
+    And each host has made one fresh read of its entry, and three have written it
+
   Scenario: A graceful shutdown loses no requests
     Given 5 hosts in attiki and 1 in makedonia with targets in both
     When one host shuts down gracefully while callers follow lookups
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -12,6 +12,7 @@
 from balsamrail.entry.settings_file import SettingsFile
 
 RUN_S = 40
+HOSTS_KIND = 'balsamrail-hosts'
 
 
 @given('{attiki:d} hosts in attiki and {makedonia:d} in makedonia with targets in both')
@@ -398,3 +399,36 @@
 @then('lookups on the other hosts return it within 4 s after its start')
 def step_named_again(context):
     assert context.is_named
+
+
+@when('the store comes back from a copy without the entries of three hosts')
+def step_entries_lost(context):
+    async def play(fleet):
+        contents = fleet.store.copy_contents()
+        for host in sorted(fleet.zone_by_host)[:3]:
+            del contents['objects'][HOSTS_KIND][host]
+        fleet.store.restore(contents)
+        fleet.store.calls.clear()
+        await asyncio.sleep(6)
+        context.listed = set(fleet.store.objects[HOSTS_KIND])
+        context.hosts = set(fleet.zone_by_host)
+        context.entry_calls = [
+            (method, uri.rpartition('/')[2])
+            for method, uri in fleet.store.calls
+            if f'/{HOSTS_KIND}/' in uri or (method == 'POST' and uri.endswith(f'/{HOSTS_KIND}'))
+        ]
+
+    _play(context, play)
+
+
+@then('all hosts are listed in the store 6 s later')
+def step_all_listed(context):
+    assert context.listed == context.hosts, context.listed
+
+
+@then('each host has made one fresh read of its entry, and three have written it')
+def step_entry_calls(context):
+    reads = sorted(name for method, name in context.entry_calls if method == 'GET')
+    assert reads == sorted(context.hosts), context.entry_calls
+    writes = [method for method, _ in context.entry_calls if method != 'GET']
+    assert writes == ['POST'] * 3, context.entry_calls
--- a/src/balsamrail/entry/store_components.py
+++ b/src/balsamrail/entry/store_components.py
@@ -37,6 +37,7 @@
             environment=environment,
             catalog=self.catalog,
             store_up_for_s=lambda: self.watch.store_up_for_s(),
+            on_new_era=self.announcer.announce_again,
         )
         contact = StoreMonitor(environment=environment, source=self.store, kind=EVACUATIONS)
         self.watch = StoreWatch(
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -30,6 +30,7 @@
     """Decodes the manifest, the targets and the evacuations when their objects change.
 
     :param store_up_for_s: returns for how many seconds the store has been reachable.
+    :param on_new_era: called once when the store has come back from an older copy.
     """
 
     __slots__ = (
@@ -38,6 +39,8 @@
         '_environment',
         '_era_by_kind',
         '_lost_evacuations',
+        '_newest_era',
+        '_on_new_era',
         '_outdated_entries',
         '_store_up_for_s',
         '_suspicion_timer',
@@ -51,11 +54,14 @@
         environment: Environment,
         catalog: Catalog,
         store_up_for_s: Callable[[], float],
+        on_new_era: Callable[[], None] | None = None,
     ) -> None:
         self._environment = environment
         self._catalog = catalog
         self._store_up_for_s = store_up_for_s
         self._delayed_removal = DelayedRemoval(catalog=catalog)
+        self._on_new_era = on_new_era
+        self._newest_era = 0
         self._era_by_kind: dict[str, int] = {}
         self._lost_evacuations: dict[str, asyncio.TimerHandle] = {}
         self._outdated_entries = OutdatedEntries()
@@ -76,6 +82,9 @@
             revision = view.complete_revision
             old_era = self._era_by_kind.get(view.kind, 0)
             self._era_by_kind[view.kind] = revision.era
+            if 0 < self._newest_era < revision.era and self._on_new_era is not None:
+                self._on_new_era()
+            self._newest_era = max(self._newest_era, revision.era)
             if 0 < old_era < revision.era:
                 self._environment.metrics.count('store_era_changes')
                 self._environment.log.event(
--- a/src/balsamrail/platform/host_registry.py
+++ b/src/balsamrail/platform/host_registry.py
@@ -17,11 +17,12 @@
     decided by its peers.
     """
 
-    __slots__ = ('_environment', '_store')
+    __slots__ = ('_environment', '_is_announced', '_store')
 
     def __init__(self, *, environment: Environment, store: ObjectStore) -> None:
         self._environment = environment
         self._store = store
+        self._is_announced = False
 
     async def list_hosts(self) -> list[ListedHost]:
         """Return the registered hosts; the list may be seconds old."""
@@ -39,19 +40,24 @@
         """Register this host, unless its entry is there already.
 
         Entries do not expire, and reading one costs a twentieth of the two writes that would find
-        that it exists. A host of a fleet that starts for the first time has no entry.
+        that it exists. A host of a fleet that starts for the first time has no entry. A host that
+        registers again may have lost the entry just now, which a stale read would not show.
 
         :raises StoreError: if the store did not accept the entry.
         """
         spec = {'address': host.address, 'state': host.state}
-        if not self._environment.settings.is_first_start:
-            known = await self._store.read(_KIND, host.host, is_stale_allowed=True)
-            if known is not None and known.spec == spec:
-                return
-        try:
-            await self._store.create(_KIND, host.host, spec=spec)
-        except StoreConflictError:
-            await self._store.replace(_KIND, host.host, spec=spec)
+        if not await self._is_registered(host.host, spec):
+            try:
+                await self._store.create(_KIND, host.host, spec=spec)
+            except StoreConflictError:
+                await self._store.replace(_KIND, host.host, spec=spec)
+        self._is_announced = True
+
+    async def _is_registered(self, host: str, spec: dict[str, Any]) -> bool:
+        if self._environment.settings.is_first_start and not self._is_announced:
+            return False
+        known = await self._store.read(_KIND, host, is_stale_allowed=not self._is_announced)
+        return known is not None and known.spec == spec
 
 
 def _read_host(name: str, spec: Any) -> ListedHost | None:
