Report a lost path to the store at once, and check the store more often

If the watchers of all regions lose the store at the same moment and it leaves their calls unanswered, no source of a change is left, and hosts with a path to the store would decide by old objects for 3.55 s, over the bound of 3 s.

The parts of the sum are the interval of the checks (1 s), the timeout (1.5 s), several statuses of 0.4 s each until watchers that follow each other have found out that none of them has a path, and the delay of 0.2 of the bound. Checks come every 0.5 s now, at a tenth of the price of a call each, and a host whose path to the store became longer or was lost reports it within 0.1 s instead of with its next status. Ruled out: a shorter timeout (a store that is slow would count as lost), and more checks alone (3.05 s at 0.4 s).

The scenario 'All watchers of the fleet lose the path to the store at once' failed before in all three cases (3.55 s, bound 3 s) and passes now. The cost is about 0.05 of a call a second and watcher more.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -56,6 +56,19 @@
       | 24, 24    | one watcher     | 0.6      |
       | 3, 3, 2   | one watcher     | 0.6      |
 
+  Scenario Outline: All watchers of the fleet lose the path to the store at once
+    Guards against hosts that have no source of a change left and notice it too late to ask the store.
+
+    Given regions of <sizes> hosts that have the manifest
+    When all watchers lose the path to the store at any moment and the manifest changes, bound 3 s
+    Then every host with a path to the store has it within 3 s
+
+    Examples:
+      | sizes      |
+      | 9          |
+      | 24, 24     |
+      | 24, 24, 24 |
+
   Scenario Outline: The loss of watchers delays no change
     Guards against hosts that place requests by an old manifest because their watchers failed.
 
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -10,6 +10,8 @@
 
 # Delays from the fault to the change, in seconds: before, during and after its detection.
 DELAYS_S = (0.0, 0.2, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0)
+# Moments of the fault between two checks of the store.
+PHASES_S = (0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.7, 0.9)
 OBSERVED_S = 12
 FIRST_REGION = 'region0'
 
@@ -60,6 +62,29 @@
     _run_with_fault(context, lose_path)
 
 
+@when(
+    'all watchers lose the path to the store at any moment and the manifest changes, '
+    'bound {bound_s:d} s'
+)
+def step_all_paths_lost(context, bound_s):
+    async def run_once(phase_s):
+        async with started_fleet(context.sizes, config_apply_s=bound_s) as fleet:
+            await asyncio.sleep(phase_s)
+            watchers = [host for host in fleet.live_hosts() if host.is_watching()]
+            for host in watchers:
+                host.access.is_cut = True
+            received = await fleet.propagation_s(2, limit_s=OBSERVED_S)
+            return {name: s for name, s in received.items() if fleet.hosts[name] not in watchers}
+
+    context.received_after_s = {phase_s: run_virtual(run_once(phase_s)) for phase_s in PHASES_S}
+
+
+@then('every host with a path to the store has it within {limit_s:g} s')
+def step_in_time_with_path(context, limit_s):
+    for received in context.received_after_s.values():
+        assert_in_time(received, limit_s)
+
+
 @when('{failed} of the first region lose power and the manifest changes after any delay')
 def step_power_loss(context, failed):
     def cut_power(fleet):
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -93,7 +93,7 @@
         environment = platform_helpers.make_environment(
             host=name,
             is_first_start=is_first,
-            bounds=Bounds(config_apply_s=2),
+            bounds=Bounds(config_apply_s=self.fleet.config_apply_s),
             log=self.log,
         )
         network = HostNetwork(self.fleet, name)
@@ -183,7 +183,8 @@
 class FeedFleet:
     """Simulated hosts by name; ``sizes`` maps each region to its number of hosts."""
 
-    def __init__(self, sizes):
+    def __init__(self, sizes, *, config_apply_s=2):
+        self.config_apply_s = config_apply_s
         self.sizes = sizes
         self.source = FakeSource()
         self.receivers = {}
@@ -277,9 +278,9 @@
 
 
 @contextlib.asynccontextmanager
-async def started_fleet(sizes, *, objects=()):
+async def started_fleet(sizes, *, objects=(), config_apply_s=2):
     """Run a fleet whose hosts have the manifest and these objects."""
-    fleet = FeedFleet(sizes)
+    fleet = FeedFleet(sizes, config_apply_s=config_apply_s)
     for name in objects:
         fleet.source.write(name, 1)
     await fleet.start()
--- a/src/balsamrail/catalog/store_monitor.py
+++ b/src/balsamrail/catalog/store_monitor.py
@@ -9,7 +9,7 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreError
 
-_CHECK_INTERVAL_S = 1.0
+_CHECK_INTERVAL_S = 0.5
 _RETRY_INTERVAL_S = 0.3
 # A standby checks less and less often, and gives the assigned watchers this time after an outage.
 _MAX_STANDBY_INTERVAL_S = 1.2
--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -1,6 +1,7 @@
 """Forwards changes of the store's objects to subscribed hosts."""
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -15,6 +16,9 @@
 from balsamrail.messages.feed_update import FeedUpdate
 
 _STATUS_INTERVAL_S = 0.4
+# A status that tells of a longer or lost path to the store is sent without waiting for the interval:
+# hosts that follow each other find out one after the other that none of them has a path.
+_PATH_CHECK_INTERVAL_S = 0.1
 # Subscribers renew their subscription every second.
 _SUBSCRIPTION_TTL_S = 4.0
 _MS_IN_S = 1_000
@@ -51,6 +55,7 @@
         '_environment',
         '_era_by_kind',
         '_network',
+        '_reported_hops',
         '_subscriptions_by_host',
         '_views',
         '_watch',
@@ -69,6 +74,7 @@
         self._views = tuple(views)
         self._watch = watch
         self._subscriptions_by_host: dict[str, _Subscription] = {}
+        self._reported_hops = math.inf
         self._era_by_kind: dict[str, int] = {}
         network.subscribe(FeedSubscribe, self._on_subscribe)
         for view in self._views:
@@ -77,7 +83,7 @@
     async def run(self) -> None:
         """Send statuses until cancelled."""
         while True:
-            await asyncio.sleep(_STATUS_INTERVAL_S)
+            await self._wait_for_status()
             now = self._environment.clock.monotonic()
             for host, subscription in list(self._subscriptions_by_host.items()):
                 if subscription.expires_at < now:
@@ -85,6 +91,19 @@
                 else:
                     await self._send_status(host, subscription)
 
+    async def _wait_for_status(self) -> None:
+        """Wait until the next status is due."""
+        due_at = self._environment.clock.monotonic() + _STATUS_INTERVAL_S
+        while self._environment.clock.monotonic() < due_at:
+            has_subscribers = bool(self._subscriptions_by_host)
+            await asyncio.sleep(_PATH_CHECK_INTERVAL_S if has_subscribers else _STATUS_INTERVAL_S)
+            if has_subscribers and self._hops() > self._reported_hops:
+                break
+        self._reported_hops = self._hops()
+
+    def _hops(self) -> float:
+        return self._watch.hops() if self._watch.receives_changes() else math.inf
+
     def dump(self) -> dict[str, Any]:
         """Return the subscribed hosts as plain data."""
         return {'subscribers': sorted(self._subscriptions_by_host)}
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -28,8 +28,9 @@
 _DISCOVERY_INTERVAL_S = 0.025
 # Fraction of the bound on applying a change (config_apply_s). After this time without a current
 # source the host watches the store itself, and after this time without a current source of its own
-# region it follows hosts of other regions. The rest of the bound must cover the status timeout of
-# a source (1.2 s), which precedes the delay, and a listing of the store, which follows it.
+# region it follows hosts of other regions. The rest of the bound must cover what precedes the delay
+# (1.2 s until a silent source counts as lost, or 2 s until a watcher notices a silent store) and a
+# listing of the store, which follows it.
 _FALLBACK_DELAY_FRACTION = 0.2
 # The delay after a start, when many hosts discover each other at the same time.
 _STARTUP_FALLBACK_DELAY_S = 1.5
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -51,6 +51,14 @@
         feature='features/feed_currency.feature',
         scenario='Watchers that the store stops answering',
     ),
+    Mutant(
+        mechanism='a host that loses its path to the store reports it at once',
+        file='src/balsamrail/fleet/feed_hub.py',
+        old='if has_subscribers and self._hops() > self._reported_hops:',
+        new='if False:',
+        feature='features/feed_currency.feature',
+        scenario='All watchers of the fleet lose the path',
+    ),
     Mutant(
         mechanism='the watchers of a region follow watchers of different regions',
         file='src/balsamrail/fleet/watch_assignment.py',
