Send no request to a target that may end after the stopping host

What callers saw: in a planned stop, requests that came late in the grace period were sent to targets and cut without an answer when the process ended, among them requests that may not be repeated.

Cause: GracefulShutdown served until 0.4 s before the end of the grace period as long as requests kept arriving, and nothing compared their time limit with that end. A request whose deadline (its own timeout or that of its route) lies behind the end of the process is now rejected with host_leaving, 503 and Retry-After 0, on a connection that closes. This is checked before each choice of a target and again right before the send, so that a request that waits for a connection or for a retry when the shutdown begins is not sent either; if an earlier attempt of it may have run, it ends with that unknown outcome.

The time limit counts, not the typical run time of the route: that says nothing about the slowest run, and a second host costs a caller one round trip and a new connection, a cut its request.

Requests behind others on one connection are not handled after the response that closes it (feature pipelining, unchanged).

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -182,6 +182,22 @@
     When callers send the same request while four of five targets fail
     Then the request still gets a response
 
+  Scenario Outline: A host that is about to end sends no request that may end after it
+    Guards against requests that are cut at their target when the host ends.
+
+    Given a target that is <state>, and one that responds
+    When the host begins to end within <end_s> s while <kind> request with a timeout of 2 s waits
+    Then it gets <told>, and the other target gets no request
+
+    Examples:
+      | state                    | kind             | end_s | told                         |
+      | slow to accept           | a non-idempotent | 1     | a rejection with no delay    |
+      | slow to accept           | an idempotent    | 1     | a rejection with no delay    |
+      | slow to accept           | a non-idempotent | 3     | the first target's response  |
+      | slow to refuse           | a non-idempotent | 1     | a rejection with no delay    |
+      | slow to refuse           | an idempotent    | 1     | a rejection with no delay    |
+      | slow to drop connections | an idempotent    | 1     | an unknown outcome           |
+
   Scenario: The log shows the inputs of the target selection
     Guards against a misrouted request whose cause cannot be found in the logs.
 
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -43,6 +43,14 @@
     Then every request gets the response of a target
     And the host ends within its grace period and lookups on other hosts no longer return it
 
+  Scenario: Requests that arrive late in the grace period end before the host
+    Guards against requests that are passed on and then cut when the process ends.
+
+    Given a process of a host, with a target that takes 1 s
+    When it gets SIGTERM while callers keep sending requests with a timeout of 2 s
+    Then each request ends with its target's response, or reached no target
+    And those rejected before the host ends are told to retry elsewhere at once
+
   Scenario: Hosts that restart serve requests again
     Given 5 hosts in attiki and 1 in makedonia with targets in both
     When all hosts are killed at once and restart with no state but the store
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import time
+from unittest import mock
 
 from behave import given, then, when
 from delivery_parts import DeliveryHarness, response_to, simulate_power_loss
@@ -13,6 +14,7 @@
 from platform_helpers import run_real
 
 from balsamrail.catalog.weighted_service import WeightedService
+from balsamrail.delivery.target_connection_pool import TargetConnectionPool
 from balsamrail.errors import RequestError
 from balsamrail.exchange.fingerprint import fingerprint_of
 
@@ -600,6 +602,66 @@
     assert context.response.status == 200
 
 
+async def refuse_late(number, headers, writer):
+    await asyncio.sleep(0.2)
+    await refuse(number, headers, writer)
+
+
+@given('a target that is {state}, and one that responds')
+def step_slow_target(context, state):
+    behaviours = {
+        'slow to accept': respond,
+        'slow to refuse': refuse_late,
+        'slow to drop connections': drop_connection_late,
+    }
+    context.delays_connections = state == 'slow to accept'
+    context.delivery = DeliveryHarness([behaviours[state], respond])
+
+
+@when('the host begins to end within {end_s:g} s while {kind} request with a timeout of 2 s waits')
+def step_host_ends(context, end_s, kind):
+    path = '/write/x' if kind == 'a non-idempotent' else '/read/x'
+    acquire = TargetConnectionPool.acquire
+
+    async def acquire_slowly(pool, entry, **more):
+        connection = await acquire(pool, entry, **more)
+        await asyncio.sleep(0.2 if context.delays_connections else 0)
+        return connection
+
+    async def play():
+        delivery = await context.delivery.start()
+        key = delivery.key_that_prefers('i-0')
+        context.error = context.response = None
+        with mock.patch.object(TargetConnectionPool, 'acquire', acquire_slowly):
+            task = asyncio.create_task(delivery.send('r-1', path=path, key=key))
+            await asyncio.sleep(0.1)
+            now = asyncio.get_running_loop().time()
+            delivery.dispatcher.end_requests_by(now + end_s)
+            try:
+                context.response = await task
+            except RequestError as error:
+                context.error = error
+        context.counts = delivery.attempts()
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('it gets {told}, and the other target gets no request')
+def step_told_while_ending(context, told):
+    assert context.counts[1] == 0, context.counts
+    match told:
+        case "the first target's response":
+            assert context.response.body == b'whole' and context.counts[0] == 1, context.error
+        case 'a rejection with no delay':
+            assert context.error is not None, context.response
+            assert context.error.code == 'host_leaving', context.error.code
+            assert context.error.status == 503 and context.error.retry_after_s == 0
+            assert context.counts[0] == (0 if context.delays_connections else 1), context.counts
+        case 'an unknown outcome':
+            assert context.error.outcome == 'unknown' and context.counts[0] == 1, context.error
+
+
 @given('a route restricted to attiki and targets that respond immediately')
 def step_confined(context):
     context.delivery = DeliveryHarness([respond] * 3, allowed_regions=frozenset(('attiki',)))
--- /dev/null
+++ b/features/steps/entry_stop_steps.py
@@ -0,0 +1,152 @@
+"""Steps of entry.feature about the end of a host's process."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from delivery_parts import response_to
+from entry_fleet import HOST_NAME, Target, manifest
+from placement_parts import REGION_BY_ZONE
+from platform_helpers import free_address, run_real
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from standins.platform_store import PlatformStore
+
+ROOT = Path(__file__).resolve().parents[2]
+RUN_S = 40
+CLOSED = 599
+
+
+class SlowTarget(Target):
+    """A target that takes the time that the path says, as in ``/read/1.5``."""
+
+    async def _answer(self, number, headers, writer):
+        await asyncio.sleep(float(self.upstream.heads[-1].split()[1].rpartition('/')[2]))
+        writer.write(response_to(headers))
+
+
+class HostProcess:
+    """A host in a process of its own, with the stand-in store and one target."""
+
+    async def __aenter__(self):
+        self.store = PlatformStore()
+        await self.store.start()
+        self.store.put('config', 'main', self.manifest())
+        self.target = SlowTarget('lepu-1', zone='attiki-a', service='lepu')
+        await self.target.start(self.store)
+        names = ('caller', 'lookup', 'readiness', 'peer', 'operator')
+        settings = {
+            'deployment': 'platform',
+            'host': 'attiki-1',
+            'region': 'attiki',
+            'availability_zone': 'attiki-a',
+            'region_by_availability_zone': REGION_BY_ZONE,
+            'store': {'address': self.store.address},
+            'bounds': {'stop_grace_s': 6},
+            **{f'{name}_address': free_address() for name in names},
+        }
+        self.address = settings['caller_address']
+        self.folder = tempfile.TemporaryDirectory()
+        path = Path(self.folder.name) / 'settings.json'
+        path.write_text(json.dumps(settings))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'balsamrail.entry',
+            str(path),
+            env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        # Serves once it has the manifest and the target.
+        while (await self.send('ready', takes_s=0)).code != 200:  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+        return self
+
+    async def __aexit__(self, *_):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        self.folder.cleanup()
+        self.target.upstream.stop()
+        await self.store.stop()
+
+    def manifest(self):
+        document = manifest(3)
+        (read,) = [item for item in document['resources'] if item['entryKind'] == 'routes']
+        read['spec']['timeoutS'] = 9
+        write = {**read['spec'], 'pathPrefix': '/write/', 'kind': 'non_idempotent'}
+        document['resources'].append(
+            {'entryKind': 'routes', 'metadata': {'name': 'w'}, 'spec': write}
+        )
+        return document
+
+    async def send(self, request_id, *, takes_s, path='/read', timeout_s=2):
+        headers = {
+            'Host': HOST_NAME,
+            'X-Request-Id': request_id,
+            'X-Timeout-Ms': str(int(timeout_s * 1_000)),
+        }
+        request = HTTPRequest(
+            f'http://{self.address}{path}/{takes_s}', request_timeout=20, headers=headers
+        )
+        try:
+            return await AsyncHTTPClient(force_instance=True).fetch(request, raise_error=False)
+        except (HTTPClientError, OSError):
+            return HTTPResponse(request, CLOSED)
+
+    def reached_ids(self):
+        """Return the ids of the requests that reached the target."""
+        lines = [head.split('\r\n') for head in self.target.upstream.heads]
+        fields = [line.partition(': ') for head in lines for line in head]
+        return {value for name, _, value in fields if name == 'X-Request-Id'}
+
+
+@given('a process of a host, with a target that takes {takes_s:g} s')
+def step_process(context, takes_s):
+    async def run(script):
+        async with HostProcess() as host:
+            await script(host)
+
+    context.takes_s = takes_s
+    context.play = lambda script: run_real(run(script), limit_s=RUN_S)
+
+
+@when('it gets SIGTERM while callers keep sending requests with a timeout of {timeout_s:g} s')
+def step_late_requests(context, timeout_s):
+    async def script(host):
+        host.process.terminate()
+        sends = []
+        while host.process.returncode is None:
+            request = host.send(f'r-{len(sends)}', takes_s=context.takes_s, timeout_s=timeout_s)
+            sends.append(asyncio.create_task(request))
+            await asyncio.sleep(0.1)
+        context.responses = await asyncio.gather(*sends)
+        context.reached = host.reached_ids()
+
+    context.play(script)
+
+
+@then("each request ends with its target's response, or reached no target")
+def step_ended(context):
+    cut = [
+        (number, response.code)
+        for number, response in enumerate(context.responses)
+        if (response.code == 200) != (f'r-{number}' in context.reached)
+    ]
+    assert not cut, cut
+    assert context.responses[0].code == 200, context.responses[0]
+
+
+@then('those rejected before the host ends are told to retry elsewhere at once')
+def step_rejected(context):
+    codes = {response.code for response in context.responses}
+    assert codes <= {200, 503, CLOSED} and 503 in codes, codes
+    for response in context.responses:
+        if response.code == 503:
+            assert response.headers['Retry-After'] == '0', response.headers
+            assert response.headers['Connection'] == 'close', response.headers
+            assert b'host_leaving' in response.body, response.body
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -11,6 +11,7 @@
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.http_message import HttpResponse
 from balsamrail.delivery.request_executor import RequestExecutor
+from balsamrail.delivery.shutdown_deadline import ShutdownDeadline
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.environment import Environment
 from balsamrail.placement.exchange_sizes import ExchangeSizes
@@ -28,6 +29,7 @@
         '_environment',
         '_exchange',
         '_planner',
+        '_shutdown_deadline',
         '_sizes',
         '_target_selector',
     )
@@ -49,6 +51,7 @@
         self._budgets = budgets
         self._planner = DeliveryPlanner(catalog=catalog, budgets=budgets)
         self._sizes = ExchangeSizes()
+        self._shutdown_deadline = ShutdownDeadline()
         self._detached_runs: set[asyncio.Task[HttpResponse]] = set()
 
     async def handle(self, request: EntryRequest) -> HttpResponse:
@@ -64,6 +67,10 @@
         run = self._run(plan, request)
         return await (run if plan.route.is_idempotent else self._run_detached(run))
 
+    def end_requests_by(self, ends_at: float) -> None:
+        """Send no more requests to targets that may end after ``ends_at``, in event loop time."""
+        self._shutdown_deadline.ends_at = ends_at
+
     def remaining_retries(self) -> dict[str, float]:
         """Return how many retries this host may make now, by service."""
         return self._budgets.remaining_by_service(now=self._environment.clock.monotonic())
@@ -77,6 +84,7 @@
             crashes=self._crash_detector,
             sizes=self._sizes,
             planner=self._planner,
+            shutdown_deadline=self._shutdown_deadline,
             plan=plan,
             request=request,
         )
--- a/src/balsamrail/delivery/request_executor.py
+++ b/src/balsamrail/delivery/request_executor.py
@@ -7,6 +7,7 @@
 from balsamrail.delivery.delivery_planner import DeliveryPlanner
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.http_message import HttpResponse
+from balsamrail.delivery.shutdown_deadline import ShutdownDeadline
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.delivery.target_response import TargetResponse
 from balsamrail.environment import Environment
@@ -53,6 +54,7 @@
         '_plan',
         '_planner',
         '_request',
+        '_shutdown_deadline',
         '_sizes',
         '_target_selector',
         '_unreachable',
@@ -67,6 +69,7 @@
         crashes: CrashDetector,
         sizes: ExchangeSizes,
         planner: DeliveryPlanner,
+        shutdown_deadline: ShutdownDeadline,
         plan: DeliveryPlan,
         request: EntryRequest,
     ) -> None:
@@ -79,6 +82,7 @@
         self._crash_detector = crashes
         self._sizes = sizes
         self._planner = planner
+        self._shutdown_deadline = shutdown_deadline
         self._plan = plan
         # A new manifest that makes the route idempotent does not permit retries of a request that
         # is already running.
@@ -124,6 +128,7 @@
                 raise _to_request_error(outcome)
 
     def _choose(self) -> TargetState:
+        self._shutdown_deadline.check(self._deadline)
         self._crash_detector.check(self._fingerprint)
         self._refresh_plan()
         choice = self._target_selector.select(
@@ -176,6 +181,8 @@
         self._is_idempotent = self._is_idempotent and self._plan.route.is_idempotent
 
     def _recheck(self, state: TargetState, *, was_cold: bool) -> ExclusionReason | None:
+        if not self._shutdown_deadline.admits(self._deadline):
+            return ExclusionReason.host_leaving
         self._refresh_plan()
         if state.entry.service != self._plan.placement_key.service:
             return ExclusionReason.moved
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -92,7 +92,10 @@
         self.directory.is_leaving = True
         self.members.announce_leaving()
         stop = GracefulShutdown(
-            environment=self._environment, callers=self.callers, lookup_ttl_s=_LOOKUP_TTL_S
+            environment=self._environment,
+            callers=self.callers,
+            requests=self.delivery.dispatcher,
+            lookup_ttl_s=_LOOKUP_TTL_S,
         )
         left = await stop.run()
         self.members.announce_stopped()
--- a/src/balsamrail/entry/graceful_shutdown.py
+++ b/src/balsamrail/entry/graceful_shutdown.py
@@ -22,20 +22,36 @@
     last_request_at: float
 
 
+class Requests(Protocol):
+    """The requests of callers that are sent to targets."""
+
+    def end_requests_by(self, ends_at: float) -> None:
+        """Send no more requests to targets that may end after ``ends_at``."""
+
+
 class GracefulShutdown:
     """Drains an entry host: callers move to other hosts, and requests in flight finish.
 
     From its start on, lookups no longer return the host, and responses close their connections.
-    Callers that hold an earlier lookup result are served until that result has expired.
+    Callers that hold an earlier lookup result are served until that result has expired, unless
+    the time limit of their request lies behind the end of the process.
 
     :param lookup_ttl_s: time to live of lookup results, in seconds.
     """
 
-    __slots__ = ('_callers', '_environment', '_lookup_ttl_s')
+    __slots__ = ('_callers', '_environment', '_lookup_ttl_s', '_requests')
 
-    def __init__(self, *, environment: Environment, callers: Callers, lookup_ttl_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        callers: Callers,
+        requests: Requests,
+        lookup_ttl_s: float,
+    ) -> None:
         self._environment = environment
         self._callers = callers
+        self._requests = requests
         self._lookup_ttl_s = lookup_ttl_s
 
     async def run(self) -> int:
@@ -45,6 +61,7 @@
         served_until = started + _LOOKUP_TTL_FACTOR * self._lookup_ttl_s + _LOOKUP_MARGIN_S
         deadline = started + self._environment.settings.bounds.stop_grace_s - _END_RESERVE_S
         self._callers.is_leaving = True
+        self._requests.end_requests_by(deadline)
         self._environment.log.event('stop_started', in_flight=self._callers.in_flight)
         while clock.monotonic() < deadline:
             now = clock.monotonic()
--- a/src/balsamrail/placement/exclusion_reason.py
+++ b/src/balsamrail/placement/exclusion_reason.py
@@ -25,3 +25,5 @@
     evacuated = 'evacuated'
     # The target is outside the allowed regions of the route.
     confined = 'confined'
+    # This host is shutting down and may end before the request does.
+    host_leaving = 'host_leaving'
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -115,4 +115,20 @@
         feature='features/catalog.feature',
         scenario='A host that was cut off from the store learns',
     ),
+    Mutant(
+        mechanism='a host that stops sends no request that may end after it',
+        file='src/balsamrail/delivery/shutdown_deadline.py',
+        old='return deadline <= self.ends_at',
+        new='return True',
+        feature='features/entry.feature',
+        scenario='Requests that arrive late in the grace period',
+    ),
+    Mutant(
+        mechanism='the end of the host is checked right before a request is sent',
+        file='src/balsamrail/delivery/request_executor.py',
+        old='if not self._shutdown_deadline.admits(self._deadline):',
+        new='if False:',
+        feature='features/delivery.feature',
+        scenario='A host that is about to end sends no request',
+    ),
 )
