Answer the requests in progress when the grace period of their host ends

What callers saw: a request that was sent before SIGTERM and outlasts the grace period ended with a closed connection and no answer.

Cause: GracefulShutdown returned at its deadline with requests in flight, and the process ended. Each request now runs under ShutdownDeadline, which ends it at that time with outcome_unknown (504), and the shutdown waits up to 0.1 s for these answers to be written. An earlier attempt that may have run decides the answer as before.

Evidence: with a real process, a grace period of 6 s and a target that takes 8 s, both examples failed before (the connection closed, 599 in the client); both get 504 outcome_unknown now, and the process ends within 6 s.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -51,6 +51,18 @@
     Then each request ends with its target's response, or reached no target
     And those rejected before the host ends are told to retry elsewhere at once
 
+  Scenario Outline: A request that outlasts the grace period is answered when its host ends
+    Guards against a connection that closes without telling its caller whether the request may have run.
+
+    Given a process of a host, with a target that takes 8 s
+    When it gets SIGTERM while <kind> request with a timeout of 9 s waits for its response
+    Then its caller is told <status> <code> before the grace period of 6 s is over
+
+    Examples:
+      | kind             | status | code            |
+      | an idempotent    | 504    | outcome_unknown |
+      | a non-idempotent | 504    | outcome_unknown |
+
   Scenario: Hosts that restart serve requests again
     Given 5 hosts in attiki and 1 in makedonia with targets in both
     When all hosts are killed at once and restart with no state but the store
--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -130,6 +130,31 @@
     context.play(script)
 
 
+@when(
+    'it gets SIGTERM while {kind} request with a timeout of {timeout_s:g} s waits for its response'
+)
+def step_long_request(context, kind, timeout_s):
+    async def script(host):
+        path = '/write' if kind == 'a non-idempotent' else '/read'
+        request = host.send('r-1', takes_s=context.takes_s, path=path, timeout_s=timeout_s)
+        sent = asyncio.create_task(request)
+        await asyncio.sleep(0.3)
+        started = asyncio.get_running_loop().time()
+        host.process.terminate()
+        context.response = await sent
+        await host.process.wait()
+        context.stopped_after_s = asyncio.get_running_loop().time() - started
+
+    context.play(script)
+
+
+@then('its caller is told {status:d} {code} before the grace period of {grace_s:g} s is over')
+def step_told_at_end(context, status, code, grace_s):
+    assert context.response.code == status, context.response
+    assert code.encode() in context.response.body, context.response.body
+    assert context.stopped_after_s < grace_s, context.stopped_after_s
+
+
 @then("each request ends with its target's response, or reached no target")
 def step_ended(context):
     cut = [
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -68,8 +68,11 @@
         return await (run if plan.route.is_idempotent else self._run_detached(run))
 
     def end_requests_by(self, ends_at: float) -> None:
-        """Send no more requests to targets that may end after ``ends_at``, in event loop time."""
-        self._shutdown_deadline.ends_at = ends_at
+        """Send no more requests to targets that may end after ``ends_at``, in event loop time.
+
+        Requests that are in progress at that time end with an unknown outcome.
+        """
+        self._shutdown_deadline.set(ends_at)
 
     def remaining_retries(self) -> dict[str, float]:
         """Return how many retries this host may make now, by service."""
--- a/src/balsamrail/delivery/request_executor.py
+++ b/src/balsamrail/delivery/request_executor.py
@@ -108,7 +108,8 @@
         :raises RequestError: if no target responded.
         """
         try:
-            response = await self._run()
+            async with self._shutdown_deadline.applied():
+                response = await self._run()
         except RequestError as error:
             reported = error if self._ambiguous is None else _to_request_error(self._ambiguous)
             self._log(status=reported.status, code=reported.code, reason=reported.detail)
--- a/src/balsamrail/entry/graceful_shutdown.py
+++ b/src/balsamrail/entry/graceful_shutdown.py
@@ -9,8 +9,9 @@
 # Some callers keep using lookup results for three times their time to live.
 _LOOKUP_TTL_FACTOR = 3
 _LOOKUP_MARGIN_S = 0.3
-# Part of the grace period that is reserved for closing connections and ending the process.
+# Part of the grace period that is reserved for the last responses and the end of the process.
 _END_RESERVE_S = 0.4
+_LAST_RESPONSES_S = 0.1
 _QUIET_S = 0.3
 
 
@@ -26,7 +27,7 @@
     """The requests of callers that are sent to targets."""
 
     def end_requests_by(self, ends_at: float) -> None:
-        """Send no more requests to targets that may end after ``ends_at``."""
+        """Send no more requests to targets that may end after ``ends_at``, and end all then."""
 
 
 class GracefulShutdown:
@@ -63,10 +64,11 @@
         self._callers.is_leaving = True
         self._requests.end_requests_by(deadline)
         self._environment.log.event('stop_started', in_flight=self._callers.in_flight)
-        while clock.monotonic() < deadline:
+        while clock.monotonic() < deadline + _LAST_RESPONSES_S:
             now = clock.monotonic()
             is_quiet = now - self._callers.last_request_at > _QUIET_S
-            if now >= served_until and is_quiet and not self._callers.in_flight:
+            may_end = now >= deadline or (now >= served_until and is_quiet)
+            if may_end and not self._callers.in_flight:
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._environment.log.event(
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -62,7 +62,7 @@
     Mutant(
         mechanism='during a planned stop, callers with older look-ups are served',
         file='src/balsamrail/entry/graceful_shutdown.py',
-        old='while clock.monotonic() < deadline:',
+        old='while clock.monotonic() < deadline + _LAST_RESPONSES_S:',
         new='while False:',
         feature='features/entry.feature',
         scenario='A graceful shutdown loses no requests',
@@ -118,7 +118,7 @@
     Mutant(
         mechanism='a host that stops sends no request that may end after it',
         file='src/balsamrail/delivery/shutdown_deadline.py',
-        old='return deadline <= self.ends_at',
+        old='return self._ends_at is None or deadline <= self._ends_at',
         new='return True',
         feature='features/entry.feature',
         scenario='Requests that arrive late in the grace period',
@@ -131,4 +131,12 @@
         feature='features/delivery.feature',
         scenario='A host that is about to end sends no request',
     ),
+    Mutant(
+        mechanism='requests in progress at the end of their host are answered',
+        file='src/balsamrail/delivery/shutdown_deadline.py',
+        old='limit.reschedule(ends_at)',
+        new='pass',
+        feature='features/entry.feature',
+        scenario='A request that outlasts the grace period',
+    ),
 )
