--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -62,7 +62,7 @@
     Mutant(
         mechanism='during a planned stop, callers with older look-ups are served',
         file='src/balsamrail/entry/graceful_shutdown.py',
-        old='while clock.monotonic() < deadline:',
+        old='while clock.monotonic() < deadline + _LAST_RESPONSES_S:',
         new='while False:',
         feature='features/entry.feature',
         scenario='A graceful shutdown loses no requests',
@@ -115,4 +115,28 @@
         feature='features/catalog.feature',
         scenario='A host that was cut off from the store learns',
     ),
+    Mutant(
+        mechanism='a host that stops sends no request that may end after it',
+        file='src/balsamrail/delivery/shutdown_deadline.py',
+        old='return self._ends_at is None or deadline <= self._ends_at',
+        new='return True',
+        feature='features/entry.feature',
+        scenario='Requests that arrive late in the grace period',
+    ),
+    Mutant(
+        mechanism='the end of the host is checked right before a request is sent',
+        file='src/balsamrail/delivery/request_executor.py',
+        old='if not self._shutdown_deadline.admits(self._deadline):',
+        new='if False:',
+        feature='features/delivery.feature',
+        scenario='A host that is about to end sends no request',
+    ),
+    Mutant(
+        mechanism='requests in progress at the end of their host are answered',
+        file='src/balsamrail/delivery/shutdown_deadline.py',
+        old='limit.reschedule(ends_at)',
+        new='pass',
+        feature='features/entry.feature',
+        scenario='A request that outlasts the grace period',
+    ),
 )
