Write a share epoch above the lost ones after a copy

Callers would see: after the store came back from a copy, requests are shed although slots are free, since the hosts hold almost nothing of a region's shares.

Cause: epochs are compared by number. The copy holds an epoch below that of the hosts, which they do not adopt, and the coordinator went on from it with numbers that had been given out before.

An epoch of a new era is numbered above all earlier ones. A stored epoch with a number of an earlier era is a copy: it is neither adopted nor taken as a confirmation after a pause. The coordinator writes one epoch on it in which every holder keeps what it holds, and the usual seal then counts and reassigns. A holder behind the highest epoch that the coordinator knows holds nothing until then, as a lost epoch may have reclaimed its share. The condition of the write names the era.

Ruled out: putting the lost epoch back, since only the coordinator keeps a whole epoch, and it may be gone. Bound: an epoch that was lost and is known to no host that the coordinator hears of, and a holder that joined in a lost epoch and is not alive for the coordinator, are not counted; isolation suspends the share of such a host as before.

--- a/features/shares.feature
+++ b/features/shares.feature
@@ -14,6 +14,12 @@
     When the totals also change between such events
     Then the shares held never exceeded the largest total and match the last one at the end
 
+  Scenario: The store comes back from a copy between such events
+    This guards against an epoch number that is given out twice, so that two holders use one share.
+
+    When the store also comes back from copies between such events
+    Then the shares held never exceeded the totals and are fully assigned at the end
+
   Scenario: The share of a silent host is reserved
     This guards against an epoch that reassigns the share of a host that is only silent.
 
--- a/features/steps/share_model.py
+++ b/features/steps/share_model.py
@@ -82,6 +82,8 @@
         self.violations = []
         self.gone_at = {}
         self.holders = set()
+        self.copy = {}
+        self.reclaimed = set()
         self.tracker = FakeTracker(self.declaration())
         self.largest = self.total()
         self.hosts = {name: ModelHost(self, name, region) for name, region in HOSTS.items()}
@@ -105,9 +107,12 @@
         return decode_epoch(value) if version else None
 
     def total_held(self):
-        """Return the sum held by all hosts, including failed ones until an epoch reclaims it."""
+        """Return the sum held by all hosts, including failed ones until an epoch reclaims it.
+
+        A copy that lists a failed host again does not undo that its share was reclaimed.
+        """
         stored = self.stored()
-        holders = stored.holders() if stored else set()
+        holders = stored.holders() - self.reclaimed if stored else set()
         return sum(
             host.ledger.held(SLOTS)
             for name, host in self.hosts.items()
@@ -132,6 +137,7 @@
         self.last_epoch = epoch.epoch
         reclaimed = self.holders - epoch.holders()
         self.holders = epoch.holders()
+        self.reclaimed |= reclaimed
         for host in self.hosts.values():
             now = asyncio.get_running_loop().time()
             gone_s = now - self.gone_at.get(host.name, now)
@@ -176,6 +182,12 @@
                 self.store.lose_answers += 1
             case 'down':
                 self.store.down = not self.store.down
+            case 'copy':
+                self.copy = dict(self.store.objects)
+            case 'restore':
+                self.store.restore(self.copy)
+                stored = self.stored()
+                self.holders = stored.holders() if stored else set()
             case 'epoch':
                 await self.advance_epoch(host, random=Random(amount))
             case 'totals':
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -60,6 +60,11 @@
     check_all(operations('totals', 'totals'))
 
 
+@when('the store also comes back from copies between such events')
+def step_copies(context):
+    check_all(operations('copy', 'copy', 'restore', 'restore'))
+
+
 @given('a fleet with its first share epoch')
 def step_first_epoch(context):
     async def start():
--- a/features/steps/steering_fakes.py
+++ b/features/steps/steering_fakes.py
@@ -18,7 +18,8 @@
 )
 from balsamrail.logs import Log
 from balsamrail.membership.member import Member
-from balsamrail.store import StoredObject
+from balsamrail.store import StoredObject, StoreEra
+from balsamrail.store.versions import join_version, split_version
 
 REGIONS = ('attiki', 'makedonia', 'peloponnisos')
 
@@ -178,6 +179,15 @@
         self.lose_answers = 0
         self.resume = {}
         self.written = lambda value: None
+        self.era = StoreEra()
+
+    def restore(self, objects):
+        """Come back from a copy of ``objects`` in a new era."""
+        self.era = StoreEra(number=self.era.number + 1)
+        self.objects = {
+            name: (join_version(era=self.era.number, number=split_version(version)[1]), value)
+            for name, (version, value) in objects.items()
+        }
 
     async def read(self, name):
         if self.down:
@@ -190,7 +200,8 @@
             await self.resume[writer].wait()
         if self.down:
             raise StoreUnavailableError('down')
-        current = self.objects.get(name, (0, None))[0]
+        absent_version = join_version(era=self.era.number, number=0)
+        current = self.objects.get(name, (absent_version, None))[0]
         if current != version:
             raise StoreConflictError(name=name, version=current)
         self.objects[name] = (version + 1, json.loads(json.dumps(value)))
@@ -209,5 +220,9 @@
         self._host = host
         self.read = store.read
 
+    @property
+    def era(self):
+        return self._store.era
+
     async def write(self, name, *, value, version):
         return await self._store.write(name, value=value, version=version, writer=self._host)
--- a/src/balsamrail/steering/epoch_transitions.py
+++ b/src/balsamrail/steering/epoch_transitions.py
@@ -9,11 +9,47 @@
 Amounts = dict[str, int]
 
 
-def first_epoch(totals: Amounts, *, local: Sequence[str], remote: Sequence[str]) -> ShareEpoch:
+def first_epoch(
+    totals: Amounts, *, number: int = 1, local: Sequence[str], remote: Sequence[str]
+) -> ShareEpoch:
     """Return the first epoch of a region, distributed among the holders known at that time."""
     base: dict[str, Amounts] = {holder: {} for holder in (*local, *remote)}
     _distribute(base, remaining=totals, local=local, remote=remote)
-    return ShareEpoch(epoch=1, sealing=False, totals=totals, base=base, pool=dict(totals))
+    return ShareEpoch(epoch=number, sealing=False, totals=totals, base=base, pool=dict(totals))
+
+
+def epoch_after_loss(
+    copied: ShareEpoch | None,
+    *,
+    number: int,
+    lost: int,
+    totals: Amounts,
+    alive: Set[str],
+) -> ShareEpoch:
+    """Return the epoch after the store came back from a copy and lost epochs.
+
+    All holders keep what they hold until they seal this epoch. Those that have not adopted the
+    last lost epoch hold nothing, since it may have reclaimed what they held.
+
+    :param copied: the epoch in the copy, ``None`` if it has none.
+    :param number: the number of the epoch, above all lost ones.
+    :param lost: the highest number of a lost epoch that this host knows.
+    :param alive: the holders that are alive, of which the copy may lack some.
+    """
+    holders = alive | (copied.holders() if copied else set())
+    pool = copied.pool if copied else {}
+    return ShareEpoch(
+        epoch=number,
+        sealing=False,
+        totals=totals,
+        base={},
+        unsealed=sorted(holders),
+        pool={
+            name: max(totals.get(name, 0), pool.get(name, 0))
+            for name in totals.keys() | pool.keys()
+        },
+        joined=dict.fromkeys(holders, lost),
+    )
 
 
 def with_joined(epoch: ShareEpoch, *, holders: Set[str]) -> ShareEpoch:
--- a/src/balsamrail/steering/region_coordinator.py
+++ b/src/balsamrail/steering/region_coordinator.py
@@ -4,11 +4,17 @@
 
 from balsamrail.messages import ShareEpochAnnounce, ShareSealed
 from balsamrail.steering.context import SteeringContext
-from balsamrail.steering.epoch_transitions import first_epoch, next_epoch, with_joined
+from balsamrail.steering.epoch_transitions import (
+    epoch_after_loss,
+    first_epoch,
+    next_epoch,
+    with_joined,
+)
 from balsamrail.steering.rendezvous import rendezvous_order
 from balsamrail.steering.resources import resource_totals
 from balsamrail.steering.routing_plan import RoutingPlan
 from balsamrail.steering.share_epoch import ShareEpoch, encode_epoch
+from balsamrail.store.versions import join_version, split_version
 
 _SEAL_TIMEOUT_S = 3.0
 _MIN_SEAL_INTERVAL_S = 10.0
@@ -78,7 +84,7 @@
         :param version: the version of the stored object that holds ``current``.
         :raises StoreConflictError: if another host wrote first.
         """
-        due = self._due_epoch(current)
+        due = self._due_epoch(current, first_number=_first_number(version))
         if due is None:
             return None
         await self._context.store.write(
@@ -86,6 +92,27 @@
         )
         return due
 
+    async def write_after_loss(
+        self, copied: ShareEpoch | None, *, version: int, lost: int
+    ) -> ShareEpoch:
+        """Write and return the first epoch after the store came back from a copy.
+
+        :param lost: the highest number of a lost epoch that this host knows.
+        :raises StoreConflictError: if another host wrote first.
+        """
+        plan = RoutingPlan(declaration=self._context.tracker.accepted())
+        epoch = epoch_after_loss(
+            copied,
+            number=max(_first_number(version), lost + 1),
+            lost=lost,
+            totals=resource_totals(plan.declaration, region=self._region),
+            alive={member.holder for member in self._context.members.alive()},
+        )
+        await self._context.store.write(
+            f'shares/{self._region}', value=encode_epoch(epoch), version=version
+        )
+        return epoch
+
     def announce(self, epoch: ShareEpoch) -> None:
         """Announce an epoch to all hosts."""
         self._announcement_count += 1
@@ -95,12 +122,12 @@
             version=(epoch.epoch, int(epoch.sealing), self._announcement_count),
         )
 
-    def _due_epoch(self, current: ShareEpoch | None) -> ShareEpoch | None:
+    def _due_epoch(self, current: ShareEpoch | None, *, first_number: int) -> ShareEpoch | None:
         plan = RoutingPlan(declaration=self._context.tracker.accepted())
         totals = resource_totals(plan.declaration, region=self._region)
         local, remote = self._holders()
         if current is None:
-            return first_epoch(totals, local=local, remote=remote)
+            return first_epoch(totals, number=first_number, local=local, remote=remote)
         gone = self._confirmed_gone(current, min_gone_s=plan.longest_deadline_s())
         if current.sealing:
             return self._epoch_after_seal(current, totals=totals, gone=gone)
@@ -168,3 +195,9 @@
 
     def _now(self) -> float:
         return self._context.environment.clock.monotonic()
+
+
+def _first_number(version: int) -> int:
+    """Return the first number of the era of a version, which is above those of earlier eras."""
+    era, _ = split_version(version)
+    return join_version(era=era, number=1)
--- a/src/balsamrail/steering/region_epochs.py
+++ b/src/balsamrail/steering/region_epochs.py
@@ -10,6 +10,7 @@
 from balsamrail.steering.share_epoch import ShareEpoch, decode_epoch
 from balsamrail.steering.share_fence import ShareFence
 from balsamrail.steering.share_ledger import ShareLedger
+from balsamrail.store.versions import join_version, split_version
 
 _STEP_INTERVAL_S = 0.5
 _STARTUP_DELAY_S = 3.0
@@ -36,6 +37,7 @@
         '_coordinator',
         '_fence',
         '_fence_read_due_at',
+        '_has_lost_epochs',
         '_is_current',
         '_ledger',
         '_read_due_at',
@@ -64,6 +66,7 @@
         self._stored_epoch: ShareEpoch | None = None
         self._version = 0
         self._is_current = False
+        self._has_lost_epochs = False
 
     async def run(self) -> None:
         """Track the epochs, and write new ones as coordinator, until cancelled."""
@@ -121,9 +124,14 @@
             await self._send_report()
         # After an error the object is read first, since the failed write may have taken effect.
         if is_coordinator and self._is_current and self._now() - self._started >= _STARTUP_DELAY_S:
-            new_epoch = await self._coordinator.write_next(
-                self._stored_epoch, version=self._version
-            )
+            if self._has_lost_epochs:
+                new_epoch: ShareEpoch | None = await self._coordinator.write_after_loss(
+                    self._stored_epoch, version=self._version, lost=self.known_epoch()
+                )
+            else:
+                new_epoch = await self._coordinator.write_next(
+                    self._stored_epoch, version=self._version
+                )
             if new_epoch is not None:
                 self._apply(new_epoch, version=self._version + 1)
                 self._coordinator.announce(new_epoch)
@@ -147,13 +155,25 @@
         wait_s = _COORDINATOR_READ_INTERVAL_S if self._ledger.listed else _JOIN_READ_INTERVAL_S
         self._read_due_at = self._now() + wait_s * (0.5 + self._context.random.random() / 2)
         self._is_current = True
-        is_sealing = False
-        if stored is not None:
-            epoch = decode_epoch(stored.value)
-            self._apply(epoch, version=stored.version)
-            is_sealing = epoch.sealing
+        epoch = None if stored is None else decode_epoch(stored.value)
+        absent_version = join_version(era=self._context.store.era.number, number=0)
+        version = absent_version if stored is None else stored.version
+        if self._is_from_copy(epoch, version=version):
+            # Another host may hold what a lost epoch took from the holders in the copy.
+            self._has_lost_epochs = True
+            self._stored_epoch, self._version = epoch, version
+            return
+        if epoch is not None:
+            self._apply(epoch, version=version)
+        is_sealing = epoch is not None and epoch.sealing
         self._fence.record_read(self._ledger.region, since=since, is_sealing=is_sealing)
 
+    def _is_from_copy(self, epoch: ShareEpoch | None, *, version: int) -> bool:
+        """Return whether the stored epoch was not written in the era of its version."""
+        if epoch is None:
+            return self.known_epoch() > 0
+        return split_version(epoch.epoch)[0] < split_version(version)[0]
+
     def _apply(self, epoch: ShareEpoch, *, version: int) -> None:
         if version < self._version or (
             version == self._version and self._stored_epoch is not None
@@ -163,6 +183,7 @@
             self._coordinator.record_change(is_sealing=epoch.sealing)
         self._stored_epoch = epoch
         self._version = version
+        self._has_lost_epochs = False
         holder = self._ledger.holder
         base = epoch.base.get(holder)
         if base is not None and epoch.epoch >= self._ledger.epoch:
