Guard each part of the handling of eras by a test of its own

The feed's refusal of a listing of an older era is removed: nothing depended on it, since a view ignores older objects and the next watch answers in the newer era, which lists again.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -65,6 +65,12 @@
     When the store changes, loses calls, discards history, becomes unavailable and comes back older
     Then the feed equals the store within 3 s of its recovery
 
+  Scenario: A feed notices at once that its watch goes on in another era
+    Guards against changes that are missed since the store has given out the watch's revision again.
+
+    When the store comes back older and reaches the revision of a watch before that is answered
+    Then the feed equals the store 0.3 s later
+
   Scenario: Targets survive an outage in which their registrations expired
     This guards against an outage of the store that removes all targets.
 
--- a/features/steps/catalog_feed_steps.py
+++ b/features/steps/catalog_feed_steps.py
@@ -103,3 +103,34 @@
 @then('the host has removed the target 2.8 s later')
 def step_dropped(context):
     assert not context.known_after, context.known_after
+
+
+@when('the store comes back older and reaches the revision of a watch before that is answered')
+def step_given_out_again(context):
+    context.phases = [number / 10 for number in range(12)]
+
+
+@then('the feed equals the store {bound_s:g} s later')
+def step_equal_at_once(context, bound_s):
+    late = [phase for phase in context.phases if not run_virtual(_is_equal(phase, bound_s))]
+    assert not late, late
+
+
+async def _is_equal(phase, bound_s):
+    environment = platform_helpers.make_environment()
+    source = FakeSource()
+    view = ObjectView(kind='servers')
+    contact = StoreMonitor(environment=environment, source=source, kind='evacuations')
+    feed = Feed(environment=environment, source=source, view=view, contact=contact)
+    tasks = [asyncio.create_task(contact.run()), asyncio.create_task(feed.run())]
+    contents = source.copy_contents()
+    source.write('a', 1)
+    source.write('b', 1)
+    await asyncio.sleep(5 + phase)
+    source.restore(contents)
+    for name in 'cdef':
+        source.write(name, 2)
+    await asyncio.sleep(bound_s)
+    for task in tasks:
+        task.cancel()
+    return view.objects_by_name == {stored.name: stored for stored in source.listed()}
--- a/features/watch_duty.feature
+++ b/features/watch_duty.feature
@@ -67,3 +67,29 @@
     Given two watchers and a follower on a network that loses and duplicates messages
     When the newest object is removed while all messages are lost for 1 s
     Then the follower has the objects of the store within 4 s of the last change
+
+  Scenario Outline: Followers lose what only they know when the store comes back older
+    Guards against targets and evacuations that stay for good on hosts whose source never had them.
+
+    Given a source that has <objects>, and a follower that has another object too
+    When the source lists the store, which came back older
+    Then the follower has what the source has
+
+    Examples:
+      | objects     |
+      | one object  |
+      | no objects  |
+
+  Scenario: A source that has not learned of the new era is not current
+    Guards against a host that waits for changes from a source that misses them.
+
+    Given a source that has one object, and a follower that has another object too
+    When the follower learns of a new era before the source
+    Then the source is not current for it until the source has listed the store
+
+  Scenario: A removal that a listing shows is not undone by an older report
+    Guards against a target that left, in use again on followers after a late report of a change.
+
+    Given a source that has one object, and a follower that has another object too
+    When the source finds the object removed in a listing, and the follower gets an older change
+    Then the follower does not have the object
--- a/src/balsamrail/catalog/feed.py
+++ b/src/balsamrail/catalog/feed.py
@@ -128,8 +128,6 @@
         self._is_relist_due = False
         try:
             listing = await self._source.list_objects(self.kind)
-            if listing.revision.era < self._revision.era:
-                raise StoreError(f'a listing of the older era {listing.revision.era}')
         except StoreError:
             self._is_relist_due = True
             raise
