Count the grace of lost targets and evacuations anew when the store comes back again

If the store comes back from a copy a second time before lost targets and evacuations have been written again, the first grace period ended before they could be: callers would be refused for lack of targets and requests sent to an evacuated zone. A target that one return lost and that the next copy showed with an outdated entry was removed although the store listed it. Both found by the review of the handling of eras.

Pending removals and lost evacuations start their time again at each new era, and an outdated entry of a target that has not left ends its removal. Entries are suspected for 1 s longer than the three heartbeats, since the store removes entries that nobody renews a moment after the third one.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -92,6 +92,20 @@
     When the store comes back older without the target and an evacuation, at any time after an outage
     Then both stay in force for 2 s, and for good if they are written again within that time
 
+  Scenario: What a store lost stays in force when it comes back older once more
+    Guards against a grace period that ends before the second return allows to write anything again.
+
+    Given a catalog with a registered target
+    When the store comes back without the target and an evacuation, and once more before they are written
+    Then both stay in force until they are written again
+
+  Scenario: A target that one return lost and the next shows outdated stays in use
+    Guards against a target that is removed although the store lists it.
+
+    Given a catalog with a registered target
+    When the store comes back without the target, and once more with an outdated entry of it
+    Then the target is in use all the time
+
   Scenario: A target that leaves after the store came back older is removed at once
     Guards against requests to a target that has left, for the time that lost entries are kept.
 
@@ -104,7 +118,7 @@
 
     Given a catalog with a registered target
     When the target has <changed> and the store comes back older with its first entry
-    Then its state is kept until the target writes again, or for three heartbeats
+    Then its state is kept until the target writes again, or for three heartbeats and 1 s
 
     Examples:
       | changed                |
--- a/features/steps/catalog_restore_steps.py
+++ b/features/steps/catalog_restore_steps.py
@@ -145,7 +145,7 @@
         store.era, store.number = 2, 4
         store.list_targets(first)
         found = [store.addresses()]
-        await asyncio.sleep(3 * HEARTBEAT_S - 0.1)
+        await asyncio.sleep(3 * HEARTBEAT_S + 0.9)
         found.append(store.addresses())
         if is_renewed:
             store.number = 6
@@ -157,8 +157,63 @@
     context.found = [run_virtual(play(is_renewed=value)) for value in (True, False)]
 
 
-@then('its state is kept until the target writes again, or for three heartbeats')
+@then('its state is kept until the target writes again, or for three heartbeats and 1 s')
 def step_state_kept(context):
     for expected, found, is_believed in context.found:
         assert found == [expected, expected], (expected, found)
         assert is_believed
+
+
+@when(
+    'the store comes back without the target and an evacuation, and once more before they are '
+    'written'
+)
+def step_lost_twice(context):
+    async def play(again_after_s):
+        store = RestoredStore()
+        store.number = 9
+        store.list_entries(are_present=True)
+        for era, pause_s in ((2, again_after_s), (3, 1.5)):
+            store.era, store.number = era, 4
+            store.list_entries(are_present=False)
+            await asyncio.sleep(pause_s)
+        found = store.in_force()
+        store.change_entries(is_removal=False)
+        await asyncio.sleep(5)
+        return found, store.in_force()
+
+    context.found = {after_s: run_virtual(play(after_s)) for after_s in (0.5, 1.0, 1.9)}
+
+
+@then('both stay in force until they are written again')
+def step_kept_twice(context):
+    for after_s, found in context.found.items():
+        assert found == ((True, True), (True, True)), (after_s, found)
+
+
+@when('the store comes back without the target, and once more with an outdated entry of it')
+def step_outdated_after_loss(context):
+    first = {**TARGET, 'sequence': 5, 'born': 1_000}
+
+    async def play():
+        store = RestoredStore()
+        store.list_targets(first)
+        store.number = 9
+        store.put_target({**first, 'sequence': 9})
+        store.era, store.number = 2, 1
+        store.list_entries(are_present=False)
+        await asyncio.sleep(1)
+        store.era, store.number = 3, 4
+        store.list_targets(first)
+        found = []
+        for _ in range(12):
+            found.append(bool(store.addresses()))
+            await asyncio.sleep(0.5)
+        return found
+
+    context.found = run_virtual(play())
+
+
+@then('the target is in use all the time')
+def step_in_use(context):
+    assert all(context.found), context.found
--- a/src/balsamrail/catalog/outdated_entries.py
+++ b/src/balsamrail/catalog/outdated_entries.py
@@ -25,6 +25,11 @@
         known = self._positions_by_id.get(entry.target_id)
         return self.is_suspect and known is not None and _position_of(entry) < known
 
+    def has_left(self, target_id: str) -> bool:
+        """Return whether the entry of a target was removed, so that only the copy has it."""
+        known = self._positions_by_id.get(target_id)
+        return known is not None and known[2]
+
     def believe(self, entry: TargetEntry) -> None:
         """Record that an entry is in force."""
         self._positions_by_id.pop(entry.target_id, None)
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -24,6 +24,8 @@
 # The entry of a target that does not renew it is removed after this number of heartbeats, so that an
 # entry which is still there then is believed.
 _LAPSE_HEARTBEATS = 3
+# The store removes such an entry a little after its last heartbeat is due.
+_LAPSE_MARGIN_S = 1.0
 
 
 class CatalogReader:
@@ -98,6 +100,10 @@
                 )
                 if view.kind == TARGETS:
                     self._suspect_entries(view)
+                    # What is still missing can be written again only now.
+                    self._delayed_removal.restart(after_s=_REGISTRATION_GRACE_S)
+                elif view.kind == EVACUATIONS:
+                    self._restart_lost_evacuations(view)
 
         return observe
 
@@ -105,9 +111,9 @@
         self._outdated_entries.is_suspect = True
         if self._suspicion_timer is not None:
             self._suspicion_timer.cancel()
-        period_s = _LAPSE_HEARTBEATS * self._environment.settings.store.target_heartbeat_s
+        lapse_s = _LAPSE_HEARTBEATS * self._environment.settings.store.target_heartbeat_s
         self._suspicion_timer = asyncio.get_running_loop().call_later(
-            period_s, self._believe_all, targets
+            lapse_s + _LAPSE_MARGIN_S, self._believe_all, targets
         )
 
     def _believe_all(self, targets: ObjectView) -> None:
@@ -162,6 +168,8 @@
             self._environment.log.event(
                 'target_entry_outdated', target=stored.name, sequence=entry.sequence
             )
+            if not self._outdated_entries.has_left(stored.name):
+                self._delayed_removal.cancel(stored.name)
             return
         self._unbelieved_ids.discard(stored.name)
         self._outdated_entries.believe(entry)
@@ -178,11 +186,19 @@
             if timer is not None:
                 timer.cancel()
             if event.is_lost:
-                self._lost_evacuations[event.stored.name] = asyncio.get_running_loop().call_later(
-                    _REGISTRATION_GRACE_S, self._end_lost_evacuation, view, event.stored.name
-                )
+                self._keep_lost_evacuation(view, event.stored.name)
         self._publish_evacuations(view)
 
+    def _keep_lost_evacuation(self, view: ObjectView, zone: str) -> None:
+        self._lost_evacuations[zone] = asyncio.get_running_loop().call_later(
+            _REGISTRATION_GRACE_S, self._end_lost_evacuation, view, zone
+        )
+
+    def _restart_lost_evacuations(self, view: ObjectView) -> None:
+        for zone, timer in list(self._lost_evacuations.items()):
+            timer.cancel()
+            self._keep_lost_evacuation(view, zone)
+
     def _end_lost_evacuation(self, view: ObjectView, zone: str) -> None:
         self._lost_evacuations.pop(zone, None)
         self._publish_evacuations(view)
