Let a planned stop wait for requests whose caller has left

What callers would see: a request that may not be repeated, whose caller has closed its connection, is dropped at its target although the host had time left: it was to continue without its caller.

Cause: GracefulShutdown counted only requests with a caller (CallerServer.in_flight falls when the caller disconnects), so the process ended after 3.3 s with the detached run in progress. It waits for detached runs as well now, until the end of the grace period at the latest.

Ruled out: a node counts them (Forwarder.in_flight includes its background tasks).

Evidence: with a real process, a target that takes 4.5 s and a grace period of 6 s the scenario failed before: the target saw its connection closed once before its response; it passes now. The whole suite was not run.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -63,6 +63,13 @@
       | an idempotent    | 504    | outcome_unknown |
       | a non-idempotent | 504    | outcome_unknown |
 
+  Scenario: A non-idempotent request whose caller has left ends before its host does
+    Guards against a run that is dropped because only requests with a waiting caller are counted.
+
+    Given a process of a host, with a target that takes 4.5 s
+    When it gets SIGTERM after the caller of a non-idempotent request has left
+    Then the target completes the request before the host closes the connection
+
   Scenario: Hosts that restart serve requests again
     Given 5 hosts in attiki and 1 in makedonia with targets in both
     When all hosts are killed at once and restart with no state but the store
--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -148,6 +148,30 @@
     context.play(script)
 
 
+@when('it gets SIGTERM after the caller of a non-idempotent request has left')
+def step_caller_left(context):
+    async def script(host):
+        number, _, port = host.address.rpartition(':')
+        _, writer = await asyncio.open_connection(number, int(port))
+        head = f'GET /write/{context.takes_s} HTTP/1.1\r\nHost: {HOST_NAME}\r\n'
+        writer.write(f'{head}X-Request-Id: r-1\r\n\r\n'.encode())
+        await asyncio.sleep(0.2)
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert 'r-1' in host.reached_ids()
+        host.process.terminate()
+        await host.process.wait()
+        await asyncio.sleep(0.1)
+        context.cut = host.target.upstream.closed_early
+
+    context.play(script)
+
+
+@then('the target completes the request before the host closes the connection')
+def step_completed(context):
+    assert context.cut == 0, context.cut
+
+
 @then('its caller is told {status:d} {code} before the grace period of {grace_s:g} s is over')
 def step_told_at_end(context, status, code, grace_s):
     assert context.response.code == status, context.response
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -67,6 +67,10 @@
         run = self._run(plan, request)
         return await (run if plan.route.is_idempotent else self._run_detached(run))
 
+    def has_detached_requests(self) -> bool:
+        """Return whether requests run that continue when their caller disconnects."""
+        return bool(self._detached_runs)
+
     def end_requests_by(self, ends_at: float) -> None:
         """Send no more requests to targets that may end after ``ends_at``, in event loop time.
 
--- a/src/balsamrail/entry/graceful_shutdown.py
+++ b/src/balsamrail/entry/graceful_shutdown.py
@@ -29,6 +29,9 @@
     def end_requests_by(self, ends_at: float) -> None:
         """Send no more requests to targets that may end after ``ends_at``, and end all then."""
 
+    def has_detached_requests(self) -> bool:
+        """Return whether requests run that continue when their caller disconnects."""
+
 
 class GracefulShutdown:
     """Drains an entry host: callers move to other hosts, and requests in flight finish.
@@ -68,7 +71,7 @@
             now = clock.monotonic()
             is_quiet = now - self._callers.last_request_at > _QUIET_S
             may_end = now >= deadline or (now >= served_until and is_quiet)
-            if may_end and not self._callers.in_flight:
+            if may_end and not self._has_requests():
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._environment.log.event(
@@ -77,3 +80,6 @@
             after_s=clock.monotonic() - started,
         )
         return self._callers.in_flight
+
+    def _has_requests(self) -> bool:
+        return self._callers.in_flight > 0 or self._requests.has_detached_requests()
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -139,4 +139,12 @@
         feature='features/entry.feature',
         scenario='A request that outlasts the grace period',
     ),
+    Mutant(
+        mechanism='a planned stop waits for requests whose caller has left',
+        file='src/balsamrail/entry/graceful_shutdown.py',
+        old=' or self._requests.has_detached_requests()',
+        new='',
+        feature='features/entry.feature',
+        scenario='A non-idempotent request whose caller has left',
+    ),
 )
