--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -46,8 +46,8 @@
     Mutant(
         mechanism='a host that is registered does not register again',
         file='src/balsamrail/platform/host_registry.py',
-        old='if known is not None and known.spec == spec:',
-        new='if False:',
+        old='return known is not None and known.spec == spec',
+        new='return False',
         feature='features/platform_store.feature',
         scenario='A host that restarts does not register again',
     ),
