Play more lengths of a network failure before a slow store

The mutant 'a host that missed updates lists the store even if it is slow' was no longer caught after the statuses of a lost path come at once: with the lengths 0.3, 1 and 1.4 s no failure hit the moment that needs the mechanism.

--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -10,6 +10,8 @@
 
 # Delays from the fault to the change, in seconds: before, during and after its detection.
 DELAYS_S = (0.0, 0.2, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0)
+# Lengths of a network failure in seconds, which end before and after the next status of a source.
+SLOW_STORE_GAPS_S = (0.3, 0.7, 0.8, 0.9, 1.0, 1.1, 1.2, 1.3, 1.4)
 # Moments of the fault between two checks of the store.
 PHASES_S = (0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.7, 0.9)
 OBSERVED_S = 12
@@ -132,17 +134,17 @@
 
 @when('an object is removed while hosts that follow others are isolated for 0.3 s, 1 s or 1.4 s')
 def step_removed_in_gap(context):
-    _remove_in_gap(context, store_delay_s=0)
+    _remove_in_gap(context, gaps_s=(0.3, 1.0, 1.4), store_delay_s=0)
 
 
 @when(
     'an object is removed while hosts are isolated, and the store takes {delay_s:g} s for each call'
 )
 def step_removed_slow(context, delay_s):
-    _remove_in_gap(context, store_delay_s=delay_s)
+    _remove_in_gap(context, gaps_s=SLOW_STORE_GAPS_S, store_delay_s=delay_s)
 
 
-def _remove_in_gap(context, *, store_delay_s):
+def _remove_in_gap(context, *, gaps_s, store_delay_s):
     async def run_once(gap_s):
         async with started_fleet(context.sizes) as fleet:
             for host in fleet.hosts.values():
@@ -158,7 +160,7 @@
             await asyncio.sleep(5)
             return fleet.hosts_with('i-1')
 
-    context.hosts_with_object = {gap_s: run_virtual(run_once(gap_s)) for gap_s in (0.3, 1.0, 1.4)}
+    context.hosts_with_object = {gap_s: run_virtual(run_once(gap_s)) for gap_s in gaps_s}
 
 
 @then('no host has it 5 s later')
