Keep grace periods by name in one class

Lost evacuations and delayed removals of targets each had their own dictionary of timers with the same start, restart and cancellation.

--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -5,6 +5,7 @@
 
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.catalog.delayed_removal import DelayedRemoval
+from balsamrail.catalog.grace_timers import GraceTimers
 from balsamrail.catalog.object_view import ObjectView
 from balsamrail.catalog.outdated_entries import OutdatedEntries
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject
@@ -65,13 +66,15 @@
         self._on_new_era = on_new_era
         self._newest_era = 0
         self._era_by_kind: dict[str, int] = {}
-        self._lost_evacuations: dict[str, asyncio.TimerHandle] = {}
         self._outdated_entries = OutdatedEntries()
         self._suspicion_timer: asyncio.TimerHandle | None = None
         self._unbelieved_ids: set[str] = set()
         manifests = ObjectView(kind=MANIFESTS, content_version=_manifest_version)
         targets = ObjectView(kind=TARGETS)
         evacuations = ObjectView(kind=EVACUATIONS)
+        self._lost_evacuations = GraceTimers(
+            on_end=lambda _: self._publish_evacuations(evacuations)
+        )
         self.views = (manifests, targets, evacuations)
         for view in self.views:
             view.subscribe(self._make_era_observer(view))
@@ -103,7 +106,7 @@
                     # What is still missing can be written again only now.
                     self._delayed_removal.restart(after_s=_REGISTRATION_GRACE_S)
                 elif view.kind == EVACUATIONS:
-                    self._restart_lost_evacuations(view)
+                    self._lost_evacuations.restart_all(after_s=_REGISTRATION_GRACE_S)
 
         return observe
 
@@ -182,25 +185,9 @@
 
     def _on_evacuations_changed(self, view: ObjectView, events: list[ObjectEvent]) -> None:
         for event in events:
-            timer = self._lost_evacuations.pop(event.stored.name, None)
-            if timer is not None:
-                timer.cancel()
+            self._lost_evacuations.cancel(event.stored.name)
             if event.is_lost:
-                self._keep_lost_evacuation(view, event.stored.name)
-        self._publish_evacuations(view)
-
-    def _keep_lost_evacuation(self, view: ObjectView, zone: str) -> None:
-        self._lost_evacuations[zone] = asyncio.get_running_loop().call_later(
-            _REGISTRATION_GRACE_S, self._end_lost_evacuation, view, zone
-        )
-
-    def _restart_lost_evacuations(self, view: ObjectView) -> None:
-        for zone, timer in list(self._lost_evacuations.items()):
-            timer.cancel()
-            self._keep_lost_evacuation(view, zone)
-
-    def _end_lost_evacuation(self, view: ObjectView, zone: str) -> None:
-        self._lost_evacuations.pop(zone, None)
+                self._lost_evacuations.start(event.stored.name, after_s=_REGISTRATION_GRACE_S)
         self._publish_evacuations(view)
 
     def _publish_evacuations(self, view: ObjectView) -> None:
