Detect a new era of the store in one place

The reader of the catalog, twice, and the hub each compared the era that they had noted with the new one, with the same exception for the first. EraTracker does it for all three.

--- a/src/balsamrail/fleet/feed_hub.py
+++ b/src/balsamrail/fleet/feed_hub.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from balsamrail.catalog.era_tracker import EraTracker
 from balsamrail.catalog.object_view import ObjectView
 from balsamrail.catalog.stored_objects import ObjectEvent
 from balsamrail.environment import Environment
@@ -53,7 +54,6 @@
 
     __slots__ = (
         '_environment',
-        '_era_by_kind',
         '_network',
         '_reported_hops',
         '_subscriptions_by_host',
@@ -75,7 +75,6 @@
         self._watch = watch
         self._subscriptions_by_host: dict[str, _Subscription] = {}
         self._reported_hops = math.inf
-        self._era_by_kind: dict[str, int] = {}
         network.subscribe(FeedSubscribe, self._on_subscribe)
         for view in self._views:
             view.subscribe(self._make_forwarder(view))
@@ -139,10 +138,10 @@
         await self._send_status(host, subscription)
 
     def _make_forwarder(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
+        known_era = EraTracker()
+
         def forward(events: list[ObjectEvent]) -> None:
-            era = view.complete_revision.era
-            is_new_era = 0 < self._era_by_kind.get(view.kind, 0) < era
-            self._era_by_kind[view.kind] = era
+            is_new_era = known_era.advance(view.complete_revision.era)
             if self._subscriptions_by_host:
                 update = _make_listing(view) if is_new_era else _make_update(view.kind, events)
                 asyncio.create_task(self._forward(update))
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -5,6 +5,7 @@
 
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.catalog.delayed_removal import DelayedRemoval
+from balsamrail.catalog.era_tracker import EraTracker
 from balsamrail.catalog.grace_timers import GraceTimers
 from balsamrail.catalog.object_view import ObjectView
 from balsamrail.catalog.outdated_entries import OutdatedEntries
@@ -40,7 +41,6 @@
         '_catalog',
         '_delayed_removal',
         '_environment',
-        '_era_by_kind',
         '_lost_evacuations',
         '_newest_era',
         '_on_new_era',
@@ -64,8 +64,7 @@
         self._store_up_for_s = store_up_for_s
         self._delayed_removal = DelayedRemoval(catalog=catalog)
         self._on_new_era = on_new_era
-        self._newest_era = 0
-        self._era_by_kind: dict[str, int] = {}
+        self._newest_era = EraTracker()
         self._outdated_entries = OutdatedEntries()
         self._suspicion_timer: asyncio.TimerHandle | None = None
         self._unbelieved_ids: set[str] = set()
@@ -83,14 +82,14 @@
         evacuations.subscribe(lambda events: self._on_evacuations_changed(evacuations, events))
 
     def _make_era_observer(self, view: ObjectView) -> Callable[[list[ObjectEvent]], None]:
+        known_era = EraTracker()
+
         def observe(events: list[ObjectEvent]) -> None:
             revision = view.complete_revision
-            old_era = self._era_by_kind.get(view.kind, 0)
-            self._era_by_kind[view.kind] = revision.era
-            if 0 < self._newest_era < revision.era and self._on_new_era is not None:
+            old_era = known_era.era
+            if self._newest_era.advance(revision.era) and self._on_new_era is not None:
                 self._on_new_era()
-            self._newest_era = max(self._newest_era, revision.era)
-            if 0 < old_era < revision.era:
+            if known_era.advance(revision.era):
                 self._environment.metrics.count('store_era_changes')
                 self._environment.log.event(
                     'store_era_changed',
