Look for sources in other regions only on watchers

Every host ranked the hosts of its region a second time in each tick, four times a second, to find that it is not one of the first two. The assignment tells that already: a host that is no standby is one of them or in a small region. Behaviour is unchanged: feed_currency, watch_duty and large_fleet pass without a change, and the mutant is caught on the new line. The processor time that it saves was not measured.

--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -184,7 +184,9 @@
         self._local_sources = self._with_kept_sources(assignment.sources)
         if self.is_current() or self._follower.has_current_source(self._local_sources):
             self._local_current_at = now
-        remote = backup_sources(members, own=own, state_of=self._follower.state_of)
+        remote: tuple[str, ...] = ()
+        if not assignment.is_standby:
+            remote = backup_sources(members, own=own, state_of=self._follower.state_of)
         if now - self._local_current_at >= self._fallback_delay_s():
             found = remote_sources(members, own=own, state_of=self._follower.state_of)
             remote = (*remote, *found)
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -46,8 +46,8 @@
     Mutant(
         mechanism='watchers follow a watcher of another region',
         file='src/balsamrail/fleet/store_watch.py',
-        old='remote = backup_sources(members, own=own, state_of=self._follower.state_of)',
-        new='remote = ()',
+        old='        if not assignment.is_standby:\n',
+        new='        if False:\n',
         feature='features/feed_currency.feature',
         scenario='Watchers that the store stops answering',
     ),
