Compute the version of an absent object in one place

Four readers of the store joined the current era and the number 0 themselves. StoreEra.absent_version does it. RecordSync uses the RECORD_NAME that exists. Behaviour is unchanged: claims, record_writes, record_sync, shares and store_client pass without a change.

--- a/src/balsamrail/configuration/record_sync.py
+++ b/src/balsamrail/configuration/record_sync.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import Any, Protocol
 
+from balsamrail.configuration.record import RECORD_NAME
 from balsamrail.configuration.record_delta import apply_record_patch
 from balsamrail.configuration.record_history import RecordHistory
 from balsamrail.configuration.startup_quorum import StartupQuorum
@@ -26,9 +27,7 @@
     RecordRequest,
 )
 from balsamrail.store import Store
-from balsamrail.store.versions import join_version
 
-_RECORD_NAME = 'record'
 _INITIAL_BACKOFF_S = 0.5
 _MAX_BACKOFF_S = 15
 _POLL_INTERVAL_S = 1
@@ -130,7 +129,7 @@
         while not self._quorum.satisfied:
             try:
                 async with asyncio.timeout(timeout_s):
-                    stored = await self._store.read(_RECORD_NAME)
+                    stored = await self._store.read(RECORD_NAME)
             except (StoreError, TimeoutError):
                 self._environment.metrics.count('record_reads_failed')
             else:
@@ -178,13 +177,12 @@
         # Bounds a watch on a dead connection: the watch's duration plus the timeout of a call.
         try:
             async with asyncio.timeout(settings.watch_s + settings.timeout_s):
-                stored = await self._store.watch(_RECORD_NAME, version=version)
+                stored = await self._store.watch(RECORD_NAME, version=version)
         except HistoryGoneError:
             self._environment.log.event('record_version_gone', version=version)
-            stored = await self._store.read(_RECORD_NAME)
+            stored = await self._store.read(RECORD_NAME)
             if stored is None:
-                absent_version = join_version(era=self._store.era.number, number=0)
-                await self._write_back(absent_version, number=0)
+                await self._write_back(self._store.era.absent_version, number=0)
                 return 0
         if stored is None:
             return version
@@ -204,7 +202,7 @@
         if own <= number or own not in self._history:
             return
         with suppress(StoreConflictError):
-            await self._store.write(_RECORD_NAME, value=self._history.value(own), version=version)
+            await self._store.write(RECORD_NAME, value=self._history.value(own), version=version)
             self._environment.log.event('record_written_back', number=own, found=number)
 
     def _is_watcher(self) -> bool:
@@ -234,7 +232,7 @@
         self._next_pull_at = 0
         if number not in self._history:
             self._history.add(number, encode_value(value=self._tracker.record))
-        self._network.flood(RecordAnnounce(number=number), topic=_RECORD_NAME, version=(number,))
+        self._network.flood(RecordAnnounce(number=number), topic=RECORD_NAME, version=(number,))
 
     def _on_announce(self, host: str, message: RecordAnnounce) -> None:
         self._quorum.on_peer_response(host)
--- a/src/balsamrail/configuration/submit.py
+++ b/src/balsamrail/configuration/submit.py
@@ -18,7 +18,7 @@
     StoreOutcomeUnknownError,
 )
 from balsamrail.store import Store, VerifiedWrite
-from balsamrail.store.versions import join_version, split_version
+from balsamrail.store.versions import split_version
 
 # A retry is needed when a trial ends between the read and the write.
 _MAX_ATTEMPTS = 4
@@ -90,7 +90,7 @@
     async def _read(self) -> tuple[Record | None, int]:
         found = await self._store.read(RECORD_NAME)
         if found is None:
-            return None, join_version(era=self._store.era.number, number=0)
+            return None, self._store.era.absent_version
         return decode_record(found.value), found.version
 
     async def _write(self, record: Record | None, *, version: int) -> Submitted | SubmitConflict:
--- a/src/balsamrail/forwarding/claim_partition.py
+++ b/src/balsamrail/forwarding/claim_partition.py
@@ -6,7 +6,7 @@
 from balsamrail.errors import KeyClaimError, StoreConflictError, StoreError
 from balsamrail.forwarding.stored_claims import StoredClaims, decode_claims, encode_claims
 from balsamrail.store import Store
-from balsamrail.store.versions import join_version, split_version
+from balsamrail.store.versions import split_version
 
 # A store value holds 1 MB; a claim with a long key takes about 150 bytes.
 _MAX_CLAIMS = 5_000
@@ -149,8 +149,7 @@
     async def _read(self) -> None:
         stored = await self._store.read(self._name)
         claims = StoredClaims() if stored is None else decode_claims(stored.value)
-        absent_version = join_version(era=self._store.era.number, number=0)
-        self._version = absent_version if stored is None else stored.version
+        self._version = self._store.era.absent_version if stored is None else stored.version
         era = split_version(self._version)[0]
         known = self._confirmed_claims
         is_behind = known.era < era and bool(known.claim_by_key)
--- a/src/balsamrail/steering/region_epochs.py
+++ b/src/balsamrail/steering/region_epochs.py
@@ -10,7 +10,7 @@
 from balsamrail.steering.share_epoch import ShareEpoch, decode_epoch
 from balsamrail.steering.share_fence import ShareFence
 from balsamrail.steering.share_ledger import ShareLedger
-from balsamrail.store.versions import join_version, split_version
+from balsamrail.store.versions import split_version
 
 _STEP_INTERVAL_S = 0.5
 _STARTUP_DELAY_S = 3.0
@@ -156,8 +156,7 @@
         self._read_due_at = self._now() + wait_s * (0.5 + self._context.random.random() / 2)
         self._is_current = True
         epoch = None if stored is None else decode_epoch(stored.value)
-        absent_version = join_version(era=self._context.store.era.number, number=0)
-        version = absent_version if stored is None else stored.version
+        version = self._context.store.era.absent_version if stored is None else stored.version
         if self._is_from_copy(epoch, version=version):
             # Another host may hold what a lost epoch took from the holders in the copy.
             self._has_lost_epochs = True
--- a/src/balsamrail/store/store_era.py
+++ b/src/balsamrail/store/store_era.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from balsamrail.store.versions import join_version
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoreEra:
@@ -13,3 +15,8 @@
 
     number: int = 0
     seen_at_wall_s: float = 0
+
+    @property
+    def absent_version(self) -> int:
+        """The version of an object that does not exist in this era."""
+        return join_version(era=self.number, number=0)
