Move the watch of the record out of RecordSync

Behaviour is unchanged: record_sync, record_writes, membership, tracker, trial and planned_stop pass, the five mutants of the two files are caught.

--- a/src/balsamrail/configuration/record_sync.py
+++ b/src/balsamrail/configuration/record_sync.py
@@ -2,19 +2,17 @@
 
 import asyncio
 import json
-import random
 from collections.abc import Callable, Coroutine
-from contextlib import suppress
 from typing import Any, Protocol
 
 from balsamrail.configuration.record import RECORD_NAME
 from balsamrail.configuration.record_delta import apply_record_patch
 from balsamrail.configuration.record_history import RecordHistory
+from balsamrail.configuration.record_watch import RecordWatch
 from balsamrail.configuration.startup_quorum import StartupQuorum
-from balsamrail.configuration.watchers import choose_watchers
 from balsamrail.documents import encode_value
 from balsamrail.environment import Environment
-from balsamrail.errors import HistoryGoneError, StoreConflictError, StoreError
+from balsamrail.errors import StoreError
 from balsamrail.membership.members import Members
 from balsamrail.membership.network import Network
 from balsamrail.messages import (
@@ -28,8 +26,6 @@
 )
 from balsamrail.store import Store
 
-_INITIAL_BACKOFF_S = 0.5
-_MAX_BACKOFF_S = 15
 _POLL_INTERVAL_S = 1
 # Minimum time between two pulls. Shorter than the heartbeat interval, so that the heartbeat after
 # a lost request triggers a new one.
@@ -52,8 +48,7 @@
     """Watches the store on a few hosts and propagates record changes to all hosts.
 
     A host announces the number of each record that it adopts, and hosts with a lower number pull
-    the record from it. Heartbeats carry the number too, which repairs lost announcements. A watcher
-    that finds a lower number in the store writes its own record there, since the store has lost it.
+    the record from it. Heartbeats carry the number too, which repairs lost announcements.
 
     :param startup_quorum: the condition for :meth:`ready`.
     """
@@ -67,6 +62,7 @@
         '_network',
         '_next_pull_at',
         '_quorum',
+        '_record_watch',
         '_store',
         '_tasks',
         '_tracker',
@@ -89,6 +85,14 @@
         self._members = members
         self._quorum = startup_quorum or StartupQuorum()
         self._history = RecordHistory()
+        self._record_watch = RecordWatch(
+            environment=environment,
+            store=store,
+            members=members,
+            tracker=tracker,
+            history=self._history,
+            adopt=lambda value, version: self._adopt(value, version=version),
+        )
         self._announced = 0
         self._next_pull_at = environment.clock.monotonic()
         self._highest_seen = (0, '')
@@ -106,7 +110,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._load_first())
-                group.create_task(self._watch())
+                group.create_task(self._record_watch.run())
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -121,7 +125,7 @@
             'number': self._tracker.number,
             'highest_seen': self._highest_seen[0],
             'ready': self.ready(),
-            'watches': self._is_watcher(),
+            'watches': self._record_watch.is_due(),
         }
 
     async def _load_first(self) -> None:
@@ -151,68 +155,6 @@
         own = self._environment.settings.host
         return [member.host for member in self._members.alive() if member.host != own]
 
-    async def _watch(self) -> None:
-        version = 0
-        failures = 0
-        while True:
-            if not self._is_watcher():
-                await asyncio.sleep(_POLL_INTERVAL_S)
-                continue
-            began = self._environment.clock.monotonic()
-            try:
-                version = await self._watch_once(version)
-            except (StoreError, TimeoutError) as error:
-                failures += 1
-                self._environment.metrics.count('record_watches_failed')
-                self._environment.log.event('record_watch_failed', reason=type(error).__name__)
-                await asyncio.sleep(_backoff_s(failures))
-                continue
-            failures = 0
-            if self._environment.clock.monotonic() - began < _PULL_INTERVAL_S:
-                # Avoids a tight loop of calls if the store ends each watch immediately.
-                await asyncio.sleep(random.uniform(0, _PULL_INTERVAL_S))
-
-    async def _watch_once(self, version: int) -> int:
-        settings = self._environment.settings.store
-        # Bounds a watch on a dead connection: the watch's duration plus the timeout of a call.
-        try:
-            async with asyncio.timeout(settings.watch_s + settings.timeout_s):
-                stored = await self._store.watch(RECORD_NAME, version=version)
-        except HistoryGoneError:
-            self._environment.log.event('record_version_gone', version=version)
-            stored = await self._store.read(RECORD_NAME)
-            if stored is None:
-                await self._write_back(self._store.era.absent_version, number=0)
-                return 0
-        if stored is None:
-            return version
-        self._adopt(stored.value, version=stored.version)
-        number = stored.value.get('number') if isinstance(stored.value, dict) else None
-        if isinstance(number, int):
-            await self._write_back(stored.version, number=number)
-        return stored.version
-
-    async def _write_back(self, version: int, *, number: int) -> None:
-        """Write the record of this host if the store has lost it and holds ``number`` instead.
-
-        :param version: the version of the stored object. A later submission has another one, so
-            the write conflicts with it.
-        """
-        own = self._tracker.number
-        if own <= number or own not in self._history:
-            return
-        with suppress(StoreConflictError):
-            await self._store.write(RECORD_NAME, value=self._history.value(own), version=version)
-            self._environment.log.event('record_written_back', number=own, found=number)
-
-    def _is_watcher(self) -> bool:
-        own = self._members.local_member()
-        watchers = choose_watchers(
-            self._members.alive(),
-            availability_zone=own.availability_zone,
-        )
-        return own.host in watchers
-
     def _adopt(self, value: Any, *, version: int) -> bool:
         if not self._tracker.offer(value, version=version):
             return False
@@ -300,8 +242,3 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _backoff_s(failures: int) -> float:
-    longest_s = min(_MAX_BACKOFF_S, _INITIAL_BACKOFF_S * 2.0 ** min(failures, 10))
-    return random.uniform(longest_s / 2, longest_s)
--- a/tools/mutants/configuration.py
+++ b/tools/mutants/configuration.py
@@ -174,7 +174,7 @@
     Mutant(
         mechanism='hosts watch the record',
         file='src/balsamrail/configuration/record_sync.py',
-        old='                group.create_task(self._watch())\n',
+        old='                group.create_task(self._record_watch.run())\n',
         new='',
         feature='features/record_sync.feature',
         scenario='A change reaches every host in time',
@@ -189,7 +189,7 @@
     ),
     Mutant(
         mechanism='a watch on a silent connection ends',
-        file='src/balsamrail/configuration/record_sync.py',
+        file='src/balsamrail/configuration/record_watch.py',
         old='asyncio.timeout(settings.watch_s + settings.timeout_s)',
         new='asyncio.timeout(None)',
         feature='features/record_sync.feature',
@@ -197,7 +197,7 @@
     ),
     Mutant(
         mechanism='failed watches back off',
-        file='src/balsamrail/configuration/record_sync.py',
+        file='src/balsamrail/configuration/record_watch.py',
         old='asyncio.sleep(_backoff_s(failures))',
         new='asyncio.sleep(0.1)',
         feature='features/record_sync.feature',
