Share the start of feeds, the holders of claims and the settings of processes between steps

Left as they are: the request kinds of load_play (data), and the runs of boilerplate in delivery_steps and target_standing_steps.

--- a/features/steps/catalog_feed_steps.py
+++ b/features/steps/catalog_feed_steps.py
@@ -28,13 +28,19 @@
         run_virtual(_play_feed(random.Random(seed), bound_s))
 
 
-async def _play_feed(rng, bound_s):
+def _start_feed():
+    """Start a feed of a source that is empty; return its source, view and tasks."""
     environment = platform_helpers.make_environment()
     source = FakeSource()
     view = ObjectView(kind='servers')
     contact = StoreMonitor(environment=environment, source=source, kind='evacuations')
     feed = Feed(environment=environment, source=source, view=view, contact=contact)
     tasks = [asyncio.create_task(contact.run()), asyncio.create_task(feed.run())]
+    return source, view, tasks
+
+
+async def _play_feed(rng, bound_s):
+    source, view, tasks = _start_feed()
     copies = [source.copy_contents()]
     for _ in range(40):
         copies.append(source.copy_contents())
@@ -117,12 +123,7 @@
 
 
 async def _is_equal(phase, bound_s):
-    environment = platform_helpers.make_environment()
-    source = FakeSource()
-    view = ObjectView(kind='servers')
-    contact = StoreMonitor(environment=environment, source=source, kind='evacuations')
-    feed = Feed(environment=environment, source=source, view=view, contact=contact)
-    tasks = [asyncio.create_task(contact.run()), asyncio.create_task(feed.run())]
+    source, view, tasks = _start_feed()
     contents = source.copy_contents()
     source.write('a', 1)
     source.write('b', 1)
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -76,6 +76,11 @@
 
     answers = await asyncio.gather(*(claim(*step) for step in plan))
     await store.settle()
+    return _holders_by_number(answers)
+
+
+def _holders_by_number(answers):
+    """Return the holders that the answers told for each key."""
     holders_by_number = {}
     for number, holder in answers:
         if holder:
@@ -184,11 +189,7 @@
     answers = await asyncio.gather(*(claim(*step) for step in plan))
     await asyncio.gather(*disturbances)
     await store.settle()
-    holders_by_number = {}
-    for number, holder in answers:
-        if holder:
-            holders_by_number.setdefault(number, set()).add(holder)
-    return holders_by_number
+    return _holders_by_number(answers)
 
 
 @when('4 hosts claim keys while the store comes back from copies and hosts restart')
--- a/features/steps/entry_signal_steps.py
+++ b/features/steps/entry_signal_steps.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from behave import then, when
-from platform_helpers import free_address
+from platform_helpers import free_address, process_settings
 
 ROOT = Path(__file__).resolve().parents[2]
 PROCESS_TIMEOUT_S = 60
@@ -43,16 +43,7 @@
 
 @when('its process receives SIGHUP repeatedly from its start to the end of a graceful shutdown')
 def step_reloads(context):
-    addresses = ('caller', 'lookup', 'readiness', 'peer', 'operator')
-    settings = {
-        'deployment': 'platform',
-        'host': 'attiki-1',
-        'region': 'attiki',
-        'availability_zone': 'attiki-a',
-        **{f'{name}_address': free_address() for name in addresses},
-        'store': {'address': free_address()},
-        'bounds': {'stop_grace_s': 2},
-    }
+    settings = process_settings(store={'address': free_address()}, bounds={'stop_grace_s': 2})
     context.path.write_text(json.dumps(settings))
     environment = {**os.environ, 'PYTHONPATH': str(ROOT / 'src')}
     process = subprocess.Popen(
--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -11,7 +11,7 @@
 from delivery_parts import response_to
 from entry_fleet import HOST_NAME, Target, manifest
 from placement_parts import REGION_BY_ZONE
-from platform_helpers import free_address, run_real
+from platform_helpers import process_settings, run_real
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
 from standins.platform_store import PlatformStore
@@ -38,17 +38,11 @@
         self.store.put('config', 'main', self.manifest())
         self.target = SlowTarget('lepu-1', zone='attiki-a', service='lepu')
         await self.target.start(self.store)
-        names = ('caller', 'lookup', 'readiness', 'peer', 'operator')
-        settings = {
-            'deployment': 'platform',
-            'host': 'attiki-1',
-            'region': 'attiki',
-            'availability_zone': 'attiki-a',
-            'region_by_availability_zone': REGION_BY_ZONE,
-            'store': {'address': self.store.address},
-            'bounds': {'stop_grace_s': 6},
-            **{f'{name}_address': free_address() for name in names},
-        }
+        settings = process_settings(
+            region_by_availability_zone=REGION_BY_ZONE,
+            store={'address': self.store.address},
+            bounds={'stop_grace_s': 6},
+        )
         self.address = settings['caller_address']
         self.folder = tempfile.TemporaryDirectory()
         path = Path(self.folder.name) / 'settings.json'
--- a/features/steps/platform_helpers.py
+++ b/features/steps/platform_helpers.py
@@ -59,6 +59,19 @@
         return f'127.0.0.1:{probe.getsockname()[1]}'
 
 
+def process_settings(**changes):
+    """Return the settings file of a host process on free addresses, as plain data."""
+    names = ('caller', 'lookup', 'readiness', 'peer', 'operator')
+    return {
+        'deployment': 'platform',
+        'host': 'attiki-1',
+        'region': 'attiki',
+        'availability_zone': 'attiki-a',
+        **{f'{name}_address': free_address() for name in names},
+        **changes,
+    }
+
+
 def run_real(main, *, limit_s=20):
     async def bounded():
         async with asyncio.timeout(limit_s):
