--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -69,6 +69,45 @@
       | 24, 24     |
       | 24, 24, 24 |
 
+  Scenario Outline: Watchers that reach only their followers delay no change
+    Guards against hosts that refuse an added route since their watchers lost every path but theirs (CONFIG).
+
+    Given regions of <sizes> hosts that have the manifest
+    When both watchers of the first region reach only their region and the manifest changes at any moment
+    Then every host with a path to the store has it within 2 s
+
+    Examples:
+      | sizes      |
+      | 9, 9       |
+      | 24, 24     |
+      | 24, 24, 24 |
+
+  Scenario Outline: Watches that all stop responding delay no change
+    Guards against a change that no watch delivers while the checks of the store succeed (CONFIG).
+
+    Given regions of <sizes> hosts that have the manifest
+    When the watches of all watchers stop responding and the manifest changes at any moment
+    Then every host has it within 2 s
+
+    Examples:
+      | sizes   |
+      | 9       |
+      | 3, 3, 2 |
+      | 24, 24  |
+
+  Scenario Outline: A network failure between two checks of the store delays no change
+    Guards against a change whose events were lost by all watchers at once, unnoticed by any check (CONFIG).
+
+    Given regions of <sizes> hosts that have the manifest
+    When all hosts lose the path to the store for 0.2 s, 0.3 s or 0.4 s and the manifest changes meanwhile
+    Then every host has it within 2 s
+
+    Examples:
+      | sizes   |
+      | 9       |
+      | 3, 3, 2 |
+      | 24, 24  |
+
   Scenario Outline: The loss of watchers delays no change
     Guards against hosts that place requests by an old manifest because their watchers failed.
 
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -81,6 +81,60 @@
     context.received_after_s = {phase_s: run_virtual(run_once(phase_s)) for phase_s in PHASES_S}
 
 
+@when(
+    'both watchers of the first region reach only their region '
+    'and the manifest changes at any moment'
+)
+def step_only_followers(context):
+    async def run_once(delay_s):
+        async with started_fleet(context.sizes) as fleet:
+            watchers = fleet.watchers(FIRST_REGION)
+            for host in watchers:
+                host.access.is_cut = True
+                fleet.cut_off_from_other_regions(host.member)
+            await asyncio.sleep(delay_s)
+            received = await fleet.propagation_s(2, limit_s=OBSERVED_S)
+            return {name: s for name, s in received.items() if fleet.hosts[name] not in watchers}
+
+    context.received_after_s = {delay_s: run_virtual(run_once(delay_s)) for delay_s in DELAYS_S}
+
+
+@when('the watches of all watchers stop responding and the manifest changes at any moment')
+def step_all_silent(context):
+    async def run_once(phase_s):
+        async with started_fleet(context.sizes) as fleet:
+            await asyncio.sleep(phase_s)
+            for host in fleet.live_hosts():
+                host.access.is_silent = host.is_watching()
+            return await fleet.propagation_s(2, limit_s=OBSERVED_S)
+
+    context.received_after_s = {phase_s: run_virtual(run_once(phase_s)) for phase_s in PHASES_S}
+
+
+@when(
+    'all hosts lose the path to the store for 0.2 s, 0.3 s or 0.4 s '
+    'and the manifest changes meanwhile'
+)
+def step_short_failure(context):
+    async def run_once(phase_s, length_s):
+        async with started_fleet(context.sizes) as fleet:
+            await asyncio.sleep(phase_s)
+            for host in fleet.live_hosts():
+                host.access.is_cut = True
+            await asyncio.sleep(length_s / 2)
+            received = asyncio.create_task(fleet.propagation_s(2, limit_s=OBSERVED_S))
+            await asyncio.sleep(length_s / 2)
+            for host in fleet.live_hosts():
+                host.access.is_cut = False
+            return await received
+
+    context.received_after_s = {
+        (phase_s, length_s): run_virtual(run_once(phase_s, length_s))
+        for phase_s in PHASES_S
+        for length_s in (0.2, 0.3, 0.4)
+    }
+
+
 @then('every host with a path to the store has it within {limit_s:g} s')
 def step_in_time_with_path(context, limit_s):
     for received in context.received_after_s.values():
--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -230,6 +230,14 @@
         """Cut the links of a host to all others but one."""
         self.cut_links.update(frozenset((name, other)) for other in self.hosts if other != but)
 
+    def cut_off_from_other_regions(self, member):
+        """Cut the links of a host to the hosts of other regions."""
+        self.cut_links.update(
+            frozenset((member.host, name))
+            for name, other in self.hosts.items()
+            if other.member.region != member.region
+        )
+
     def hosts_with(self, name):
         """Return the hosts that have an object."""
         return [host.member.host for host in self.live_hosts() if host.has_object(name)]
