Ask for changes that the checks of the store show and no watch delivered

Cause: a watch that stays without an answer was noticed only when its 15 s ended, since it is the same whether nothing has changed or the answer is lost. If the watches of all watchers are lost at once (open connections gone silent, or a failure of 0.2 to 0.4 s between two checks), no host of the fleet has a change within 12 s: added routes are refused with 404 and removed ones served (CONFIG), bound 2 s.

Change: the checks, twice a second, already return the store's counter of changes. Each is compared with the changes that the feeds have received.

Ruled out: shorter watches (1.5 s would add about four calls a second for three regions), keep-alive probes (an answer may be lost while its connection lives).

A change of a kind that nobody watches costs each watcher two calls a kind.

--- a/features/catalog.feature
+++ b/features/catalog.feature
@@ -71,6 +71,12 @@
     When the store comes back older and reaches the revision of a watch before that is answered
     Then the feed equals the store 0.3 s later
 
+  Scenario: The counter of the store shows which kinds may lack a change
+    Guards against a change that no watch delivers and no check notices.
+
+    When changes of watched and other kinds are delivered in any order, or lost
+    Then each kind that lacks a change is reported, and none if only delivered changes were made
+
   Scenario: Targets survive an outage in which their registrations expired
     This guards against an outage of the store that removes all targets.
 
--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -216,6 +216,13 @@
     Then each host called it at most 12 times in that time, and no host sent a listing
     And at most 3 hosts of a region list the store after it, and all have the next change within 2 s
 
+  Scenario: Changes of kinds that no host watches cost few calls
+    Guards against a call of every watcher for each entry of a host, in a loop or without a need.
+
+    Given regions of 24, 24 hosts that have the manifest
+    When 20 changes of another kind are made within 10 s
+    Then no host listed the store, and those that watch it made at most 2 calls more for each change
+
   Scenario: The log tells since when a host receives no changes
     Guards against incidents whose record does not show that a follower decided by old objects.
 
--- a/features/steps/feed_currency_steps.py
+++ b/features/steps/feed_currency_steps.py
@@ -287,3 +287,32 @@
     events = re.findall(r'event=changes_(\w+).* after_s=(\S+)', context.logged)
     assert [name for name, _ in events] == ['interrupted', 'received'], events
     assert low_s <= float(events[-1][1]) <= high_s, events
+
+
+@when('{count:d} changes of another kind are made within {played_s:d} s')
+def step_other_kind(context, count, played_s):
+    async def play(changes):
+        async with started_fleet(context.sizes) as fleet:
+            accesses = [host.access for host in fleet.hosts.values()]
+            for access in accesses:
+                access.calls = 0
+                access.listings = 0
+            for _ in range(count):
+                fleet.source.revision += changes
+                await asyncio.sleep(played_s / count)
+            return [access.calls for access in accesses], sum(a.listings for a in accesses)
+
+    context.change_count = count
+    context.calls_without, _ = run_virtual(play(0))
+    context.calls_with, context.listing_count = run_virtual(play(1))
+
+
+@then(
+    'no host listed the store, and those that watch it made at most {limit:d} calls more'
+    ' for each change'
+)
+def step_other_kind_cost(context, limit):
+    assert not context.listing_count
+    allowed = limit * context.change_count
+    for before, after in zip(context.calls_without, context.calls_with, strict=True):
+        assert after - before <= (allowed if before else 0), (before, after)
--- a/src/balsamrail/catalog/store_monitor.py
+++ b/src/balsamrail/catalog/store_monitor.py
@@ -1,15 +1,20 @@
 """Monitors whether this host can reach the platform's store."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import Any
 
+from balsamrail.catalog.change_accounting import ChangeAccounting
 from balsamrail.catalog.object_source import ObjectSource
+from balsamrail.catalog.revision import Revision
+from balsamrail.catalog.stored_objects import ObjectEvent
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreError
 
 _CHECK_INTERVAL_S = 0.5
+# Watches deliver a change within this time of a check that shows it.
+_DELIVERY_TIME_S = 0.25
 _RETRY_INTERVAL_S = 0.3
 # A standby checks less and less often, and gives the assigned watchers this time after an outage.
 _MAX_STANDBY_INTERVAL_S = 1.2
@@ -19,19 +24,25 @@
 
 
 class StoreMonitor:
-    """Checks the store once per second with a small stale read, at a tenth of a call's price.
+    """Checks the store twice per second with a small stale read, at a tenth of a call's price.
 
     A pending watch does not show whether the store still responds, so an outage would be noticed
     only when the watch times out. When the store responds again after an outage, all feeds list
     their kinds again, since a watch may have been lost without an error. A new era of the store is
     treated like an outage, even if no check has failed.
 
+    A watch may also be lost while all checks succeed, so each check is compared with the changes
+    that the feeds have received.
+
     :param kind: the kind that is listed, which should have few objects.
     """
 
     __slots__ = (
+        '_accounting',
+        '_checked_revision',
         '_environment',
         '_era',
+        '_gap_callbacks_by_kind',
         '_kind',
         '_latest_era',
         '_recovery_callbacks',
@@ -46,6 +57,9 @@
         self._kind = kind
         self._era = 0
         self._latest_era = 0
+        self._checked_revision = Revision()
+        self._accounting = ChangeAccounting()
+        self._gap_callbacks_by_kind: dict[str, Callable[[], None]] = {}
         self._up_event = asyncio.Event()
         self._up_since = environment.clock.monotonic()
         self._recovery_callbacks: list[Callable[[], None]] = []
@@ -54,6 +68,19 @@
         """Call ``on_recovery`` whenever the store becomes reachable or has a new era."""
         self._recovery_callbacks.append(on_recovery)
 
+    def subscribe_to_gaps(self, kind: str, on_gap: Callable[[], None]) -> None:
+        """Call ``on_gap`` when a change of a kind may have been missed.
+
+        Requires that the answers for this kind are passed to :meth:`note_answer`.
+        """
+        self._gap_callbacks_by_kind[kind] = on_gap
+
+    def note_answer(
+        self, kind: str, *, revision: Revision, events: Iterable[ObjectEvent] = ()
+    ) -> None:
+        """Record a listing or the answer of a watch, see :class:`ChangeAccounting`."""
+        self._accounting.note_answer(kind, revision=revision, events=events)
+
     def is_up(self) -> bool:
         """Return whether the last check succeeded."""
         return self._up_event.is_set()
@@ -71,6 +98,8 @@
     def reset(self) -> None:
         """Discard the result of the last check, since checking has stopped."""
         self._up_event.clear()
+        self._checked_revision = Revision()
+        self._accounting = ChangeAccounting()
 
     async def run(self, *, is_standby: bool = False) -> None:
         """Check the store until cancelled.
@@ -87,11 +116,20 @@
                 await self._wait_for_recovery(max_interval_s)
                 await asyncio.sleep(_STANDBY_DELAY_S if is_standby else 0)
             self._record_success()
-            await asyncio.sleep(_CHECK_INTERVAL_S)
+            await asyncio.sleep(_DELIVERY_TIME_S)
+            self._report_gaps()
+            await asyncio.sleep(_CHECK_INTERVAL_S - _DELIVERY_TIME_S)
 
     async def _check(self) -> None:
         listing = await self._source.list_objects(self._kind, is_stale_allowed=True)
         self._latest_era = max(self._latest_era, listing.revision.era)
+        self._checked_revision = listing.revision
+
+    def _report_gaps(self) -> None:
+        for kind in self._accounting.incomplete_kinds(self._checked_revision):
+            on_gap = self._gap_callbacks_by_kind.get(kind)
+            if on_gap is not None:
+                on_gap()
 
     async def _wait_for_recovery(self, max_interval_s: float) -> None:
         """Start checks periodically, without waiting for the previous ones.
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -211,4 +211,12 @@
         feature='features/large_fleet.feature',
         scenario='Hosts of a large region return',
     ),
+    Mutant(
+        mechanism='feeds ask for changes that no watch delivered',
+        file='src/balsamrail/catalog/store_monitor.py',
+        old='for kind in self._accounting.incomplete_kinds(self._checked_revision):',
+        new='for kind in ():',
+        feature='features/feed_currency.feature',
+        scenario='Watches that all stop responding',
+    ),
 )
