Look for other sources at once when a host that has just started loses its own

Cause: until its tick had seen a current source, a host that had just started waited 1.5 s before it looked for further ones, as on a start of the whole fleet.

Change: what counts is whether the host has objects to serve by, which it gets from current sources only. The separate mark is gone.

--- a/features/feed_currency.feature
+++ b/features/feed_currency.feature
@@ -171,6 +171,18 @@
     Then it never has the old manifest or the removed object
     And it has the manifest in force within 2.5 s of its start
 
+  Scenario Outline: A host that restarts beside watchers that were just cut off soon has the change
+    Guards against a host that answers by a replaced manifest since its sources do not know yet that they lack one (CONFIG).
+
+    Given regions of <sizes> hosts that have the manifest
+    When a follower restarts while the watchers of its region reach only their region, at any moment
+    Then it serves by the replaced manifest for at most 2 s after the change
+
+    Examples:
+      | sizes  |
+      | 9, 9   |
+      | 24, 24 |
+
   Scenario Outline: A host that restarts takes what it serves from its peers
     Guards against calls to the store by each host that restarts: alone, it takes itself for a watcher.
 
--- a/features/steps/feed_restart_steps.py
+++ b/features/steps/feed_restart_steps.py
@@ -168,3 +168,41 @@
     found = [after_s for after_s, version, _ in context.versions if version]
     assert found and found[0] <= limit_s, found[:1]
     assert context.versions[-1][1] == context.expected_version
+
+
+@when(
+    'a follower restarts while the watchers of its region reach only their region, at any moment'
+)
+def step_restart_beside_confined(context):
+    async def run_once(phase_s, restarts_after_s):
+        async with started_fleet(context.sizes) as fleet:
+            await asyncio.sleep(phase_s)
+            watchers = fleet.confine_watchers(FIRST_REGION)
+            await asyncio.sleep(0.01)
+            changed_at = asyncio.get_running_loop().time()
+            fleet.source.write('main', 2)
+            name = next(
+                host.member.host
+                for host in fleet.live_hosts()
+                if host.member.region == FIRST_REGION and host not in watchers
+            )
+            await asyncio.sleep(restarts_after_s)
+            host = fleet.restart(name, discovers_after_s=0.02)
+            old_until_s = 0
+            while host.version() != 2 and old_until_s < OBSERVED_S:
+                await asyncio.sleep(0.02)
+                if host.version() == 1:
+                    old_until_s = asyncio.get_running_loop().time() - changed_at
+            return old_until_s
+
+    context.old_until_s = {
+        (phase_s, after_s): run_virtual(run_once(phase_s, after_s))
+        for phase_s in (0, 0.2, 0.3, 0.4)
+        for after_s in (0, 0.2, 0.4, 0.6, 0.8, 1.0, 1.3, 1.6, 2.0)
+    }
+
+
+@then('it serves by the replaced manifest for at most {limit_s:g} s after the change')
+def step_replaced_ends(context, limit_s):
+    late = {key: s for key, s in context.old_until_s.items() if s > limit_s}
+    assert not late, late
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -126,6 +126,10 @@
             return WatcherState.pending
         return WatcherState.relaying if is_healthy else WatcherState.failing
 
+    def has_objects(self) -> bool:
+        """Return whether the objects of all kinds have been listed, by a source or by this host."""
+        return all(view.is_listed for view in self._views_by_kind.values())
+
     def is_current(self) -> bool:
         """Return whether at least one source is healthy and fully synchronized."""
         return self.has_current_source(self._sources_by_host)
@@ -169,9 +173,8 @@
 
     async def _send_subscribe(self, host: str, source: _Source) -> None:
         source.subscribed_at = self._environment.clock.monotonic()
-        is_listed = all(view.is_listed for view in self._views_by_kind.values())
         # During an outage of the store no source is current, and a listing would show nothing new.
-        is_useful = source.is_current or not is_listed
+        is_useful = source.is_current or not self.has_objects()
         message = FeedSubscribe(needs_listing=is_useful and not source.is_complete)
         if not await self._network.send(host, message):
             source.is_complete = False
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -71,7 +71,6 @@
         '_feeds',
         '_follower',
         '_handled_gap_count',
-        '_has_been_current',
         '_is_standby',
         '_last_current_at',
         '_local_current_at',
@@ -102,7 +101,6 @@
         # and found no host that serves.
         self._must_list = False
         self._handled_gap_count = 0
-        self._has_been_current = False
         self._last_current_at = environment.clock.monotonic()
         # The followed hosts of the own region, and when one of them or this host was last current.
         self._local_sources: tuple[str, ...] = ()
@@ -198,7 +196,6 @@
             hops=self.hops(),
         )
         if self._follower.is_current():
-            self._has_been_current = True
             self._last_current_at = now
         if now - self._last_current_at >= _UNCONFIRMED_DELAY_S and not self.is_current():
             self._follower.apply_unconfirmed()
@@ -239,7 +236,7 @@
             self._stop()
 
     def _fallback_delay_s(self) -> float:
-        if not self._has_been_current:
+        if not self._follower.has_objects():
             return _STARTUP_FALLBACK_DELAY_S
         return self._environment.settings.bounds.config_apply_s * _FALLBACK_DELAY_FRACTION
 
