Lose an odd entry of the store alone, and let no feed end unseen

What operators of similar systems saw: one odd entry among those of the targets, and the hosts that read the list ended or stopped following it.

Cause: a listing was parsed as a whole. A value nested too deeply raised RecursionError, which feeds do not catch, and nobody awaits their tasks; a number of 5,000 digits made the whole listing unreadable, each time. What JSON can hold and messages between hosts cannot (numbers beyond 64 bits, surrogates, 600 levels) was read and then failed in what sends changes on. One malformed event rejected its whole answer, and the watch went on from the same revision.

An object that cannot be sent on counts as without a spec, so that all hosts read the same. Malformed events are skipped. Slots, warm-up times and ports have limits. A feed logs any failure and goes on, a subscriber that fails keeps no other from its call, and a watch whose tasks have ended starts again. Entries of hosts are checked likewise.

An object without a readable name is counted and logged (store_objects_malformed).

--- a/src/balsamrail/catalog/feed.py
+++ b/src/balsamrail/catalog/feed.py
@@ -100,10 +100,9 @@
             except HistoryGoneError as error:
                 self._environment.log.event('feed_history_gone', kind=self.kind, reason=error)
                 self._is_relist_due = True
-            except StoreError as error:
-                self._is_current = False
-                self._environment.metrics.count('feed_failures')
-                self._environment.log.event('feed_interrupted', kind=self.kind, reason=error)
+            except Exception as error:
+                # What a subscriber of the view cannot handle must not end the feed either.
+                self._note_failure(error)
                 await asyncio.sleep(retry_s)
                 retry_s = min(_MAX_RETRY_DELAY_S, retry_s * 2)
 
@@ -115,6 +114,17 @@
             'is_current': self.is_current(),
         }
 
+    def _note_failure(self, error: Exception) -> None:
+        self._is_current = False
+        self._environment.metrics.count('feed_failures')
+        if isinstance(error, StoreError):
+            self._environment.log.event('feed_interrupted', kind=self.kind, reason=error)
+            return
+        self._is_relist_due = True
+        self._environment.log.event(
+            'feed_failed', kind=self.kind, error=type(error).__name__, reason=error
+        )
+
     async def _list_or_watch(self) -> None:
         if self._is_relist_due:
             await self._list()
--- a/src/balsamrail/catalog/object_view.py
+++ b/src/balsamrail/catalog/object_view.py
@@ -103,8 +103,18 @@
         }
 
     def _notify(self, events: list[ObjectEvent]) -> None:
+        """Call all subscribers, also after one has failed.
+
+        :raises Exception: the first error of a subscriber.
+        """
+        errors = []
         for on_change in self._subscribers:
-            on_change(events)
+            try:
+                on_change(events)
+            except Exception as error:
+                errors.append(error)
+        if errors:
+            raise errors[0]
 
     def _merge_all(self, events: Iterable[ObjectEvent]) -> list[ObjectEvent]:
         """Apply events and return those that changed the view, with the specs that were kept."""
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -176,6 +176,7 @@
         return any(member.host != own and member.state == 'alive' for member in members)
 
     async def _tick(self) -> None:
+        self._stop_if_failed()
         members = self._members.alive()
         own = self._members.local_member()
         assignment = assign_watch(members, own=own, state_of=self._follower.state_of)
@@ -235,6 +236,17 @@
         if not self._contact.is_up() or now - self._redundant_since >= _STOP_DELAY_S:
             self._stop()
 
+    def _stop_if_failed(self) -> None:
+        """Stop the watch if one of its tasks has ended, so that it starts again if it is needed."""
+        ended = [task for task in self._tasks if task.done()]
+        for task in ended:
+            error = None if task.cancelled() else task.exception()
+            self._environment.log.event(
+                'store_watch_failed', error=type(error).__name__, reason=error
+            )
+        if ended:
+            self._stop()
+
     def _fallback_delay_s(self) -> float:
         if not self._follower.has_objects():
             return _STARTUP_FALLBACK_DELAY_S
--- a/src/balsamrail/platform/host_registry.py
+++ b/src/balsamrail/platform/host_registry.py
@@ -4,7 +4,9 @@
 
 from balsamrail.environment import Environment
 from balsamrail.errors import StoreConflictError
+from balsamrail.platform import fields
 from balsamrail.platform.object_store import ObjectStore
+from balsamrail.settings.address import split_address
 from balsamrail.store import ListedHost
 
 _KIND = 'balsamrail-hosts'
@@ -61,9 +63,9 @@
 
 
 def _read_host(name: str, spec: Any) -> ListedHost | None:
-    if not isinstance(spec, dict):
+    try:
+        address = fields.string(fields.mapping(spec)['address'])
+        split_address(address)
+        return ListedHost(host=name, address=address, state=fields.string(spec['state']))
+    except fields.FIELD_ERRORS:
         return None
-    address, state = spec.get('address'), spec.get('state')
-    if not isinstance(address, str) or not isinstance(state, str):
-        return None
-    return ListedHost(host=name, address=address, state=state)
--- a/src/balsamrail/platform/object_store.py
+++ b/src/balsamrail/platform/object_store.py
@@ -57,11 +57,13 @@
     :class:`StoreError` if the answer is malformed or has an unexpected status.
     """
 
-    __slots__ = ('_environment', '_idle_connections')
+    __slots__ = ('_environment', '_idle_connections', '_malformed_by_kind')
 
     def __init__(self, *, environment: Environment) -> None:
         self._environment = environment
         self._idle_connections: list[HttpConnection] = []
+        # The number of malformed entries in the last answer.
+        self._malformed_by_kind: dict[str, int] = {}
 
     async def list_objects(self, kind: str, *, is_stale_allowed: bool = False) -> Listing:
         """Return all objects of a kind.
@@ -77,6 +79,7 @@
             payload = read_body(_require_ok(answer).body)
             era = read_era(answer.headers)
             page = read_items(payload, era=era)
+            self._report_malformed(kind, payload.get('items'), len(page))
             objects.extend(page)
             if revision is None:
                 # Objects of earlier pages may change while later ones are read; a watch from the
@@ -117,7 +120,10 @@
             raise HistoryGoneError(
                 f'the history of {kind} since revision {revision} has been discarded'
             )
-        return read_events(read_body(_require_ok(answer).body), era=read_era(answer.headers))
+        payload = read_body(_require_ok(answer).body)
+        found = read_events(payload, era=read_era(answer.headers))
+        self._report_malformed(kind, payload.get('events'), len(found.events))
+        return found
 
     async def create(self, kind: str, name: str, *, spec: Any) -> StoreObject:
         """Create an object.
@@ -161,6 +167,14 @@
             connection.close()
         self._idle_connections.clear()
 
+    def _report_malformed(self, kind: str, entries: list[Any] | None, read_count: int) -> None:
+        """Log how many entries of an answer have no readable name or revision, if that changed."""
+        count = len(entries or ()) - read_count
+        if count != self._malformed_by_kind.get(kind, 0):
+            self._malformed_by_kind[kind] = count
+            self._environment.metrics.count('store_objects_malformed', count)
+            self._environment.log.event('store_objects_malformed', kind=kind, count=count)
+
     async def _call(
         self,
         method: str,
--- a/src/balsamrail/platform/store_codec.py
+++ b/src/balsamrail/platform/store_codec.py
@@ -1,18 +1,20 @@
 """Parses the response bodies of the platform's store."""
 
-import json
 import re
 from contextlib import suppress
 from typing import Any
 
+import msgpack
 from tornado.httputil import HTTPHeaders
 
 from balsamrail.catalog.revision import Revision
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject, WatchAnswer
 from balsamrail.errors import StoreError
-from balsamrail.platform import headers
-from balsamrail.platform.fields import FIELD_ERRORS
+from balsamrail.lenient_json import parse_json
+from balsamrail.platform import fields, headers
 
+# An entry may be no JSON object at all.
+_OBJECT_ERRORS = (*fields.FIELD_ERRORS, AttributeError)
 _ERA_FORMAT = re.compile(r'\d{1,18}', re.ASCII)
 
 
@@ -22,7 +24,7 @@
     :raises StoreError: if it is not a JSON object.
     """
     try:
-        payload = json.loads(body)
+        payload = parse_json(body)
     except ValueError as error:
         raise StoreError(f'the answer of the store is not JSON: {error}') from error
     if not isinstance(payload, dict):
@@ -39,17 +41,21 @@
 def read_object(payload: Any, *, era: int) -> StoreObject:
     """Return the object in a listing, an event or an answer.
 
+    A spec that cannot be passed on to other hosts counts as missing, so that all hosts read the same.
+
     :param era: the era of the store that gave the answer.
     :raises StoreError: if the name is missing or the revision is malformed.
     """
     try:
         metadata = payload['metadata']
+        number = int(metadata.get('revision') or 0)
+        spec = payload.get('spec')
         return StoreObject(
-            name=str(metadata['name']),
-            revision=Revision(era=era, number=int(metadata.get('revision') or 0)),
-            spec=payload.get('spec'),
+            name=fields.string(str(metadata['name'])),
+            revision=Revision(era=era, number=fields.integer(number)),
+            spec=spec if _is_portable(spec) else None,
         )
-    except FIELD_ERRORS as error:
+    except _OBJECT_ERRORS as error:
         raise StoreError(f'malformed object: {error!r}') from error
 
 
@@ -64,16 +70,17 @@
 
 
 def read_events(payload: dict[str, Any], *, era: int) -> WatchAnswer:
-    """Return the events of a watch.
+    """Return the events of a watch, without malformed ones.
 
-    :raises StoreError: if the answer has no revision to continue from or an event is malformed.
+    :raises StoreError: if the answer has no revision to continue from.
     """
     events = []
     for entry in _read_entries(payload, 'events'):
-        if not isinstance(entry, dict):
-            raise StoreError(f'malformed event: {entry!r}')
-        stored = read_object(entry.get('object'), era=era)
-        events.append(ObjectEvent(stored=stored, is_removal=bool(entry.get('tombstone'))))
+        # The watch has to go on after an event of an unknown object.
+        if isinstance(entry, dict):
+            with suppress(StoreError):
+                stored = read_object(entry.get('object'), era=era)
+                events.append(ObjectEvent(stored=stored, is_removal=bool(entry.get('tombstone'))))
     return WatchAnswer(events=tuple(events), revision=read_revision(payload, era=era))
 
 
@@ -93,3 +100,12 @@
     if not isinstance(entries, list):
         raise StoreError(f'{name} is not a list')
     return entries
+
+
+def _is_portable(spec: Any) -> bool:
+    """Return whether a value can be encoded in a message to other hosts."""
+    try:
+        msgpack.packb(spec)
+    except (ValueError, OverflowError, RecursionError):
+        return False
+    return True
--- a/src/balsamrail/platform/target_reader.py
+++ b/src/balsamrail/platform/target_reader.py
@@ -9,6 +9,9 @@
 from balsamrail.settings.address import split_address
 
 _KNOWN_STATES = frozenset(('ready', 'draining'))
+# Beyond these, an entry is not that of a target.
+_MAX_SLOTS = 1_000_000
+_MAX_COLD_S = 86_400
 
 
 def read_target(
@@ -29,10 +32,15 @@
 def _parse_target(
     target_id: str, spec: dict[str, Any], region_by_zone: Mapping[str, str]
 ) -> TargetEntry:
+    fields.mapping(spec)
     if spec['state'] not in _KNOWN_STATES:
         raise ValueError(f'the state {spec["state"]!r} is unknown')
     split_address(fields.string(spec['address']))
     zone = fields.string(spec['zone'])
+    slots = fields.integer(spec['slots'])
+    cold_left_s = fields.number(spec.get('warmupLeftS', 0))
+    if slots > _MAX_SLOTS or cold_left_s > _MAX_COLD_S:
+        raise ValueError(f'{slots} slots or {cold_left_s} s until the target is warm are too many')
     return TargetEntry(
         target_id=target_id,
         service=fields.string(spec['service']),
@@ -40,9 +48,9 @@
         availability_zone=zone,
         region=region_by_zone[zone],
         version=fields.string(spec.get('version', '')),
-        slots=max(1, fields.integer(spec['slots'])),
+        slots=max(1, slots),
         is_draining=spec['state'] == 'draining',
-        cold_left_s=max(0, fields.number(spec.get('warmupLeftS', 0))),
+        cold_left_s=max(0, cold_left_s),
         born_ms=fields.integer(spec.get('born', 0)),
         sequence=fields.integer(spec.get('sequence', 0)),
     )
--- a/src/balsamrail/settings/address.py
+++ b/src/balsamrail/settings/address.py
@@ -23,6 +23,8 @@
     number, _, port_text = address.rpartition(':')
     number = number.removeprefix('[').removesuffix(']')
     ipaddress.ip_address(number)
+    if not (port_text.isascii() and port_text.isdigit()):
+        raise ValueError(f'the port {port_text!r} is not a number')
     port = int(port_text)
     if not 0 < port <= _MAX_PORT:
         raise ValueError(f'port {port} is not within 1..{_MAX_PORT}')
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -219,4 +219,28 @@
         feature='features/feed_currency.feature',
         scenario='Watches that all stop responding',
     ),
+    Mutant(
+        mechanism='a value nested too deeply is left out of a listing',
+        file='src/balsamrail/lenient_json.py',
+        old='return _DECODER.decode(_without_deep_values(text))',
+        new='raise',
+        feature='features/odd_entries.feature',
+        scenario='A listing with an odd target',
+    ),
+    Mutant(
+        mechanism='what cannot be passed on to other hosts is not read',
+        file='src/balsamrail/platform/store_codec.py',
+        old='spec=spec if _is_portable(spec) else None,',
+        new='spec=spec,',
+        feature='features/odd_entries.feature',
+        scenario='A field that nobody reads',
+    ),
+    Mutant(
+        mechanism='a feed goes on after a failure of a subscriber',
+        file='src/balsamrail/catalog/feed.py',
+        old='            except Exception as error:\n',
+        new='            except StoreError as error:\n',
+        feature='features/odd_entries.feature',
+        scenario='A failure in a feed',
+    ),
 )
