Skip odd entries in the listings of a node's store

Cause: the list of hosts and the names of objects were read as a whole, so that one entry of another client that is malformed, nested too deeply or has a number of 5,000 digits left a node without hosts or blocks.

A malformed one is skipped and logged once (store_entry_malformed).

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -107,3 +107,20 @@
       | a name with a surrogate        |
       | a port out of range            |
       | a list as its state            |
+
+  Scenario Outline: An odd entry in a listing of a node's store is skipped
+    Guards against nodes that read no list of hosts or blocks since another client wrote one odd entry.
+
+    Given a node's store that lists a sound entry beside one with <odd>
+    When a node lists its hosts and objects
+    Then it finds the sound ones alone, and reports the odd ones once
+
+    Examples:
+      | odd                      |
+      | arrays 100,000 deep      |
+      | objects 100,000 deep     |
+      | 5,000 digits             |
+      | 2 to the power of 64     |
+      | a lone surrogate         |
+      | no fields                |
+      | a number in its place    |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -16,6 +16,7 @@
 from balsamrail.platform.catalog_reader import EVACUATIONS, MANIFESTS, TARGETS, CatalogReader
 from balsamrail.platform.host_registry import HostRegistry
 from balsamrail.platform.object_store import ObjectStore
+from balsamrail.store import HttpStore
 from features.steps.fake_source import FakeSource
 from features.steps.virtual_time import run_virtual
 
@@ -388,3 +389,48 @@
 @then('it finds the sound one alone')
 def step_sound_host(context):
     assert context.found == ['sound'], context.found
+
+
+@given("a node's store that lists a sound entry beside one with {odd}")
+def step_node_store(context, odd):
+    match odd:
+        case 'no fields':
+            context.odd_host = context.odd_object = '{}'
+        case 'a number in its place':
+            context.odd_host = context.odd_object = '7'
+        case _:
+            value = VALUES[odd]
+            context.odd_host = f'{{"host":"odd","address":{value},"state":"live"}}'
+            context.odd_object = f'{{"name":{value},"version":3}}'
+
+
+@when('a node lists its hosts and objects')
+def step_node_lists(context):
+    hosts = f'{{"hosts":[{context.odd_host},{{"host":"sound","address":"10.1.0.1:1","state":"live"}}]}}'
+    objects = f'{{"objects":[{context.odd_object},{{"name":"sound","version":3}}]}}'
+
+    async def play():
+        async def answer(number, headers, writer):
+            is_hosts = '/hosts' in store.heads[number - 1].split(' ')[1]
+            body = hosts if is_hosts else objects
+            writer.write(whole(body.encode(), Content_Type='application/json'))
+
+        store = await RawUpstream(answer).start()
+        log = platform_helpers.RecordedLog()
+        environment = platform_helpers.make_environment(store_address=store.address, log=log)
+        client = HttpStore(environment=environment)
+        for _ in range(2):
+            context.hosts = [listed.host for listed in await client.list_hosts()]
+            context.names = set(await client.list_names(prefix=''))
+        context.lines = ''.join(log.lines)
+        store.stop()
+
+    platform_helpers.run_real(play())
+
+
+@then('it finds the sound ones alone, and reports the odd ones once')
+def step_node_found(context):
+    assert context.hosts == ['sound'], context.hosts
+    assert context.names == {'sound'}, context.names
+    assert context.lines.count('event=store_entry_malformed kind=host') <= 1, context.lines
+    assert context.lines.count('event=store_entry_malformed') == 2, context.lines[-500:]
--- a/src/balsamrail/store/_responses.py
+++ b/src/balsamrail/store/_responses.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from balsamrail.errors import StoreError
+from balsamrail.lenient_json import parse_json
 
 ERA_HEADER = 'Store-Era'
 
@@ -26,8 +27,8 @@
     :raises StoreError: if the body is not a JSON object.
     """
     try:
-        decoded = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        decoded = parse_json(body)
+    except ValueError as error:
         raise StoreError(f'the response is not JSON: {error}') from error
     if not isinstance(decoded, dict):
         raise StoreError('the response is not a JSON object')
--- a/src/balsamrail/store/http_store.py
+++ b/src/balsamrail/store/http_store.py
@@ -23,6 +23,7 @@
 from balsamrail.store.stored_object import StoredObject
 from balsamrail.store.versions import join_version, split_version
 
+_ENTRY_ERRORS = (KeyError, TypeError, ValueError, StoreError)
 ValueT = TypeVar('ValueT')
 
 
@@ -38,11 +39,13 @@
     raise :class:`balsamrail.errors.StoreError`.
     """
 
-    __slots__ = ('_connection', '_environment')
+    __slots__ = ('_connection', '_environment', '_malformed_by_kind')
 
     def __init__(self, *, environment: Environment) -> None:
         self._environment = environment
         self._connection = StoreConnection(environment=environment)
+        # The fault of the last malformed entry, which is logged once.
+        self._malformed_by_kind: dict[str, str] = {}
 
     @property
     def era(self) -> StoreEra:
@@ -100,24 +103,29 @@
         query = urlencode({'prefix': prefix})
         response = await self._connection.get(f'/objects?{query}', kind='list')
         with _validated_fields():
-            objects = _decode_ok(response)['objects']
-            return {
-                _require_type(entry['name'], str): _join_version(response, entry['version'])
-                for entry in objects
-            }
+            entries = _require_type(_decode_ok(response)['objects'], list)
+        version_by_name = {}
+        for entry in entries:
+            with self._skipping_malformed('object'):
+                name = _require_type(entry['name'], str)
+                version_by_name[name] = _join_version(response, entry['version'])
+        return version_by_name
 
     async def list_hosts(self) -> list[ListedHost]:
         """Return the platform's host list, which may be outdated."""
         response = await self._connection.get('/hosts', kind='hosts')
         with _validated_fields():
-            return [
-                ListedHost(
+            entries = _require_type(_decode_ok(response)['hosts'], list)
+        hosts = []
+        for entry in entries:
+            with self._skipping_malformed('host'):
+                listed = ListedHost(
                     host=_require_type(entry['host'], str),
                     address=_require_type(entry['address'], str),
                     state=_require_type(entry['state'], str),
                 )
-                for entry in _decode_ok(response)['hosts']
-            ]
+                hosts.append(listed)
+        return hosts
 
     async def announce_host(self, host: ListedHost) -> None:
         """Publish the state of this host in the host list."""
@@ -130,6 +138,18 @@
         if response.code != HTTPStatus.OK:
             _raise_unexpected(response)
 
+    @contextmanager
+    def _skipping_malformed(self, kind: str) -> Iterator[None]:
+        """Skip an entry of a listing that another client has written wrong."""
+        try:
+            yield
+        except _ENTRY_ERRORS as error:
+            fault = repr(error)
+            self._environment.metrics.count('store_entries_malformed')
+            if self._malformed_by_kind.get(kind) != fault:
+                self._malformed_by_kind[kind] = fault
+                self._environment.log.event('store_entry_malformed', kind=kind, reason=fault)
+
 
 @contextmanager
 def _validated_fields() -> Iterator[None]:
@@ -142,6 +162,9 @@
 def _require_type(value: Any, kind: type[ValueT]) -> ValueT:
     if type(value) is not kind:
         raise TypeError(f'{value!r} is not {kind.__name__}')
+    if isinstance(value, str):
+        # A surrogate could not be logged or sent.
+        value.encode()
     return value
 
 
