--- a/features/entry.feature
+++ b/features/entry.feature
@@ -25,6 +25,15 @@
     When a target registers as draining under load
     Then no request reaches it later than 2 s after that, and no request fails
 
+  Scenario: All hosts keep to the limit that a target names, and hear of its end
+    Guards against hosts that each send a target in need what one host may send (LIMIT).
+
+    Given 5 hosts in attiki and 1 in makedonia with targets in both
+    When a target names a limit of 2 requests a second for 9 s under load
+    Then it gets at most 17 requests in any 4 s from 3 s after the first naming on
+    And all hosts know of the limit 1 s after the first naming, and of its end 3 s after it
+    And every request gets the response of a target
+
   Scenario: A new manifest comes into force on all hosts
     Given 5 hosts in attiki and 1 in makedonia with targets in both
     When the operator moves the route to another service under load
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -53,13 +53,17 @@
 
 
 class Target:
-    """A registered target; ``arrivals`` holds the arrival time of each request."""
+    """A registered target; ``arrivals`` holds the arrival time of each request.
+
+    It names ``limit`` in its responses unless that is ``None``.
+    """
 
     def __init__(self, name, *, zone, service):
         self.name = name
         self.zone = zone
         self.service = service
         self.arrivals = []
+        self.limit = None
 
     async def start(self, store):
         self.upstream = await RawUpstream(self._answer).start()
@@ -81,7 +85,8 @@
 
     async def _answer(self, number, headers, writer):
         self.arrivals.append(asyncio.get_running_loop().time())
-        writer.write(response_to(headers, self.service.encode()))
+        named = {} if self.limit is None else {'Server_Limit': self.limit}
+        writer.write(response_to(headers, self.service.encode(), **named))
 
 
 class EntryFleet:
--- a/src/balsamrail/platform/target_protocol.py
+++ b/src/balsamrail/platform/target_protocol.py
@@ -23,6 +23,7 @@
 _NUMBER_FORMAT = re.compile(r'\d+(\.\d*)?([eE][+-]?\d+)?', re.ASCII)
 # Length to which an invalid header value is cut in the log.
 _MAX_LOGGED_CHARACTERS = 40
+_EMPTY_TEXT = 'empty'
 _REPLACED_HEADERS = frozenset(
     ('content-length', headers.TIMEOUT_MS.lower(), headers.EXPECTED_TARGET.lower())
 )
@@ -43,7 +44,7 @@
         number = float(text) if _NUMBER_FORMAT.fullmatch(text) else math.inf
         if math.isfinite(number):
             return cls(number=number)
-        return cls(invalid_text=text[:_MAX_LOGGED_CHARACTERS])
+        return cls(invalid_text=text[:_MAX_LOGGED_CHARACTERS] or _EMPTY_TEXT)
 
 
 _NO_HEADER = _HeaderNumber()
--- a/tools/mutants/target_standing.py
+++ b/tools/mutants/target_standing.py
@@ -227,4 +227,20 @@
         feature='features/target_limits.feature',
         scenario='A target in need gets requests',
     ),
+    Mutant(
+        mechanism='hosts tell each other of the limits that targets name',
+        file='src/balsamrail/delivery/limit_reports.py',
+        old='if self._is_known(report):',
+        new='if True:',
+        feature='features/entry.feature',
+        scenario='All hosts keep to the limit that a target names',
+    ),
+    Mutant(
+        mechanism='health checks count against the limit of a target',
+        file='src/balsamrail/delivery/health_checker.py',
+        old='if limiter.allows(state, priority=_CHECK_PRIORITY, now=now):',
+        new='if True:',
+        feature='features/target_limits.feature',
+        scenario='A target that is down is checked',
+    ),
 )
