--- a/features/steps/target_standing_steps.py
+++ b/features/steps/target_standing_steps.py
@@ -235,6 +235,7 @@
     'has started again under its id': lambda delivery, state: _replace(delivery, born_ms=2),
     'is in a zone that is evacuated': lambda delivery, state: _evacuate(delivery),
     'is found to be down': lambda delivery, state: state.note_down(check_at=0, now=_now()),
+    'names a limit of 0': lambda delivery, state: state.availability.note_limit(0, now=_now()),
     'becomes cold beyond its rate': lambda delivery, state: _replace(delivery, cold_left_s=9),
 }
 
--- a/features/target_standing.feature
+++ b/features/target_standing.feature
@@ -52,6 +52,7 @@
       | is in a zone that is evacuated   | evacuated |
       | is found to be down              | down      |
       | becomes cold beyond its rate     | cold      |
+      | names a limit of 0               | limited   |
 
   Scenario: Confining a route while a request waits excludes its target
     This guards against a request that leaves the regions in which it may be processed.
