Let a host without a share ask only if it has heard nothing in its turn

Cause: a host that had just heard a limit could be within its turn to ask, and sent one request at once, for a limit of 0 as well.

Change: a turn counts as used if the target named its limit in it, to this host or first of all, or got a request of this host.

--- a/src/balsamrail/placement/target_rate_limiter.py
+++ b/src/balsamrail/placement/target_rate_limiter.py
@@ -104,7 +104,8 @@
         interval_s = 1 / share.per_s
         phase = mix_hashes(self._own_hash, hash_text(state.entry.target_id)) / _HASH_RANGE
         since_turn_s = (now - limit.since + phase * interval_s) % interval_s
-        return since_turn_s < _ASKING_TIME_S and limit.sent_at < now - since_turn_s
+        last_contact_at = max(limit.since, limit.named_at, limit.sent_at)
+        return since_turn_s < _ASKING_TIME_S and last_contact_at < now - since_turn_s
 
 
 def _refill(limit: TargetLimit, share: TargetShare, now: float) -> None:
--- a/tools/mutants/target_standing.py
+++ b/tools/mutants/target_standing.py
@@ -214,7 +214,7 @@
     Mutant(
         mechanism='hosts without a share ask for the limit now and then',
         file='src/balsamrail/placement/target_rate_limiter.py',
-        old='return since_turn_s < _ASKING_TIME_S and limit.sent_at < now - since_turn_s',
+        old='return since_turn_s < _ASKING_TIME_S and last_contact_at < now - since_turn_s',
         new='return False',
         feature='features/target_limits.feature',
         scenario='All hosts use a target again',
