Share the log line of unreadable headers and the health checker of steps

A failure of several subscribers of a view is raised as a group, so that none is lost. A limit that is named within a second of a report of its end is reported with the next response, so that a target that changes its mind costs one flood a second.

--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -13,6 +13,7 @@
 from balsamrail.delivery.crash_detector import CrashDetector
 from balsamrail.delivery.dispatcher import Dispatcher
 from balsamrail.delivery.entry_request import EntryRequest
+from balsamrail.delivery.health_checker import HealthChecker
 from balsamrail.delivery.limit_reports import LimitReports
 from balsamrail.delivery.liveness_checker import LivenessChecker
 from balsamrail.delivery.notice_handler import NoticeHandler
@@ -156,6 +157,16 @@
         for target in self.targets:
             target.stop()
 
+    def make_health_checker(self):
+        return HealthChecker(
+            environment=self.environment,
+            catalog=self.catalog,
+            target_registry=self.target_registry,
+            codec=TargetProtocol(),
+            notice_handler=self.notice_handler,
+            send_limits=self.send_limits,
+        )
+
     def send(self, request_id, *, path='/read/x', key='x', caller_timeout_s=2.0):
         return self.dispatcher.handle(self.request(request_id, path, key, caller_timeout_s))
 
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -13,7 +13,6 @@
 
 from balsamrail.catalog.revision import Revision
 from balsamrail.configuration import Target
-from balsamrail.delivery.health_checker import HealthChecker
 from balsamrail.errors import ExchangeError, RequestError, StoreUnavailableError
 from balsamrail.exchange.response_buffer import ResponseBuffer
 from balsamrail.exchange.response_memory_limiter import ResponseMemoryLimiter
@@ -22,7 +21,6 @@
 from balsamrail.forwarding.upstream_request import UpstreamRequest
 from balsamrail.metrics import Metrics
 from balsamrail.platform.object_store import ObjectStore
-from balsamrail.platform.target_protocol import TargetProtocol
 from balsamrail.store import HttpStore
 
 _MB = 1_000_000
@@ -353,14 +351,7 @@
         host = await FloodedHost([flood]).start()
         state = host.target_registry.states_by_id['i-0']
         state.note_down(check_at=0, now=0)
-        health_checker = HealthChecker(
-            environment=host.environment,
-            catalog=host.catalog,
-            target_registry=host.target_registry,
-            codec=TargetProtocol(),
-            notice_handler=host.notice_handler,
-            send_limits=host.send_limits,
-        )
+        health_checker = host.make_health_checker()
         running = asyncio.create_task(health_checker.run())
         metrics = host.environment.metrics
         try:
--- a/features/steps/target_limit_notice_steps.py
+++ b/features/steps/target_limit_notice_steps.py
@@ -12,7 +12,6 @@
 from virtual_time import run_virtual
 
 from balsamrail.catalog.catalog import Catalog
-from balsamrail.delivery.health_checker import HealthChecker
 from balsamrail.delivery.limit_reports import LimitReports
 from balsamrail.errors import OverloadedError
 from balsamrail.messages import TargetLimitReport
@@ -20,7 +19,6 @@
 from balsamrail.placement.fleet_hosts import FleetHosts
 from balsamrail.placement.rejection import Rejection
 from balsamrail.placement.target_registry import TargetRegistry
-from balsamrail.platform.target_protocol import TargetProtocol
 
 CALLER_TIMEOUT_S = 2.0
 ZERO = {'Server_Limit': '0'}
@@ -210,14 +208,7 @@
     async def play():
         context.checked = asyncio.Event()
         delivery = await context.delivery.start()
-        health_checker = HealthChecker(
-            environment=delivery.environment,
-            catalog=delivery.catalog,
-            target_registry=delivery.target_registry,
-            codec=TargetProtocol(),
-            notice_handler=delivery.notice_handler,
-            send_limits=delivery.send_limits,
-        )
+        health_checker = delivery.make_health_checker()
         checking = asyncio.create_task(health_checker.run())
         delivery.target_registry.state_of('i-0').note_down(check_at=0, now=0)
         await context.checked.wait()
--- a/src/balsamrail/catalog/feed.py
+++ b/src/balsamrail/catalog/feed.py
@@ -121,9 +121,7 @@
             self._environment.log.event('feed_interrupted', kind=self.kind, reason=error)
             return
         self._is_relist_due = True
-        self._environment.log.event(
-            'feed_failed', kind=self.kind, error=type(error).__name__, reason=error
-        )
+        self._environment.log.event('feed_failed', kind=self.kind, reason=repr(error))
 
     async def _list_or_watch(self) -> None:
         if self._is_relist_due:
--- a/src/balsamrail/catalog/object_view.py
+++ b/src/balsamrail/catalog/object_view.py
@@ -105,7 +105,7 @@
     def _notify(self, events: list[ObjectEvent]) -> None:
         """Call all subscribers, also after one has failed.
 
-        :raises Exception: the first error of a subscriber.
+        :raises ExceptionGroup: the errors of subscribers.
         """
         errors = []
         for on_change in self._subscribers:
@@ -114,7 +114,7 @@
             except Exception as error:
                 errors.append(error)
         if errors:
-            raise errors[0]
+            raise ExceptionGroup(f'subscribers to {self.kind} failed', errors)
 
     def _merge_all(self, events: Iterable[ObjectEvent]) -> list[ObjectEvent]:
         """Apply events and return those that changed the view, with the specs that were kept."""
--- a/src/balsamrail/delivery/limit_reports.py
+++ b/src/balsamrail/delivery/limit_reports.py
@@ -63,10 +63,11 @@
         if known is None or known[0].born_ms != report.born_ms:
             return not report.is_limited
         last, told_at = known
+        is_recent = self._environment.clock.monotonic() - told_at < _MIN_INTERVAL_S
         if last.is_limited != report.is_limited:
-            return False
+            # A limit is named again by the next response, but its end is noticed only once.
+            return report.is_limited and is_recent
         is_similar = abs(report.per_s - last.per_s) <= _MIN_CHANGE * last.per_s
-        is_recent = self._environment.clock.monotonic() - told_at < _MIN_INTERVAL_S
         return is_similar or is_recent
 
     def _on_report(self, host: str, report: TargetLimitReport) -> None:
--- a/src/balsamrail/delivery/notice_handler.py
+++ b/src/balsamrail/delivery/notice_handler.py
@@ -32,12 +32,7 @@
             self._handle_refusal(state, notice.refuses_for_s)
         if notice.invalid_retry_after:
             self._environment.metrics.count('target_refusals_unreadable')
-            self._environment.log.event(
-                'target_refusal_unreadable',
-                target=state.entry.target_id,
-                born_ms=state.entry.born_ms,
-                value=notice.invalid_retry_after,
-            )
+            self._log_unreadable('target_refusal_unreadable', state, notice.invalid_retry_after)
 
         self._handle_limit(state, notice)
 
@@ -49,12 +44,15 @@
             self._limit_reports.publish(state)
         if state.availability.note_invalid_limit(notice.invalid_limit):
             self._environment.metrics.count('target_limits_unreadable')
-            self._environment.log.event(
-                'target_limit_unreadable',
-                target=state.entry.target_id,
-                born_ms=state.entry.born_ms,
-                value=notice.invalid_limit,
-            )
+            self._log_unreadable('target_limit_unreadable', state, notice.invalid_limit)
+
+    def _log_unreadable(self, event: str, state: TargetState, text: str) -> None:
+        self._environment.log.event(
+            event,
+            target=state.entry.target_id,
+            born_ms=state.entry.born_ms,
+            value=text,
+        )
 
     def _handle_leaving(self, state: TargetState) -> None:
         if not state.availability.note_leaving(now=self._now()):
