Divide limits of targets up to a million requests a second

Cause: the burst of a limit near the largest floating-point number is infinite, and rounding it raised OverflowError in the choice of a target, so that each request to that target's service failed.

Change: a higher limit counts as a million a second, which does not bind.

Measured: the new scenario, shares of 1 to 60 hosts of any regions for any limit, failed with OverflowError before and passes; it also checks that rates and bursts of all hosts together stay within what the target tolerates.

--- a/features/steps/limit_fleet_steps.py
+++ b/features/steps/limit_fleet_steps.py
@@ -3,7 +3,13 @@
 import random
 
 from behave import given, then, when
-from limit_fleet import REGIONS, LimitedTarget, LimitPlay
+from hypothesis import example
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from limit_fleet import REGIONS, WINDOW_S, LimitedTarget, LimitPlay, allowed_in_window
+
+from balsamrail.placement.fleet_hosts import FleetHosts
+from balsamrail.placement.target_share import TargetShare
 
 NAMED_AT_S = 4.0
 PLAYED_S = 24.0
@@ -163,3 +169,33 @@
             and (not is_near_only or state.entry.region == host.region)
         ]
         assert not limited, limited[:5]
+
+
+@when('fleets of any size and regions divide any limit')
+def step_divide(context):
+    pass
+
+
+@then('their rates and bursts together stay within it in any 4 s, and nobody fails')
+def step_shares_fit(context):
+    @for_all(
+        st.lists(st.sampled_from((*REGIONS, '')), min_size=1, max_size=60),
+        st.one_of(
+            st.floats(0, 100), st.floats(min_value=0, allow_nan=False, allow_infinity=False)
+        ),
+    )
+    @example(['attiki'], 1.7e308)
+    @example(['makedonia'] * 9, 5e-324)
+    def check(regions, limit):
+        region_by_host = {f'h-{number}': region for number, region in enumerate(regions)}
+        total = 0
+        for host, region in region_by_host.items():
+            fleet = FleetHosts(own_host=host, own_region=region or 'attiki')
+            fleet.replace(region_by_host)
+            share = TargetShare.of(fleet, target_id='i-1', region='attiki', limit_per_s=limit)
+            assert share.per_s > 0
+            # A host without a share may use a turn at the start of the window.
+            total += share.per_s * WINDOW_S + (share.capacity or share.per_s * 2)
+        assert total <= allowed_in_window(limit), (total, limit)
+
+    check()
--- a/features/target_limits.feature
+++ b/features/target_limits.feature
@@ -35,6 +35,12 @@
       | 9     | while the limits rise, fall, end and return                    |
       | 195   | while the limits rise, fall, end and return                    |
 
+  Scenario: All shares together fit what a target tolerates
+    Guards against shares that exceed a limit in some window, or fail for a limit that is no use.
+
+    When fleets of any size and regions divide any limit
+    Then their rates and bursts together stay within it in any 4 s, and nobody fails
+
   Scenario Outline: A target in need gets requests while its limit leaves room
     Guards against shares so small that callers are turned away from a target that could serve them.
 
--- a/src/balsamrail/placement/target_share.py
+++ b/src/balsamrail/placement/target_share.py
@@ -16,6 +16,8 @@
 _RATE_FRACTION = 0.85
 _BURST_FRACTION = 0.8
 _ASKING_FRACTION = 0.1
+# A higher limit does not bind.
+_MAX_LIMIT_PER_S = 1e6
 # All hosts together ask a target at least this often, whatever its limit, so that its end is heard.
 _MIN_ASKING_PER_S = 0.2
 
@@ -45,6 +47,7 @@
         :param region: the region of the target.
         :param limit_per_s: the limit for all hosts together.
         """
+        limit_per_s = min(limit_per_s, _MAX_LIMIT_PER_S)
         asking_per_s = max(limit_per_s * _ASKING_FRACTION, _MIN_ASKING_PER_S)
         if limit_per_s < _MIN_ASKING_PER_S:
             return cls(per_s=asking_per_s / max(1, len(fleet.names)), capacity=0)
