Test manifests that cannot be read beside those that can

The manifest in force stays, the odd one is reported once and the next sound one is taken, for resources nested 100,000 deep, versions that do not fit and a surrogate in a host name.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -85,6 +85,20 @@
       | a number of 5,000 digits   |
       | a revision of 400 digits   |
 
+  Scenario Outline: A manifest that cannot be read leaves the one in force
+    Guards against hosts that refuse all requests, or take no later change, after one odd manifest (CONFIG).
+
+    Given a store with a manifest, whose next one has <odd>
+    When a host reads the store, gets that one and then a sound one
+    Then the first one stays in force until the sound one is, and the odd one is reported once
+
+    Examples:
+      | odd                                 |
+      | resources nested 100,000 deep       |
+      | a version of 5,000 digits           |
+      | a version of 2 to the power of 64   |
+      | a lone surrogate as a host name     |
+
   Scenario: A failure in a feed is logged and the feed goes on
     Guards against a host that stops following a kind without a word in its log.
 
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -105,10 +105,10 @@
             EVACUATIONS: [],
             HOSTS: [],
         }
-        self.events = ()
+        self.events = {}
         self.revision = 6
         self.watched_from = []
-        self._has_events = asyncio.Event()
+        self._has_events = {kind: asyncio.Event() for kind in self.items}
 
     async def start(self):
         self._server = await RawUpstream(self._answer).start()
@@ -118,11 +118,11 @@
     def stop(self):
         self._server.stop()
 
-    def send(self, *texts):
-        """Deliver events of targets, given as raw texts, by the next watch."""
+    def send(self, *texts, kind=TARGETS):
+        """Deliver events, given as raw texts, by the next watch of a kind."""
         self.revision += len(texts)
-        self.events = texts
-        self._has_events.set()
+        self.events[kind] = texts
+        self._has_events[kind].set()
 
     async def _answer(self, number, headers, writer):
         path = self._server.heads[number - 1].split(' ')[1]
@@ -132,11 +132,9 @@
         else:
             if kind == TARGETS:
                 self.watched_from.append(int(path.split('watch=')[1].split('&')[0]))
-            if kind != TARGETS:
-                await asyncio.Event().wait()
-            await self._has_events.wait()
-            self._has_events.clear()
-            text = f'"events":[{",".join(self.events)}]'
+            await self._has_events[kind].wait()
+            self._has_events[kind].clear()
+            text = f'"events":[{",".join(self.events.pop(kind))}]'
         body = f'{{{text},"storeRevision":{self.revision}}}'
         writer.write(whole(body.encode(), Content_Type='application/json'))
 
@@ -434,3 +432,54 @@
     assert context.names == {'sound'}, context.names
     assert context.lines.count('event=store_entry_malformed kind=host') <= 1, context.lines
     assert context.lines.count('event=store_entry_malformed') == 2, context.lines[-500:]
+
+
+ODD_MANIFESTS = {
+    'resources nested 100,000 deep': f'{{"version":2,"resources":{VALUES["arrays 100,000 deep"]}}}',
+    'a version of 5,000 digits': json.dumps(MANIFEST).replace(
+        '"version": 1', f'"version": {DIGITS["5,000 digits"]}'
+    ),
+    'a version of 2 to the power of 64': json.dumps(MANIFEST).replace(
+        '"version": 1', f'"version": {2**64}'
+    ),
+    'a lone surrogate as a host name': json.dumps(MANIFEST)
+    .replace('"version": 1', '"version": 2')
+    .replace('"lepu.example"', SURROGATE),
+}
+
+
+@given('a store with a manifest, whose next one has {odd}')
+def step_odd_manifest(context, odd):
+    context.store = RawStore()
+    context.odd_manifest = ODD_MANIFESTS[odd]
+
+
+@when('a host reads the store, gets that one and then a sound one')
+def step_manifests(context):
+    def event(spec, revision):
+        return f'{{"object":{raw_item(chr(34) + "main" + chr(34), spec, revision=revision)}}}'
+
+    async def play():
+        store = await context.store.start()
+        host = ReadingHost(store)
+        context.versions = []
+        try:
+            await _wait(host.catalog.is_ready)
+            store.send(event(context.odd_manifest, 7), kind=MANIFESTS)
+            await _wait(lambda: 'event=manifest_rejected ' in host.lines())
+            context.versions.append(host.catalog.manifest.version)
+            sound = json.dumps({**MANIFEST, 'version': 3})
+            store.send(event(sound, 8), kind=MANIFESTS)
+            await _wait(lambda: host.catalog.manifest.version == 3)
+            context.lines = host.lines()
+        finally:
+            host.stop()
+            store.stop()
+
+    platform_helpers.run_real(play())
+
+
+@then('the first one stays in force until the sound one is, and the odd one is reported once')
+def step_manifest_stays(context):
+    assert context.versions == [1], context.versions
+    assert context.lines.count('event=manifest_rejected ') == 1, context.lines
