--- /dev/null
+++ b/features/path_loss.feature
@@ -0,0 +1,19 @@
+Feature: Hosts that lose their paths to targets
+
+  Scenario Outline: A host that reaches no target serves its callers through its peers
+    Guards against callers of a host without paths to targets being served less than others (RECOVER).
+
+    Given 5 hosts in attiki and 1 in makedonia with targets in both
+    When <hosts> lose all targets for 7 s, whose connections <fail>
+    Then from 3 s after the cut callers there are served at least two thirds as often as at the others
+    And in the 2 s after its end too
+    And no request that is not idempotent ran twice or was called not run and ran
+
+    Examples:
+      | hosts                                  | fail       |
+      | attiki-0 attiki-1                      | hang       |
+      | attiki-0 attiki-1                      | refuse     |
+      | attiki-0 attiki-1                      | reset      |
+      | attiki-0 attiki-1                      | live on    |
+      | attiki-0 attiki-2 attiki-4             | hang       |
+      | attiki-0 attiki-1 attiki-2 attiki-3    | refuse     |
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -55,7 +55,7 @@
 class Target:
     """A registered target; ``arrivals`` holds the arrival time of each request.
 
-    It names ``limit`` in its responses unless that is ``None``.
+    It names ``limit`` in its responses unless that is ``None``, and takes ``work_s`` for each.
     """
 
     def __init__(self, name, *, zone, service):
@@ -63,7 +63,9 @@
         self.zone = zone
         self.service = service
         self.arrivals = []
+        self.request_ids = []
         self.limit = None
+        self.work_s = 0
 
     async def start(self, store):
         self.upstream = await RawUpstream(self._answer).start()
@@ -85,6 +87,9 @@
 
     async def _answer(self, number, headers, writer):
         self.arrivals.append(asyncio.get_running_loop().time())
+        self.request_ids.append(headers.get('x-request-id'))
+        if self.work_s:
+            await asyncio.sleep(self.work_s)
         named = {} if self.limit is None else {'Server_Limit': self.limit}
         writer.write(response_to(headers, self.service.encode(), **named))
 
--- /dev/null
+++ b/features/steps/path_loss_steps.py
@@ -0,0 +1,119 @@
+"""Steps of path_loss.feature with a fleet in one process."""
+
+import asyncio
+from collections import Counter
+
+from behave import then, when
+from cut_links import CutLinks
+from entry_fleet import HOST_NAME, manifest
+from entry_steps import _play
+
+CONTACT_S = 3.0
+WARM_UP_S = 2.0
+AFTER_S = 3.0
+WORK_S = 0.05
+NOT_RUN_STATUSES = {408, 421, 429, 503}
+
+
+def manifest_with_bookings(version):
+    """A manifest with a route whose requests are not idempotent."""
+    whole = manifest(version)
+    route = dict(whole['resources'][0]['spec'], pathPrefix='/book/', kind='non_idempotent')
+    whole['resources'].append({'entryKind': 'routes', 'metadata': {'name': 'b'}, 'spec': route})
+    return whole
+
+
+class CutPlay:
+    """Sends each host 12 requests a second and records what callers get at which."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        # The host, the time of the request, its id and the status that the caller got.
+        self.results = []
+
+    async def load(self, seconds):
+        loop = asyncio.get_running_loop()
+        end, number, pending = loop.time() + seconds, 0, []
+        while loop.time() < end:
+            for host in sorted(self.fleet.hosts):
+                number += 1
+                pending.append(asyncio.create_task(self._send(host, number)))
+                await asyncio.sleep(1 / 72)
+        await asyncio.gather(*pending)
+
+    async def _send(self, host, number):
+        sent_at = asyncio.get_running_loop().time()
+        request_id = f'p-{number}'
+        headers = {'Host': HOST_NAME, 'X-Request-Id': request_id, 'X-Timeout-Ms': '2000'}
+        kind = 'book' if number // 6 % 2 else 'read'
+        response = await self.fleet.get(
+            self.fleet.addresses[host][0], f'/{kind}/{number}', headers=headers
+        )
+        self.results.append((host, sent_at, request_id, kind, response.code))
+
+    def served(self, hosts, *, since, until):
+        """Return the fraction of the requests to some hosts that were served."""
+        codes = [
+            code for host, at, _, _, code in self.results if host in hosts and since <= at < until
+        ]
+        assert codes
+        return sum(code == 200 for code in codes) / len(codes), Counter(codes)
+
+
+def play_cut(context, hosts, mode, cut_s):
+    context.cut_hosts = hosts
+
+    async def play(fleet):
+        fleet.store.put('config', 'main', manifest_with_bookings(4))
+        for target in fleet.targets:
+            target.work_s = WORK_S
+        context.cut_play = CutPlay(fleet)
+        links = CutLinks(addresses=[target.upstream.address for target in fleet.targets])
+        with links.installed():
+            load = asyncio.create_task(context.cut_play.load(WARM_UP_S + cut_s + AFTER_S))
+            await asyncio.sleep(WARM_UP_S)
+            context.cut_at = asyncio.get_running_loop().time()
+            links.cut(hosts, mode)
+            await asyncio.sleep(cut_s)
+            links.heal()
+            context.healed_at = asyncio.get_running_loop().time()
+            await load
+
+    _play(context, play)
+
+
+@when('{hosts} lose all targets for {cut_s:d} s, whose connections {mode}')
+def step_cut(context, hosts, cut_s, mode):
+    play_cut(context, set(hosts.split()), mode, cut_s)
+
+
+def assert_as_well_served(context, since, until):
+    others = set(context.fleet.zone_by_host) - context.cut_hosts
+    play = context.cut_play
+    cut_off, cut_off_codes = play.served(context.cut_hosts, since=since, until=until)
+    reference, codes = play.served(others, since=since, until=until)
+    print(f'cut off {cut_off:.3f} {cut_off_codes}, others {reference:.3f} {codes}')
+    assert cut_off >= reference * 2 / 3, (cut_off, cut_off_codes, reference, codes)
+
+
+@then(
+    'from 3 s after the cut callers there are served at least two thirds as often as at the others'
+)
+def step_served_in_cut(context):
+    assert_as_well_served(context, context.cut_at + CONTACT_S, context.healed_at)
+
+
+@then('in the 2 s after its end too')
+def step_served_after(context):
+    assert_as_well_served(context, context.healed_at, context.healed_at + 2)
+
+
+@then('no request that is not idempotent ran twice or was called not run and ran')
+def step_at_most_once(context):
+    ran = Counter(
+        request_id for target in context.fleet.targets for request_id in target.request_ids
+    )
+    for _, _, request_id, kind, code in context.cut_play.results:
+        if kind == 'book':
+            assert ran[request_id] <= 1, request_id
+            assert not (code in NOT_RUN_STATUSES and ran[request_id]), (request_id, code)
