--- /dev/null
+++ b/features/steps/proxying_steps.py
@@ -0,0 +1,352 @@
+"""Steps of proxying.feature with real sockets."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from delivery_parts import DeliveryHarness, response_to
+from forwarding_parts import RawUpstream
+from platform_helpers import free_address, make_member, run_real
+
+from balsamrail.errors import RequestError
+from balsamrail.proxying.handover import Handover
+
+HANDOVER = 'Balsamrail-Handover'
+
+
+def reply(headers, outcome, *, status=b'200 OK', code='', sent='', **more):
+    text = response_to(headers, **more).replace(b'200 OK', status)
+    if outcome is None:
+        return text
+    line = f'{HANDOVER}: outcome={outcome} code={code} sent={sent}\r\n'.encode()
+    return text.replace(b'\r\n\r\n', b'\r\n' + line + b'\r\n', 1)
+
+
+async def serve(number, headers, writer):
+    writer.write(reply(headers, 'answered', sent='i-9'))
+
+
+async def close_connection(number, headers, writer):
+    raise ConnectionError
+
+
+async def break_off(number, headers, writer):
+    writer.write(reply(headers, 'answered')[:-2])
+    await writer.drain()
+    raise ConnectionError
+
+
+async def answer_another(number, headers, writer):
+    writer.write(reply({'x-request-id': 'another'}, 'answered'))
+
+
+async def target_silent(number, headers, writer):
+    writer.write(reply(headers, 'unknown', status=b'504 Late', code='outcome_unknown', sent='i-1'))
+
+
+async def without_outcome(number, headers, writer):
+    unsigned = response_to(headers).replace(b'X-Response-Signature: signed\r\n', b'')
+    writer.write(unsigned.replace(b'200 OK', b'500 Broken'))
+
+
+async def earlier_version(number, headers, writer):
+    writer.write(reply(headers, None))
+
+
+async def reaches_none(number, headers, writer):
+    writer.write(reply(headers, 'not_run', status=b'503 No', code='no_target'))
+
+
+async def knows_no_route(number, headers, writer):
+    writer.write(reply(headers, 'refused', status=b'404 No', code='unknown_route'))
+
+
+async def no_room(number, headers, writer):
+    writer.write(
+        reply(headers, 'not_run', status=b'503 Full', code='overloaded', Retry_After='0.2')
+    )
+
+
+async def say_nothing(number, headers, writer):
+    await asyncio.sleep(60)
+
+
+async def fail_after_two(number, headers, writer):
+    writer.write(
+        reply(headers, 'unknown', status=b'502 Lost', code='target_failed', sent='i-1,i-2')
+    )
+
+
+async def fail_late(number, headers, writer):
+    await asyncio.sleep(0.3)
+    writer.write(reply(headers, 'unknown', status=b'502 Lost', code='target_failed', sent='i-1'))
+
+
+BEHAVIOURS = {
+    'accepts no connection': None,
+    'closes the connection': close_connection,
+    'breaks off its response': break_off,
+    'answers another request': answer_another,
+    'got no response from its target': target_silent,
+    'answers without an outcome': without_outcome,
+    'has an earlier version': earlier_version,
+    'reaches no target': reaches_none,
+    'knows no such route': knows_no_route,
+    'has no room': no_room,
+    'says nothing': say_nothing,
+    'fails after 2 attempts': fail_after_two,
+    'fails after 0.3 s': fail_late,
+}
+
+
+class ProxyHarness:
+    """A host that reaches no target, with two peers whose answers are scripted."""
+
+    def __init__(self, *behaviours):
+        self.delivery = DeliveryHarness([])
+        self.behaviours = behaviours
+        self.peers = []
+
+    async def start(self):
+        await self.delivery.start(first_target_refuses=True)
+        # The first peer is in the zone of the host, so that it is asked first.
+        for name, zone, behaviour in zip(
+            ('near', 'far'), ('attiki-a', 'attiki-b'), self.behaviours, strict=True
+        ):
+            peer = await RawUpstream(behaviour or serve).start()
+            self.peers.append(peer)
+            self.delivery.members[name] = make_member(
+                name,
+                availability_zone=zone,
+                caller_address=peer.address if behaviour else free_address(),
+            )
+        return self.delivery
+
+    def stop(self):
+        self.delivery.stop()
+        for peer in self.peers:
+            peer.stop()
+
+
+@given('a host that reaches no target, and two peers of which the first {failure}')
+def step_peers(context, failure):
+    context.proxying = ProxyHarness(BEHAVIOURS[failure], serve)
+
+
+@given('a host that reaches no target, and two peers that reach none either')
+def step_no_peers(context):
+    context.proxying = ProxyHarness(reaches_none, reaches_none)
+
+
+def path_of(kind):
+    return '/write/x' if kind == 'a non-idempotent' else '/read/x'
+
+
+@when('one caller sends {kind} request with a timeout of 1 s')
+def step_send(context, kind):
+    async def play():
+        delivery = await context.proxying.start()
+        started = time.monotonic()
+        try:
+            response = await delivery.send('r-1', path=path_of(kind), caller_timeout_s=1.0)
+            assert response.body == b'whole' and HANDOVER not in response.headers
+            context.outcome = 'the whole response'
+        except RequestError as error:
+            context.outcome = error.code
+        context.took_s = time.monotonic() - started
+        context.proxying.stop()
+
+    run_real(play())
+
+
+@then('the caller gets {outcome}, and the peers got {near:d} {far:d} requests')
+def step_outcome(context, outcome, near, far):
+    counts = [len(peer.heads) for peer in context.proxying.peers]
+    assert (context.outcome, counts) == (outcome, [near, far]), (context.outcome, counts)
+
+
+@then('it took less than half of the timeout')
+def step_at_once(context):
+    assert context.took_s < 0.5, context.took_s
+
+
+def header_of(peer, name):
+    lines = [line.partition(': ') for line in peer.heads[0].split('\r\n')]
+    return next(value for key, _, value in lines if key.lower() == name.lower())
+
+
+@then('the peers were allowed 2 and 1 attempts, and the second is told the targets of the first')
+def step_attempts(context):
+    first, second = (header_of(peer, HANDOVER) for peer in context.proxying.peers)
+    assert first == 'origin=attiki-a-1 attempts=2 tried=', first
+    assert second == 'origin=attiki-a-1 attempts=1 tried=i-1,i-2', second
+
+
+@then('the second peer is told at most 0.7 s')
+def step_time_left(context):
+    told_ms = int(header_of(context.proxying.peers[1], 'X-Timeout-Ms'))
+    assert 0 < told_ms <= 700, told_ms
+
+
+def from_other_host(request, *, max_attempts=2):
+    request.handover = Handover(origin='attiki-b-1', max_attempts=max_attempts)
+    return request
+
+
+@when('another host sends it a request')
+def step_other_host(context):
+    async def play():
+        delivery = await context.proxying.start()
+        started = time.monotonic()
+        try:
+            await delivery.dispatcher.handle(
+                from_other_host(delivery.request('r-1', '/read/x', 'x', 1.0))
+            )
+        except RequestError as error:
+            context.error = error
+        context.took_s = time.monotonic() - started
+        context.counts = [len(peer.heads) for peer in context.proxying.peers]
+        context.proxying.stop()
+
+    run_real(play())
+
+
+@then('it refuses that request at once, and the peers got 0 0 requests')
+def step_one_hop(context):
+    assert context.error.outcome == 'not_run', context.error
+    assert context.took_s < 0.5 and context.counts == [0, 0], (context.took_s, context.counts)
+
+
+@given('a host whose targets respond after 0.5 s')
+def step_slow_targets(context):
+    async def respond(number, headers, writer):
+        await asyncio.sleep(0.5)
+        writer.write(response_to(headers))
+
+    context.delivery = DeliveryHarness([respond] * 60)
+
+
+@when('other hosts send it 200 requests at once, and a caller one')
+def step_many(context):
+    async def play():
+        delivery = await context.delivery.start()
+        requests = [
+            from_other_host(delivery.request(f'o-{n}', f'/read/{n}', f'{n}', 2.0))
+            for n in range(200)
+        ]
+        pending = [asyncio.create_task(delivery.dispatcher.handle(one)) for one in requests]
+        own = asyncio.create_task(delivery.send('own'))
+        await asyncio.sleep(0.2)
+        context.refused_early = sum(
+            task.done() and task.exception() is not None for task in pending
+        )
+        results = await asyncio.gather(*pending, return_exceptions=True)
+        context.taken = sum(not isinstance(one, RequestError) for one in results)
+        context.codes = {one.code for one in results if isinstance(one, RequestError)}
+        context.own = await own
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('it takes 128 of these requests, refuses the others at once, and serves the caller')
+def step_limited(context):
+    assert context.taken == 128 and context.refused_early == 72, (
+        context.taken,
+        context.refused_early,
+    )
+    assert context.codes == {'proxy_busy'}, context.codes
+    assert context.own.body == b'whole'
+
+
+@when('the caller of {kind} request leaves after 0.2 s')
+def step_leaves(context, kind):
+    async def play():
+        delivery = await context.proxying.start()
+        task = asyncio.create_task(delivery.send('r-1', path=path_of(kind), caller_timeout_s=2.0))
+        await asyncio.sleep(0.2)
+        task.cancel()
+        await asyncio.sleep(0.3)
+        context.open_count = context.proxying.peers[0].open_count
+        context.proxying.stop()
+
+    run_real(play())
+
+
+@then('the connection to the peer is {state} 0.3 s later')
+def step_connection(context, state):
+    assert context.open_count == (1 if state == 'open' else 0), context.open_count
+
+
+@when('the first peer is suspected 0.2 s after an idempotent request was sent to it')
+def step_suspected(context):
+    async def play():
+        delivery = await context.proxying.start()
+        task = asyncio.create_task(delivery.send('r-1', caller_timeout_s=1.0))
+        await asyncio.sleep(0.2)
+        members = delivery.members
+        members['near'] = make_member(
+            'near', state='suspect', caller_address=members['near'].caller_address
+        )
+        for changed in members.listeners:
+            changed()
+        response = await task
+        assert response.body == b'whole'
+        context.outcome = 'the whole response'
+        context.proxying.stop()
+
+    run_real(play())
+
+
+@given('a host that has lost its paths to targets that respond again')
+def step_lost_targets(context):
+    async def respond(number, headers, writer):
+        writer.write(response_to(headers))
+
+    context.delivery = DeliveryHarness([respond] * 6)
+    context.lost = range(6)
+
+
+@given('a host of whose six targets three are down, and that has few requests')
+def step_three_down(context):
+    async def respond(number, headers, writer):
+        writer.write(response_to(headers))
+
+    context.delivery = DeliveryHarness([respond] * 6)
+    context.down = range(3)
+    context.lost = range(3)
+
+
+@when('the health checks of the host run for 1.5 s')
+def step_checks(context):
+    async def play():
+        delivery = await context.delivery.start()
+        for number in getattr(context, 'down', ()):
+            delivery.targets[number].stop()
+        now = asyncio.get_running_loop().time()
+        states = [delivery.target_registry.state_of(f'i-{n}') for n in range(6)]
+        for number in context.lost:
+            states[number].note_down(check_at=now, now=now)
+        context.paths = delivery.target_registry.paths
+        assert context.paths.is_lost()
+        checker = delivery.make_health_checker()
+        checking = asyncio.create_task(checker.run())
+        await asyncio.sleep(1.5)
+        checking.cancel()
+        now = asyncio.get_running_loop().time()
+        context.down_ids = {state.entry.target_id for state in states if state.is_down}
+        context.cold_ids = {state.entry.target_id for state in states if state.is_cold(now=now)}
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('all targets are used again, and none of them is cold')
+def step_all_used(context):
+    assert not context.down_ids and not context.cold_ids, (context.down_ids, context.cold_ids)
+
+
+@then('its paths are not lost, and three targets are down')
+def step_found_out(context):
+    assert not context.paths.is_lost()
+    assert context.down_ids == {'i-0', 'i-1', 'i-2'}, context.down_ids
--- /dev/null
+++ b/src/balsamrail/delivery/http_connection_pool.py
@@ -0,0 +1,107 @@
+"""A pool of idle connections to targets or to other hosts."""
+
+from typing import Any
+
+from balsamrail.delivery.http_connection import HttpConnection
+from balsamrail.environment import Environment
+
+_CONNECT_TIMEOUT_S = 0.5
+_TCP_USER_TIMEOUT_S = 2.0
+_MAX_RESPONSE_BYTES = 33_554_432
+# Targets close idle connections after about ten seconds unless they announce another timeout.
+_MAX_IDLE_S = 6.0
+# Connections are reused only within this fraction of the idle timeout that a target announced.
+_IDLE_TIMEOUT_FRACTION = 0.6
+# Targets do not close a connection this soon after a response on it.
+_RECENTLY_USED_S = 1.0
+
+
+class HttpConnectionPool:
+    """Opens connections and reuses idle ones, by the id of the target or host at their other end.
+
+    :param opened_metric: name of the counter of opened connections.
+    """
+
+    __slots__ = ('_environment', '_idle_by_id', '_opened_metric')
+
+    def __init__(
+        self, *, environment: Environment, opened_metric: str = 'target_connections_opened'
+    ) -> None:
+        self._environment = environment
+        self._opened_metric = opened_metric
+        self._idle_by_id: dict[str, list[HttpConnection]] = {}
+
+    async def acquire(
+        self, peer_id: str, address: str, *, fresh_only: bool, deadline: float
+    ) -> HttpConnection:
+        """Return a connection to a target or host, an idle one if possible.
+
+        :param fresh_only: return only a new connection or one used within the last second, since
+            a request that is not idempotent cannot be retried if the target closes the connection
+            meanwhile.
+        :raises ExchangeError: if no connection could be opened.
+        """
+        reusable = self._reusable(peer_id, address, fresh_only=fresh_only)
+        if reusable is not None:
+            return reusable
+        connection = HttpConnection(
+            environment=self._environment,
+            address=address,
+            user_timeout_s=_TCP_USER_TIMEOUT_S,
+            max_response_bytes=_MAX_RESPONSE_BYTES,
+        )
+        limit = min(deadline, self._environment.clock.monotonic() + _CONNECT_TIMEOUT_S)
+        self._environment.metrics.count(self._opened_metric)
+        await connection.connect(deadline=limit)
+        return connection
+
+    def release(self, peer_id: str, connection: HttpConnection) -> None:
+        """Return a connection to the pool unless it is closed."""
+        if not connection.is_closed():
+            self._idle_by_id.setdefault(peer_id, []).append(connection)
+
+    def close_idle(self, peer_id: str) -> None:
+        """Close the idle connections to a target or host."""
+        for connection in self._idle_by_id.pop(peer_id, ()):
+            connection.close()
+
+    def close_stale(self) -> None:
+        """Close the idle connections that are too old to be reused."""
+        for peer_id, idle in list(self._idle_by_id.items()):
+            usable = [connection for connection in idle if _is_usable(connection)]
+            for connection in idle:
+                if connection not in usable:
+                    connection.close()
+            if usable:
+                self._idle_by_id[peer_id] = usable
+            else:
+                del self._idle_by_id[peer_id]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for peer_id in list(self._idle_by_id):
+            self.close_idle(peer_id)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of idle connections by target or host."""
+        return {peer_id: len(idle) for peer_id, idle in self._idle_by_id.items()}
+
+    def _reusable(self, peer_id: str, address: str, *, fresh_only: bool) -> HttpConnection | None:
+        idle = self._idle_by_id.get(peer_id, [])
+        while idle:
+            # Last in, first out, so that surplus connections age and get closed.
+            if fresh_only and idle[-1].idle_s() > _RECENTLY_USED_S:
+                return None
+            connection = idle.pop()
+            # A target that restarted elsewhere may still respond at its old address.
+            if connection.address == address and _is_usable(connection):
+                return connection
+            connection.close()
+        return None
+
+
+def _is_usable(connection: HttpConnection) -> bool:
+    limit_s = _MAX_IDLE_S
+    if connection.server_idle_timeout_s is not None:
+        limit_s = min(limit_s, connection.server_idle_timeout_s * _IDLE_TIMEOUT_FRACTION)
+    return connection.idle_s() < limit_s and connection.is_idle()
