Carry requests between hosts over the peer address instead of the callers' address

Suspected: a host that is cut off from the targets does not reach the callers' address of its peers either; its peer streams went on.

Change: requests between hosts go to the peer address, which serves peer streams and HTTP and tells them by the first byte. The header between hosts is believed only there; a caller's connection cannot set it.

--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -20,7 +20,8 @@
       | got no response from its target       | an idempotent    | the whole response | 1 1      |
       | got no response from its target       | a non-idempotent | outcome_unknown    | 1 0      |
       | answers without an outcome            | a non-idempotent | target_failed      | 1 0      |
-      | has an earlier version                | a non-idempotent | the whole response | 1 0      |
+      | answers as a target would             | a non-idempotent | target_failed      | 1 0      |
+      | speaks another protocol               | a non-idempotent | target_failed      | 1 0      |
       | reaches no target                     | a non-idempotent | the whole response | 1 1      |
       | knows no such route                   | an idempotent    | the whole response | 1 1      |
       | has no room                           | a non-idempotent | overloaded         | 1 0      |
@@ -95,6 +96,14 @@
     When the first peer is suspected 0.2 s after an idempotent request was sent to it
     Then the caller gets the whole response, and the peers got 1 1 requests
 
+  Scenario: A caller's connection cannot pass for one of another host
+    Guards against callers that set the header between hosts.
+
+    Given a fleet of two hosts
+    When a request with a valid header between hosts comes over a caller's connection and over a peer's
+    Then only the second is one of another host
+    And connections to the peer address that send nothing, rubbish or parts of a request do no harm
+
   Scenario Outline: What callers send cannot pass for a request of another host
     Guards against bad input in the header between hosts, and against its way to targets.
 
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -5,6 +5,8 @@
 
 from behave import given, then, when
 from delivery_parts import DeliveryHarness, response_to
+from entry_fleet import HOST_NAME, EntryFleet
+from entry_steps import _play
 from forwarding_parts import RawUpstream
 from platform_helpers import free_address, make_member, run_real
 
@@ -49,10 +51,16 @@
     writer.write(unsigned.replace(b'200 OK', b'500 Broken'))
 
 
-async def earlier_version(number, headers, writer):
+async def answer_as_target(number, headers, writer):
     writer.write(reply(headers, None))
 
 
+async def another_protocol(number, headers, writer):
+    writer.write(b'\x97\x00\xa1x')
+    await writer.drain()
+    raise ConnectionError
+
+
 async def reaches_none(number, headers, writer):
     writer.write(reply(headers, 'not_run', status=b'503 No', code='no_target'))
 
@@ -89,7 +97,8 @@
     'answers another request': answer_another,
     'got no response from its target': target_silent,
     'answers without an outcome': without_outcome,
-    'has an earlier version': earlier_version,
+    'answers as a target would': answer_as_target,
+    'speaks another protocol': another_protocol,
     'reaches no target': reaches_none,
     'knows no such route': knows_no_route,
     'has no room': no_room,
@@ -118,7 +127,7 @@
             self.delivery.members[name] = make_member(
                 name,
                 availability_zone=zone,
-                caller_address=peer.address if behaviour else free_address(),
+                peer_address=peer.address if behaviour else free_address(),
             )
         return self.delivery
 
@@ -286,7 +295,7 @@
         await asyncio.sleep(0.2)
         members = delivery.members
         members['near'] = make_member(
-            'near', state='suspect', caller_address=members['near'].caller_address
+            'near', state='suspect', peer_address=members['near'].peer_address
         )
         for changed in members.listeners:
             changed()
@@ -350,3 +359,58 @@
 def step_found_out(context):
     assert not context.paths.is_lost()
     assert context.down_ids == {'i-0', 'i-1', 'i-2'}, context.down_ids
+
+
+@given('a fleet of two hosts')
+def step_two_hosts(context):
+    context.fleet = EntryFleet(attiki=2, makedonia=0)
+
+
+async def exchange_raw(address, text):
+    """Send bytes to an address and return what arrives within 0.5 s."""
+    number, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(number, int(port))
+    writer.write(text)
+    received = b''
+    try:
+        async with asyncio.timeout(0.5):
+            while chunk := await reader.read(65_536):
+                received += chunk
+    except (TimeoutError, ConnectionError):
+        pass
+    writer.close()
+    return received
+
+
+@when(
+    "a request with a valid header between hosts comes over a caller's connection and over a peer's"
+)
+def step_both_connections(context):
+    head = (
+        f'GET /read/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Request-Id: r-1\r\n'
+        f'{HANDOVER}: origin=attiki-1 attempts=1 tried=\r\n\r\n'
+    ).encode()
+    rubbish = (b'', b'\x00' * 300, b'G', b'GET / HT', head[:-4], b'z' * 70_000, b'\x97\x00')
+
+    async def play(fleet):
+        caller, _, _, peer, _ = fleet.addresses['attiki-0']
+        context.answers = [await exchange_raw(address, head) for address in (caller, peer)]
+        await asyncio.gather(*(exchange_raw(peer, text) for text in rubbish))
+        context.answers.append(await exchange_raw(peer, head))
+        context.failed_tasks = [task for task in fleet.tasks.values() if task.done()]
+
+    _play(context, play)
+
+
+@then('only the second is one of another host')
+def step_only_second(context):
+    assert all(answer.startswith(b'HTTP/1.1 200 ') for answer in context.answers), context.answers
+    marked = [HANDOVER.encode() in answer for answer in context.answers]
+    assert marked == [False, True, True], marked
+
+
+@then(
+    'connections to the peer address that send nothing, rubbish or parts of a request do no harm'
+)
+def step_no_harm(context):
+    assert not context.failed_tasks
--- a/src/balsamrail/entry/caller_http_server.py
+++ b/src/balsamrail/entry/caller_http_server.py
@@ -8,6 +8,9 @@
 from balsamrail.environment import Environment
 from balsamrail.exchange.caller_stream import CallerStream
 
+# Tornado's limit for the connections of callers.
+_MAX_BUFFER_BYTES = 104_857_600
+
 
 class CallerHttpServer(HTTPServer):
     """Serves each connection over a :class:`CallerStream`.
@@ -26,3 +29,10 @@
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve an accepted connection."""
         super().handle_stream(CallerStream.replace(stream, environment=self._environment), address)
+
+    def handle_peer_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        """Serve a connection of another host, which carries requests of its callers."""
+        stream.max_buffer_size = _MAX_BUFFER_BYTES
+        peer_stream = CallerStream.replace(stream, environment=self._environment)
+        peer_stream.is_from_peer = True
+        HTTPServer.handle_stream(self, peer_stream, address)
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -13,7 +13,6 @@
 from balsamrail.environment import Environment
 from balsamrail.fleet.directory import Directory
 from balsamrail.gauge import Gauge
-from balsamrail.membership import PeerServer
 from balsamrail.platform.caller_server import CallerServer
 from balsamrail.platform.lookup_server import lookup_pages
 from balsamrail.process.operator_pages import operator_pages
@@ -64,7 +63,7 @@
             operators=operator_pages(
                 dump=self.dump, status=self.status, metrics=self.metrics_page
             ),
-            peers=PeerServer(environment=environment, accept=self.store_components.network.accept),
+            accept_peer=self.store_components.network.accept,
         )
         self._supervisor = Supervisor(environment=environment)
         self._stopping = asyncio.Event()
--- a/src/balsamrail/entry/listeners.py
+++ b/src/balsamrail/entry/listeners.py
@@ -1,5 +1,6 @@
 """Listening sockets of an entry host."""
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -9,6 +10,7 @@
 from balsamrail.entry.caller_http_server import CallerHttpServer
 from balsamrail.environment import Environment
 from balsamrail.membership import PeerServer
+from balsamrail.membership.stream import Stream
 from balsamrail.platform.caller_server import CallerServer
 from balsamrail.process.page_server import PageServer
 from balsamrail.settings.address import split_address
@@ -26,6 +28,7 @@
 
     :param lookups: serves readiness checks and lookups.
     :param operators: serves the operator pages.
+    :param accept_peer: serves the peer streams that other hosts open.
     """
 
     __slots__ = ('_callers', '_environment', '_lookups', '_operators', '_peers', '_servers')
@@ -37,7 +40,7 @@
         callers: CallerServer,
         lookups: PageServer,
         operators: PageServer,
-        peers: PeerServer,
+        accept_peer: Callable[[Stream], Awaitable[None]],
     ) -> None:
         self._environment = environment
         delegate: Any = callers
@@ -50,7 +53,11 @@
         )
         self._lookups = lookups
         self._operators = operators
-        self._peers = peers
+        self._peers = PeerServer(
+            environment=environment,
+            accept=accept_peer,
+            accept_http=self._callers.handle_peer_stream,
+        )
         self._servers: list[TCPServer] = []
 
     def listen(self) -> None:
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -28,11 +28,13 @@
         stream.consumed_at()  # when the last processed byte arrived
 
     ``is_finished`` is true once no further request on the connection is to be processed.
+    ``is_from_peer`` is true if the caller is another host.
     """
 
     def __init__(self, *args: Any, environment: Environment, **kwargs: Any) -> None:
         self._environment = environment
         self.is_finished = False
+        self.is_from_peer = False
         self._received_bytes = 0
         # Pairs of the number of bytes received in total and the time.
         self._arrivals: deque[tuple[int, float]] = deque()
--- a/src/balsamrail/platform/caller_server.py
+++ b/src/balsamrail/platform/caller_server.py
@@ -230,7 +230,7 @@
             object_key=_object_key(request_headers.get('Cookie', '')),
             arrived_at=self._stream.consumed_at(),
             caller_timeout_s=caller_timeout_s,
-            handover=decode_handover(request_headers),
+            handover=decode_handover(request_headers) if self._stream.is_from_peer else None,
         )
 
 
--- a/src/balsamrail/platform/proxy_protocol.py
+++ b/src/balsamrail/platform/proxy_protocol.py
@@ -56,11 +56,7 @@
         )
 
     def decode_reply(self, request: EntryRequest, response: HttpResponse) -> ProxyReply:
-        """Return what another host responded.
-
-        A response without the header comes from a host of an earlier version, or belongs to
-        another request. Only a signed response to this request counts then.
-        """
+        """Return what another host responded; without its header, the outcome is unknown."""
         fields = _decode_fields(response.headers.get(headers.HANDOVER, ''))
         attempted = _decode_ids(fields.get('sent', ''))
         code = fields.get('code', '')
@@ -70,8 +66,6 @@
         if response.headers.get(headers.REQUEST_ID, '') != request.request_id:
             return ProxyFailure(code='foreign_response', has_timed_out=False, attempted=attempted)
         outcome = fields.get('outcome')
-        if outcome is None and headers.SIGNATURE in response.headers:
-            outcome = _ANSWERED
         if outcome == _ANSWERED:
             return ProxyAnswer(response=response, attempted=attempted)
         if outcome in _NOT_RUN_OUTCOMES:
--- a/src/balsamrail/proxying/proxy_exchange.py
+++ b/src/balsamrail/proxying/proxy_exchange.py
@@ -31,7 +31,7 @@
 
 
 class ProxyExchange:
-    """Sends requests over pooled connections to the address at which other hosts serve callers.
+    """Sends requests over pooled connections to the peer addresses of other hosts.
 
     A host that disappears during a request closes no connection, so the requests that may be
     repeated end as soon as the host is suspected.
@@ -101,7 +101,7 @@
         deadline: float,
     ) -> ProxyReply:
         connection = await self.pool.acquire(
-            member.host, member.caller_address, fresh_only=not is_idempotent, deadline=deadline
+            member.host, member.peer_address, fresh_only=not is_idempotent, deadline=deadline
         )
         left_s = deadline - self._environment.clock.monotonic() - _RESPONSE_MARGIN_S
         if left_s < _MIN_EXECUTION_S:
