Tell the lack of room of a degraded host by its request, test partial cuts, and cut hosts in the soak

Cause: the mutant that sends no request through a peer when no target is left was missed, since the loss of all paths took the same requests earlier; no test had a host without a path to one service, or to two of three zones.

What a request was refused for is told by the targets passed over for it. The paths are checked each 0.25 s. Incarnations are read in one module. TCP_KEEPCNT goes: with TCP_USER_TIMEOUT set it has no effect.

--- a/features/path_loss.feature
+++ b/features/path_loss.feature
@@ -17,3 +17,17 @@
       | attiki-0 attiki-1                      | live on    |
       | attiki-0 attiki-2 attiki-4             | hang       |
       | attiki-0 attiki-1 attiki-2 attiki-3    | refuse     |
+
+  Scenario Outline: A host that reaches few targets serves the others' callers through its peers
+    Guards against callers who are refused since a host has no path to one service or most targets.
+
+    Given 5 hosts in attiki and 1 in makedonia with targets in both
+    When attiki-0 attiki-1 lose the targets <lost> for 6 s, whose connections <fail>
+    Then from 3 s after the cut callers there are served at least two thirds as often as at the others
+    And in the 2 s after its end too
+    And no request that is not idempotent ran twice or was called not run and ran
+
+    Examples:
+      | lost               | fail   |
+      | of one service     | hang   |
+      | of two of 3 zones  | refuse |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,6 +11,7 @@
     Examples:
       | seed | seconds | hosts | callers | behaviours |
       | 44   | 15      | 4     | 24      | leaving, refusing, endless |
+      | 2    | 15      | 4     | 24      | cut                        |
 
   @long
   Scenario Outline: A seed that once broke a promise
--- a/features/steps/path_loss_steps.py
+++ b/features/steps/path_loss_steps.py
@@ -60,7 +60,7 @@
         return sum(code == 200 for code in codes) / len(codes), Counter(codes)
 
 
-def play_cut(context, hosts, mode, cut_s):
+def play_cut(context, hosts, mode, cut_s, *, is_lost=lambda target: True):
     context.cut_hosts = hosts
 
     async def play(fleet):
@@ -73,7 +73,8 @@
             load = asyncio.create_task(context.cut_play.load(WARM_UP_S + cut_s + AFTER_S))
             await asyncio.sleep(WARM_UP_S)
             context.cut_at = asyncio.get_running_loop().time()
-            links.cut(hosts, mode)
+            lost = [target.upstream.address for target in fleet.targets if is_lost(target)]
+            links.cut(hosts, mode, addresses=lost)
             await asyncio.sleep(cut_s)
             links.heal()
             context.healed_at = asyncio.get_running_loop().time()
@@ -87,6 +88,17 @@
     play_cut(context, set(hosts.split()), mode, cut_s)
 
 
+LOST = {
+    'of one service': lambda target: target.service == 'lepu',
+    'of two of 3 zones': lambda target: target.zone != 'attiki-b',
+}
+
+
+@when('{hosts} lose the targets {lost} for {cut_s:d} s, whose connections {mode}')
+def step_cut_partly(context, hosts, lost, cut_s, mode):
+    play_cut(context, set(hosts.split()), mode, cut_s, is_lost=LOST[lost])
+
+
 def assert_as_well_served(context, since, until):
     others = set(context.fleet.zone_by_host) - context.cut_hosts
     play = context.cut_play
--- a/src/balsamrail/delivery/path_watcher.py
+++ b/src/balsamrail/delivery/path_watcher.py
@@ -7,7 +7,7 @@
 from balsamrail.environment import Environment
 from balsamrail.placement.target_registry import TargetRegistry
 
-_CHECK_INTERVAL_S = 0.1
+_CHECK_INTERVAL_S = 0.25
 # The fraction of targets that are down from which on the host is degraded, and below which it is no
 # longer.
 _DEGRADED_DOWN_FRACTION = 0.5
@@ -72,9 +72,7 @@
     def _note_change(self) -> None:
         event = 'paths_lost' if self._is_lost else 'paths_regained'
         self._environment.metrics.count(event)
-        self._environment.log.event(
-            event, targets_down=self._target_registry.down_fraction_of(service=None)
-        )
+        self._environment.log.event(event, targets_down=self._target_registry.down_fraction())
         if not self._is_lost:
             self._health_checker.recheck_lost()
 
@@ -89,7 +87,7 @@
 
     def _update_degraded(self) -> None:
         bound = _RESTORED_DOWN_FRACTION if self.is_degraded else _DEGRADED_DOWN_FRACTION
-        down_fraction = self._target_registry.down_fraction_of(service=None)
+        down_fraction = self._target_registry.down_fraction()
         is_degraded = self._is_lost or down_fraction >= bound
         now = self._environment.clock.monotonic()
         if is_degraded == self.is_degraded:
--- a/src/balsamrail/exchange/upstream_stream.py
+++ b/src/balsamrail/exchange/upstream_stream.py
@@ -14,7 +14,6 @@
 _MS_IN_S = 1_000
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
 
 
 class UpstreamStream(IOStream):
@@ -42,8 +41,9 @@
         ``TCP_USER_TIMEOUT`` closes a connection whose peer stopped acknowledging data, so that an
         unreachable peer is detected.
 
-        :param has_keepalive_probes: whether TCP keepalive probes an idle peer each second and closes
-            the connection after two unanswered probes.
+        :param has_keepalive_probes: whether TCP keepalive probes an idle peer each second. With
+            ``TCP_USER_TIMEOUT`` set, Linux ignores the number of probes: the connection is closed
+            once the peer has been silent for that time and a probe is unanswered.
         """
         number, _ = split_address(address)
         version = ipaddress.ip_address(number).version
@@ -54,7 +54,6 @@
         if has_keepalive_probes:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
         timeout_ms = int(user_timeout_s * _MS_IN_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
         return cls(sock, max_buffer_size=buffer_bytes)
--- a/src/balsamrail/membership/gone_verifier.py
+++ b/src/balsamrail/membership/gone_verifier.py
@@ -2,11 +2,11 @@
 
 from balsamrail.environment import Environment
 from balsamrail.membership.host_list import HostList
+from balsamrail.membership.incarnations import started_ms
 from balsamrail.membership.member_entry import MemberEntry
 from balsamrail.membership.member_table import MemberTable
 
 _MS_PER_S = 1_000
-_TIMESTAMP_DIGITS = 12
 
 
 class GoneVerifier:
@@ -81,7 +81,7 @@
 
     def _is_expired_own_incarnation(self, incarnation: str) -> bool:
         own = self._environment.incarnation
-        started_s = int(own[:_TIMESTAMP_DIGITS], 16) / _MS_PER_S
+        started_s = started_ms(own) / _MS_PER_S
         lasted_s = self._environment.clock.wall() - started_s
         return incarnation < own and lasted_s >= self.grace_period_s
 
--- a/src/balsamrail/membership/members.py
+++ b/src/balsamrail/membership/members.py
@@ -9,6 +9,7 @@
 from balsamrail.membership.gone_verifier import GoneVerifier
 from balsamrail.membership.host_list import HostList
 from balsamrail.membership.host_list_policy import HostListPolicy
+from balsamrail.membership.incarnations import advanced_beyond
 from balsamrail.membership.member import Member
 from balsamrail.membership.member_entry import MemberEntry
 from balsamrail.membership.member_table import MemberTable
@@ -17,8 +18,6 @@
 
 # Hosts that do not observe a member wait longer, in case the observers' update was lost.
 _NON_OBSERVER_DELAY_S = 3
-# Leading hexadecimal digits of an incarnation that encode its start time.
-_TIMESTAMP_DIGITS = 12
 
 
 class Members:
@@ -275,9 +274,7 @@
             self._announce_local_state(self._local_member.state, update.refutation + 1)
 
     def _advance_incarnation(self, incarnation: str) -> None:
-        started_ms = int(incarnation[:_TIMESTAMP_DIGITS], 16) + 1
-        own = self._local_member.incarnation
-        advanced = f'{started_ms:0{_TIMESTAMP_DIGITS}x}{own[_TIMESTAMP_DIGITS:]}'
+        advanced = advanced_beyond(incarnation, own=self._local_member.incarnation)
         self._environment.log.event('start_overtaken', known=incarnation, own=advanced)
         self._environment.incarnation = advanced
         self._local_member = replace(self._local_member, incarnation=advanced)
--- a/src/balsamrail/placement/passed_over.py
+++ b/src/balsamrail/placement/passed_over.py
@@ -18,6 +18,11 @@
         """Record that a target was ruled out."""
         self._reason_by_id[target_id] = reason
 
+    def fraction_of(self, reason: ExclusionReason) -> float:
+        """Return the fraction of the targets that were ruled out for a reason, 0 if there are none."""
+        reasons = list(self._reason_by_id.values())
+        return reasons.count(reason) / len(reasons) if reasons else 0
+
     def text(self) -> str:
         """Return the first targets with their reasons, as in ``i-1:leaving,i-2:full``."""
         listed = [
--- a/src/balsamrail/placement/target_registry.py
+++ b/src/balsamrail/placement/target_registry.py
@@ -94,13 +94,9 @@
             return ExclusionReason.confined
         return None
 
-    def down_fraction_of(self, service: str | None = None) -> float:
-        """Return the fraction of the targets that are down, of one service or of all."""
-        are_down = [
-            state.is_down
-            for state in self.states_by_id.values()
-            if service is None or state.entry.service == service
-        ]
+    def down_fraction(self) -> float:
+        """Return the fraction of the targets that are down."""
+        are_down = [state.is_down for state in self.states_by_id.values()]
         return sum(are_down) / len(are_down) if are_down else 0
 
     def cold_rate_of(self, service: str) -> float:
--- a/src/balsamrail/proxying/request_proxy.py
+++ b/src/balsamrail/proxying/request_proxy.py
@@ -9,6 +9,7 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import ExchangeError, OverloadedError
 from balsamrail.membership.member import Member
+from balsamrail.placement.exclusion_reason import ExclusionReason
 from balsamrail.placement.rejection import Rejection
 from balsamrail.placement.target_registry import TargetRegistry
 from balsamrail.proxying.handover import Handover
@@ -20,7 +21,8 @@
 _MAX_UNREACHABLE = 2
 # Hosts that are asked for one request.
 _MAX_HOSTS = 3
-# The fraction of a service's targets that are down from which on a lack of room is this host's.
+# The fraction of the targets that were passed over as down from which on a lack of room is this
+# host's own.
 _MIN_DOWN_FRACTION = 0.5
 
 
@@ -78,8 +80,8 @@
             case 'no_target':
                 return self._select(request, plan, record)
             case 'overloaded':
-                service = plan.placement_key.service
-                if self._target_registry.down_fraction_of(service) >= _MIN_DOWN_FRACTION:
+                down_fraction = record.passed_over.fraction_of(ExclusionReason.down)
+                if down_fraction >= _MIN_DOWN_FRACTION:
                     return self._select(request, plan, record)
         return None
 
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -10,6 +10,7 @@
 from tools.mutants.liveness import LIVENESS
 from tools.mutants.membership import MEMBERSHIP
 from tools.mutants.pipelining import PIPELINING
+from tools.mutants.proxying import PROXYING
 from tools.mutants.steering import STEERING
 from tools.mutants.target_standing import TARGET_STANDING
 
@@ -26,4 +27,5 @@
     *CURRENCY,
     *ENDLESS_BYTES,
     *PIPELINING,
+    *PROXYING,
 )
--- a/tools/mutants/proxying.py
+++ b/tools/mutants/proxying.py
@@ -12,7 +12,7 @@
         old="            case 'no_target':\n                return self._select(request, plan, record)",
         new="            case 'no_target':\n                return None",
         feature='features/path_loss.feature',
-        scenario='A host that reaches no target serves its callers through its peers -- @1.2',
+        scenario='A host that reaches few targets',
     ),
     Mutant(
         mechanism='a request goes through one host only',
@@ -94,6 +94,14 @@
         feature=_FEATURE,
         scenario='What callers send cannot pass for a request of another host',
     ),
+    Mutant(
+        mechanism='the header between hosts counts only on connections of other hosts',
+        file='src/balsamrail/platform/caller_server.py',
+        old='decode_handover(request_headers) if self._stream.is_from_peer else None',
+        new='decode_handover(request_headers)',
+        feature=_FEATURE,
+        scenario="A caller's connection cannot pass for one of another host",
+    ),
     Mutant(
         mechanism='a response of any target shows that the paths are not lost',
         file='src/balsamrail/placement/path_monitor.py',
--- a/tools/soak/fault_proxy.py
+++ b/tools/soak/fault_proxy.py
@@ -4,8 +4,11 @@
 import contextlib
 import socket
 import struct
+from collections import Counter
 from dataclasses import dataclass, field
 
+from tools.soak.connection_owner import owned_ports
+
 _CHUNK = 65_536
 # SO_LINGER with a timeout of 0: closing the socket sends a reset.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -26,6 +29,8 @@
     :param target: address of the server.
     :param cut: directions in which bytes of new and open connections are dropped; a single one
         makes a one-way partition.
+    :param refused_pids: processes whose new connections are reset, with the number of faults that
+        ask for it.
     """
 
     target: str
@@ -33,6 +38,7 @@
     delay_s: float = 0.0
     is_refusing: bool = False
     cut: set[str] = field(default_factory=set)
+    refused_pids: Counter[int] = field(default_factory=Counter)
     _pipes: set[_Pipe] = field(default_factory=set)
     _server: asyncio.Server | None = None
 
@@ -53,6 +59,13 @@
         for pipe in list(self._pipes):
             _close(pipe, is_reset=True)
 
+    def reset_of(self, pid: int) -> None:
+        """Reset the open connections of a process."""
+        ports = owned_ports(pid)
+        for pipe in list(self._pipes):
+            if _client_port(pipe) in ports:
+                _close(pipe, is_reset=True)
+
     def silence(self) -> None:
         """Drop all further bytes on open connections; new connections work."""
         for pipe in self._pipes:
@@ -68,7 +81,7 @@
         pipe = _Pipe(writer)
         self._pipes.add(pipe)
         try:
-            if self.is_refusing:
+            if self.is_refusing or self._is_refused(pipe):
                 return
             number, port = self.target.split(':')
             with contextlib.suppress(OSError):
@@ -81,6 +94,10 @@
             self._pipes.discard(pipe)
             _close(pipe, is_reset=pipe.server is None)
 
+    def _is_refused(self, pipe: _Pipe) -> bool:
+        port = _client_port(pipe)
+        return any(port in owned_ports(pid) for pid, count in self.refused_pids.items() if count)
+
     async def _pump(
         self,
         pipe: _Pipe,
@@ -102,6 +119,10 @@
             _close(pipe, is_reset=False)
 
 
+def _client_port(pipe: _Pipe) -> int:
+    return int(pipe.client.get_extra_info('peername')[1])
+
+
 def _close(pipe: _Pipe, *, is_reset: bool) -> None:
     for writer in (pipe.client, pipe.server):
         if writer is None or writer.is_closing():
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -15,6 +15,8 @@
 # A host exits within its stop grace period of 6 s after SIGTERM.
 _GRACE_S = 6.0
 _PAUSE_S = (0.2, 1.5)
+# How often the loss of all targets is drawn, relative to each other fault.
+_CUT_WEIGHT = 4
 
 
 def _on_a_host(
@@ -65,6 +67,7 @@
             self._zone_is_evacuated,
             *((self._rolling_stops, self._reloads_in_series) if 'series' in behaviours else ()),
             *((self._signal_at_start,) if 'early' in behaviours else ()),
+            *((self._host_loses_targets,) * _CUT_WEIGHT if 'cut' in behaviours else ()),
         )
 
     async def run(self, seconds: float) -> None:
@@ -214,6 +217,21 @@
             await self._sleep(0.2, 5)
             proxy.cut, proxy.is_refusing, proxy.delay_s = set(), False, 0.0
 
+    @_on_a_host
+    async def _host_loses_targets(self, host: SoakHost) -> None:
+        """Refuse a host's new connections to all targets, and reset the open ones or let them live."""
+        pid = host.process.pid
+        proxies = [target.proxy for target in self._deployment.targets]
+        keeps_open = self._random.random() < 0.5
+        with self._recorded(self._history.spans, 'cut from targets', host.name):
+            for proxy in proxies:
+                proxy.refused_pids[pid] += 1
+                if not keeps_open:
+                    proxy.reset_of(pid)
+            await self._sleep(1, 7)
+            for proxy in proxies:
+                proxy.refused_pids[pid] -= 1
+
     async def _manifest_changes(self) -> None:
         self._deployment.change_manifest(self._random.choice(('reads', 'others')))
 
