Refuse at once when no host reaches a target, and count no cut-off response against the paths

Responses that ended after their head, such as those that the host aborts itself to bound its memory, counted as failures without a contact, so that eight of them made the paths lost and the ninth target suspected. They came over paths that work: only attempts without any response count now.

With no peer left a host tried its targets one by one, 0.5 s each, until each was down: 2.0 s for a request with 12 silent targets. After 0.5 s of a loss, or once a peer has refused as well, it rejects at once and tells the caller to come back after 0.5 to 1 s. Fewer than three targets need six failures.

The mutants of two mechanisms follow the code again.

--- a/features/path_loss.feature
+++ b/features/path_loss.feature
@@ -33,6 +33,14 @@
       | of two of 3 zones  | refuse |
       | and the store      | hang   |
 
+  Scenario: Callers are refused at once while no host reaches any target
+    Guards against callers that wait although it is known that their requests cannot be served.
+
+    Given 5 hosts in attiki and 1 in makedonia with targets in both
+    When all hosts lose all targets for 7 s, whose connections hang
+    Then from 3 s after the cut each caller is refused within 0.3 s, and told when to come back
+    And in the 2 s after its end callers are served
+
   Scenario: A cut that comes and goes leaves callers served
     Guards against hosts that trust each short return of their paths, or give up a peer with each loss.
 
--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -35,6 +35,13 @@
     Then the caller gets no_target, and the peers got 1 1 requests
     And it took less than half of the timeout
 
+  Scenario: A host without paths and peers refuses requests at once
+    Guards against callers that wait while a host tries targets that it cannot reach, one by one.
+
+    Given a host whose 12 targets accept no connection, and that has no peers
+    When its paths have been lost for 0.6 s and a caller sends a request
+    Then that is refused within 0.2 s, and the caller is told to come back after 0.5 to 1 s
+
   Scenario: Attempts are counted over both hosts
     Guards against more attempts than a route allows, half of them made by another host.
 
@@ -150,19 +157,26 @@
   Scenario Outline: The loss of paths is told from failures of targets
     Guards against hosts that give up their own paths because targets are down, or the reverse.
 
-    Given a host with <targets> targets
+    Given a host that follows the state of its paths
     When <events>
     Then the paths <state>
 
     Examples:
-      | targets | events                                          | state       |
-      | 40      | 2 targets fail                                  | are not lost |
-      | 40      | 3 targets fail                                  | are lost     |
-      | 40      | 3 targets fail, and another responds in between | are not lost |
-      | 40      | 1 target fails 6 times                          | are lost     |
-      | 40      | 20 targets fail while others respond            | are not lost |
-      | 2       | 2 targets fail                                  | are lost     |
-      | 40      | 3 targets fail, and then one responds           | are not lost |
+      | events                                          | state        |
+      | 2 targets fail                                  | are not lost |
+      | 3 targets fail                                  | are lost     |
+      | 3 targets fail, and another responds in between | are not lost |
+      | 1 target fails 5 times                          | are not lost |
+      | 1 target fails 6 times                          | are lost     |
+      | 20 targets fail while others respond            | are not lost |
+      | 3 targets fail, and then one responds           | are not lost |
+
+  Scenario: Responses that end early are no loss of paths
+    Guards against hosts that take their own aborts of large responses for lost paths.
+
+    Given a host whose targets break off their responses 0.2 s after the head
+    When 6 non-idempotent requests are sent at once
+    Then its paths are not lost, and no target is down
 
   Scenario: Targets that were lost with the paths are warm and used at once afterwards
     Guards against refusals after a cut, by hosts that take all targets for restarted (RECOVER).
--- a/features/steps/path_loss_steps.py
+++ b/features/steps/path_loss_steps.py
@@ -33,6 +33,8 @@
         self.fleet = fleet
         # The host, the time of the request, its id and the status that the caller got.
         self.results = []
+        # The time of each request, how long it took, and the response, if any.
+        self.answers = []
 
     async def load(self, *, until):
         number, pending = 0, []
@@ -55,7 +57,10 @@
             code = response.code
         except OSError:
             code = NO_CONNECTION
+            response = None
         self.results.append((host, sent_at, request_id, kind, code))
+        took_s = asyncio.get_running_loop().time() - sent_at
+        self.answers.append((sent_at, took_s, response))
 
     def served(self, hosts, *, since, until):
         """Return the fraction of the requests to some hosts that were served."""
@@ -106,7 +111,8 @@
         links.cut(context.cut_hosts, mode, addresses=addresses_of(fleet))
         await asyncio.sleep(cut_s)
 
-    play_cut(context, set(hosts.split()), cut)
+    everybody = set(context.fleet.zone_by_host)
+    play_cut(context, everybody if hosts == 'all hosts' else set(hosts.split()), cut)
 
 
 LOST = {
@@ -182,3 +188,24 @@
         if kind == 'book':
             assert ran[request_id] <= 1, request_id
             assert not (code in NOT_RUN_STATUSES and ran[request_id]), (request_id, code)
+
+
+@then(
+    'from 3 s after the cut each caller is refused within {bound_s:g} s, and told when to come back'
+)
+def step_refused_at_once(context, bound_s):
+    since, until = context.cut_at + CONTACT_S, context.healed_at - bound_s
+    refused = [one for one in context.cut_play.answers if since <= one[0] < until]
+    assert len(refused) > 100, len(refused)
+    for _, took_s, response in refused:
+        assert response.code == 503 and 'Retry-After' in response.headers, response
+        assert took_s < bound_s, took_s
+
+
+@then('in the 2 s after its end callers are served')
+def step_served_again(context):
+    play = context.cut_play
+    fraction, codes = play.served(
+        context.cut_hosts, since=context.healed_at, until=context.healed_at + 2
+    )
+    assert fraction >= 2 / 3, codes
--- a/features/steps/proxy_selection_steps.py
+++ b/features/steps/proxy_selection_steps.py
@@ -264,22 +264,21 @@
     assert max(by_host.values()) <= 3 * part, by_host
 
 
-@given('a host with {count:d} targets')
-def step_paths(context, count):
+@given('a host that follows the state of its paths')
+def step_paths(context):
     context.monitor = PathMonitor()
-    context.monitor.target_count = count
 
 
 @when('{count:d} targets fail')
 def step_fail(context, count):
     for number in range(count):
-        context.monitor.note_failure(f'i-{number}')
+        context.monitor.note_failure(f'i-{number}', now=number)
 
 
 @when('{count:d} targets fail, and another responds in between')
 def step_fail_between(context, count):
     for number in range(count):
-        context.monitor.note_failure(f'i-{number}')
+        context.monitor.note_failure(f'i-{number}', now=number)
         if number == 1:
             context.monitor.note_contact(now=1)
 
@@ -293,14 +292,14 @@
 @when('{count:d} targets fail while others respond')
 def step_fail_while(context, count):
     for number in range(count):
-        context.monitor.note_failure(f'i-{number}')
+        context.monitor.note_failure(f'i-{number}', now=number)
         context.monitor.note_contact(now=number)
 
 
 @when('1 target fails {count:d} times')
 def step_fail_often(context, count):
     for _ in range(count):
-        context.monitor.note_failure('i-1')
+        context.monitor.note_failure('i-1', now=0)
 
 
 @then('the paths are lost')
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -1,10 +1,11 @@
 """Steps of proxying.feature with real sockets."""
 
 import asyncio
+import contextlib
 import time
 
 from behave import given, then, when
-from delivery_parts import DeliveryHarness, response_to
+from delivery_parts import DeliveryHarness, response_to, simulate_power_loss
 from entry_fleet import HOST_NAME, EntryFleet
 from entry_steps import _play
 from forwarding_parts import RawUpstream
@@ -414,3 +415,74 @@
 )
 def step_no_harm(context):
     assert not context.failed_tasks
+
+
+@given('a host whose 12 targets accept no connection, and that has no peers')
+def step_no_paths(context):
+    context.delivery = DeliveryHarness([serve] * 12)
+
+
+@when('its paths have been lost for 0.6 s and a caller sends a request')
+def step_lost_for(context):
+    async def play():
+        delivery = await context.delivery.start()
+        with contextlib.ExitStack() as stack:
+            for target in delivery.targets:
+                stack.enter_context(simulate_power_loss(target))
+            loop = asyncio.get_running_loop()
+            for number in range(3):
+                delivery.target_registry.paths.note_failure(f'i-{number}', now=loop.time())
+            await asyncio.sleep(0.6)
+            started = loop.time()
+            try:
+                await delivery.send('r-1')
+            except RequestError as error:
+                context.error = error
+            context.took_s = loop.time() - started
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('that is refused within 0.2 s, and the caller is told to come back after 0.5 to 1 s')
+def step_refused_at_once(context):
+    assert context.error.outcome == 'not_run', context.error
+    assert context.took_s < 0.2, context.took_s
+    assert 0.5 <= context.error.retry_after_s <= 1, context.error.retry_after_s
+
+
+@given('a host whose targets break off their responses 0.2 s after the head')
+def step_break_off(context):
+    async def break_off_late(number, headers, writer):
+        writer.write(response_to(headers)[:-2])
+        await asyncio.sleep(0.2)
+        raise ConnectionError
+
+    context.delivery = DeliveryHarness([break_off_late] * 6)
+
+
+@when('6 non-idempotent requests are sent at once')
+def step_send_six(context):
+    async def play():
+        delivery = await context.delivery.start()
+        keys = [delivery.key_that_prefers(f'i-{number}') for number in range(6)]
+        results = await asyncio.gather(
+            *(delivery.send(f'r-{key}', path='/write/x', key=key) for key in keys),
+            return_exceptions=True,
+        )
+        assert all(isinstance(one, RequestError) for one in results), results
+        context.paths = delivery.target_registry.paths
+        context.down_ids = [
+            state.entry.target_id
+            for state in delivery.target_registry.states_by_id.values()
+            if state.is_down
+        ]
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('its paths are not lost, and no target is down')
+def step_no_loss(context):
+    assert not context.paths.is_lost(), context.paths.failed_ids()
+    assert not context.down_ids, context.down_ids
--- a/src/balsamrail/delivery/health_checker.py
+++ b/src/balsamrail/delivery/health_checker.py
@@ -102,6 +102,10 @@
         for state in lost:
             self._backoff_by_id.pop(state.entry.target_id, None)
             state.check_at = now + random.uniform(0, spread_s)
+            check = self._checks_by_id.get(state.entry.target_id)
+            if check is not None:
+                # It was sent over the lost path, and would wait for its timeout.
+                check.cancel()
 
     def _sentinels(self) -> list[TargetState]:
         unchecked = [
@@ -146,7 +150,8 @@
         if report is None and not state.is_down:
             state.note_down(check_at=now, now=now)
         backoff_s = self._backoff_by_id.get(target_id, _INITIAL_BACKOFF_S)
-        self._backoff_by_id[target_id] = min(_MAX_BACKOFF_S, backoff_s * 2)
+        if not state.paths.is_lost():
+            self._backoff_by_id[target_id] = min(_MAX_BACKOFF_S, backoff_s * 2)
         state.check_at = now + backoff_s
 
     def _mark_up(self, state: TargetState, report: HealthReport, now: float) -> None:
--- a/src/balsamrail/delivery/request_executor.py
+++ b/src/balsamrail/delivery/request_executor.py
@@ -25,6 +25,7 @@
 from balsamrail.membership.member import Member
 from balsamrail.placement.exchange_sizes import ExchangeSizes
 from balsamrail.placement.exclusion_reason import ExclusionReason
+from balsamrail.placement.rejection import Rejection
 from balsamrail.placement.target_selector import TargetSelector
 from balsamrail.placement.target_state import TargetState
 from balsamrail.proxying.request_proxy import RequestProxy
@@ -147,15 +148,7 @@
         member = self._proxy.host_before_targets(self._request, self._plan, self._record)
         if member is not None:
             return member
-        choice = self._target_selector.select(
-            self._plan.route,
-            service=self._plan.placement_key.service,
-            object_key=self._plan.placement_key.object_key,
-            tried=self._tried(),
-            now=self._now(),
-            prefers_own_zone=self._sizes.are_large(self._plan.route.name),
-            passed_over=self._record.passed_over,
-        )
+        choice = self._proxy.rejection_without_paths(self._record) or self._select()
         if isinstance(choice, TargetState):
             return choice
         member = self._proxy.host_after(choice, self._request, self._plan, self._record)
@@ -165,6 +158,17 @@
         retry_after_s = choice.jittered_retry_after(self._request.request_id)
         raise error_type(detail=choice.reason, retry_after_s=retry_after_s)
 
+    def _select(self) -> TargetState | Rejection:
+        return self._target_selector.select(
+            self._plan.route,
+            service=self._plan.placement_key.service,
+            object_key=self._plan.placement_key.object_key,
+            tried=self._tried(),
+            now=self._now(),
+            prefers_own_zone=self._sizes.are_large(self._plan.route.name),
+            passed_over=self._record.passed_over,
+        )
+
     async def _attempt(self, state: TargetState) -> HttpResponse | ExchangeError:
         target_id = state.entry.target_id
         counted = self._target_selector.limits_of(state, now=self._now())
--- a/src/balsamrail/delivery/target_exchange.py
+++ b/src/balsamrail/delivery/target_exchange.py
@@ -13,7 +13,7 @@
 from balsamrail.environment import Environment
 from balsamrail.errors import DeadlineExpiredError, ExchangeError, TargetExcludedError
 from balsamrail.placement.exclusion_reason import ExclusionReason
-from balsamrail.placement.target_attempt import AttemptOutcome
+from balsamrail.placement.target_attempt import AttemptOutcome, TargetAttempt
 from balsamrail.placement.target_state import TargetState
 
 # The target gets a slightly earlier deadline than the caller, so that its response arrives in time.
@@ -73,7 +73,12 @@
         )
         try:
             response = await self._send(
-                request, state, fresh_only=fresh_only, deadline=deadline, recheck=recheck
+                request,
+                state,
+                sending,
+                fresh_only=fresh_only,
+                deadline=deadline,
+                recheck=recheck,
             )
             if response.load is not None:
                 state.note_load(response.load, now=clock.monotonic())
@@ -83,7 +88,7 @@
             raise
         except ExchangeError as error:
             ending = _ending_of_failure(error)
-            self._note_failure(request, state, error)
+            self._note_failure(request, state, sending, error)
             raise
         finally:
             state.end(sending, ending, now=clock.monotonic())
@@ -94,6 +99,7 @@
         self,
         request: EntryRequest,
         state: TargetState,
+        sending: TargetAttempt,
         *,
         fresh_only: bool,
         deadline: float,
@@ -121,6 +127,7 @@
             return self._codec.matches_request(request, fields, is_first=is_first)
 
         def handle_head(status: int, fields: HTTPHeaders, is_first: bool) -> None:
+            sending.has_response = True
             state.paths.note_contact(now=self._environment.clock.monotonic())
             is_current = matches_request(fields, is_first)
             notice = self._codec.decode_notice(status, fields, is_current=is_current)
@@ -150,10 +157,17 @@
         )
 
     def _note_failure(
-        self, request: EntryRequest, state: TargetState, error: ExchangeError
+        self,
+        request: EntryRequest,
+        state: TargetState,
+        sending: TargetAttempt,
+        error: ExchangeError,
     ) -> None:
         state.failures += 1
-        state.paths.note_failure(state.entry.target_id)
+        now = self._environment.clock.monotonic()
+        # A response that ended early came over a path that works.
+        if not sending.has_response:
+            state.paths.note_failure(state.entry.target_id, now=now)
         self._environment.metrics.count('attempts_failed')
         self._environment.log.event(
             'attempt_failed',
@@ -166,7 +180,6 @@
         )
         if not error.may_have_run:
             self._pool.close_idle(state.entry.target_id)
-            now = self._environment.clock.monotonic()
             state.note_down(check_at=now + _FIRST_CHECK_DELAY_S, now=now)
 
 
--- a/src/balsamrail/placement/path_monitor.py
+++ b/src/balsamrail/placement/path_monitor.py
@@ -18,7 +18,6 @@
     a row and none responds, the paths of this host are the likelier cause::
 
         monitor = PathMonitor()
-        monitor.target_count = 40
         for target_id in ('i-1', 'i-2', 'i-3'):
             monitor.note_failure(target_id, now=now)
         monitor.is_lost()  # True
@@ -26,16 +25,22 @@
         monitor.is_lost()  # False
     """
 
-    __slots__ = ('_failed_ids', '_failures', '_losses', 'last_contact_at', 'target_count')
+    __slots__ = (
+        '_failed_ids',
+        '_failures',
+        '_losses',
+        '_lost_at',
+        'last_contact_at',
+    )
 
     def __init__(self) -> None:
         self._failed_ids: set[str] = set()
         self._failures = 0
         # The start and the end of each of the last losses; the last end is infinite during a loss.
         self._losses: deque[tuple[float, float]] = deque(maxlen=_MAX_LOSSES)
+        # When the present loss was noticed.
+        self._lost_at: float = 0
         self.last_contact_at: float = 0
-        # The number of registered targets.
-        self.target_count = 0
 
     def note_contact(self, *, now: float) -> None:
         """Record a response of any target."""
@@ -46,18 +51,26 @@
         self._failures = 0
         self.last_contact_at = now
 
-    def note_failure(self, target_id: str) -> None:
+    def note_failure(self, target_id: str, *, now: float) -> None:
         """Record that a request or a connection to a target failed without a response."""
         was_lost = self.is_lost()
         self._failed_ids.add(target_id)
         self._failures += 1
         if self.is_lost() and not was_lost:
             self._losses.append((self.last_contact_at, math.inf))
+            self._lost_at = now
 
     def is_lost(self) -> bool:
         """Return whether the paths of this host, and not single targets, have failed."""
-        needed = max(1, min(_MIN_FAILED_TARGETS, self.target_count))
-        return len(self._failed_ids) >= needed or self._failures >= _MIN_FAILURES
+        return self.have_several_failed() or self._failures >= _MIN_FAILURES
+
+    def have_several_failed(self) -> bool:
+        """Return whether several targets failed since the last response, not one or two often."""
+        return len(self._failed_ids) >= _MIN_FAILED_TARGETS
+
+    def lost_s(self, *, now: float) -> float:
+        """Return for how long the paths have been lost, 0 if they are not."""
+        return now - self._lost_at if self.is_lost() else 0
 
     def was_lost(self, *, at: float) -> bool:
         """Return whether what failed at some time did so during a loss of the paths."""
--- a/src/balsamrail/placement/target_attempt.py
+++ b/src/balsamrail/placement/target_attempt.py
@@ -26,6 +26,7 @@
     :param is_known: whether this host has recently sent the target a request for the object.
     :param queue_factor: the expected time including the wait for a slot, in multiples of a run.
     :param max_silence_s: for how long the target may send nothing while it has this request.
+    :param has_response: whether the head of a response has arrived.
     """
 
     route: str
@@ -34,3 +35,4 @@
     queue_factor: float
     is_known: bool
     max_silence_s: float
+    has_response: bool = False
--- a/src/balsamrail/placement/target_registry.py
+++ b/src/balsamrail/placement/target_registry.py
@@ -74,7 +74,6 @@
                 if state is not None:
                     changed.add(state.entry.service)
                 self._refresh_one(target_id, entry, now)
-        self.paths.target_count = len(self.states_by_id)
         self._invalidate_orders(changed)
 
     def state_of(self, target_id: str) -> TargetState | None:
--- a/src/balsamrail/placement/target_state.py
+++ b/src/balsamrail/placement/target_state.py
@@ -158,7 +158,7 @@
 
     def note_down(self, *, check_at: float, now: float) -> None:
         """Exclude the target, which was found unreachable, until a health check succeeds."""
-        self.paths.note_failure(self.entry.target_id)
+        self.paths.note_failure(self.entry.target_id, now=now)
         self.availability.note_down(now=now)
         self.check_at = check_at
 
--- a/src/balsamrail/proxying/request_proxy.py
+++ b/src/balsamrail/proxying/request_proxy.py
@@ -21,6 +21,9 @@
 _MAX_UNREACHABLE = 2
 # Hosts that are asked for one request.
 _MAX_HOSTS = 3
+# After this long, health checks of other targets would have shown that the paths are not lost.
+_MIN_LOST_S = 0.5
+_RETRY_AFTER_S = 0.5
 # The fraction of the targets that were passed over as down from which on a lack of room is this
 # host's own.
 _MIN_DOWN_FRACTION = 0.5
@@ -65,6 +68,19 @@
         )
         return self._select(request, plan, record) if is_preferred else None
 
+    def rejection_without_paths(self, record: AttemptRecord) -> Rejection | None:
+        """Return why a request is rejected that neither this nor another host can send.
+
+        The result is ``None`` unless the paths are lost: with some certainty, or as far as the other
+        hosts that were asked say.
+        """
+        paths = self._target_registry.paths
+        now = self._environment.clock.monotonic()
+        is_confirmed = paths.have_several_failed() and paths.lost_s(now=now) >= _MIN_LOST_S
+        if not paths.is_lost() or not (is_confirmed or record.proxy_hosts):
+            return None
+        return Rejection(reason='no_target', retry_after_s=_RETRY_AFTER_S, spread_s=_RETRY_AFTER_S)
+
     def host_after(
         self,
         rejection: Rejection,
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -174,7 +174,7 @@
     Mutant(
         mechanism='a host that restarts does not wait for hosts that start too',
         file='src/balsamrail/fleet/store_watch.py',
-        old="any(member.host != own and member.state == 'alive' for member in members)",
+        old='any(member.host != own and member.is_serving() for member in members)',
         new='any(member.host != own for member in members)',
         feature='features/feed_currency.feature',
         scenario='All hosts restart together',
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -14,7 +14,7 @@
     Mutant(
         mechanism='a lost response is never reported as not run',
         file='src/balsamrail/delivery/request_executor.py',
-        old='reported = error if self._ambiguous is None else _to_request_error(self._ambiguous)',
+        old='reported = error if ambiguous is None else _to_request_error(ambiguous)',
         new='reported = error',
         feature='features/delivery.feature',
         scenario='A refusal after a lost response',
--- a/tools/mutants/proxying.py
+++ b/tools/mutants/proxying.py
@@ -14,6 +14,14 @@
         feature='features/path_loss.feature',
         scenario='A host that reaches few targets',
     ),
+    Mutant(
+        mechanism='a host without paths that no peer helps refuses at once',
+        file='src/balsamrail/delivery/request_executor.py',
+        old='self._proxy.rejection_without_paths(self._record) or self._select()',
+        new='self._select()',
+        feature=_FEATURE,
+        scenario='A host without paths and peers refuses requests at once',
+    ),
     Mutant(
         mechanism='a request goes through one host only',
         file='src/balsamrail/proxying/request_proxy.py',
@@ -110,6 +118,14 @@
         feature=_FEATURE,
         scenario='The loss of paths is told from failures of targets',
     ),
+    Mutant(
+        mechanism='a response that ends early is no evidence against the paths',
+        file='src/balsamrail/delivery/target_exchange.py',
+        old='if not sending.has_response:',
+        new='if True:',
+        feature=_FEATURE,
+        scenario='Responses that end early are no loss of paths',
+    ),
     Mutant(
         mechanism='targets lost with the paths are not taken for restarted ones',
         file='src/balsamrail/delivery/health_checker.py',
