Spread the health checks of a host whose paths are lost

Cause: eight checks at a time started together, hung together for 1 s and waited together for 0.5 s, so that the first check after the paths returned could be 1.5 s late.

--- a/src/balsamrail/delivery/health_checker.py
+++ b/src/balsamrail/delivery/health_checker.py
@@ -23,8 +23,9 @@
 _INITIAL_BACKOFF_S = 0.5
 _MAX_BACKOFF_S = 2.0
 _MAX_RESPONSE_BYTES = 65_536
-# While the paths of this host seem to be lost, this many targets are checked at once.
-_MAX_CHECKS_IF_LOST = 8
+# While the paths of this host seem to be lost, so many targets that are down are checked in each interval,
+# and so many that are not. They are spread, so that one of them is sent soon after the paths return.
+_CHECKS_IF_LOST = 2
 _SENTINELS = 2
 # The rate at which all targets are checked once one of them has responded after such a loss.
 _RECHECKS_PER_S = 200
@@ -85,8 +86,8 @@
                 if state.is_check_due(now=now) and target_id not in self._checks_by_id
             ]
             if self._target_registry.paths.is_lost():
-                room = max(0, _MAX_CHECKS_IF_LOST - len(self._checks_by_id))
-                due = [*self._sentinels(), *random.sample(due, min(room, len(due)))]
+                some_due = random.sample(due, min(_CHECKS_IF_LOST, len(due)))
+                due = [*self._sentinels(), *some_due]
             for state in due:
                 self._start_check(state, now)
 
--- a/tools/mutants/proxying.py
+++ b/tools/mutants/proxying.py
@@ -137,8 +137,8 @@
     Mutant(
         mechanism='targets that are not down are checked while the paths seem lost',
         file='src/balsamrail/delivery/health_checker.py',
-        old='due = [*self._sentinels(), *random',
-        new='due = [*random',
+        old='due = [*self._sentinels(), *some_due]',
+        new='due = some_due',
         feature=_FEATURE,
         scenario='A host whose paths seem to be lost by mistake',
     ),
