--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -110,7 +110,7 @@
     Mutant(
         mechanism='no listings are requested during an outage of the store',
         file='src/balsamrail/fleet/feed_follower.py',
-        old='is_useful = source.is_current or not is_listed',
+        old='is_useful = source.is_current or not self.has_objects()',
         new='is_useful = True',
         feature='features/feed_currency.feature',
         scenario='An outage of the store costs few calls',
