--- a/features/steps/proxy_selection_steps.py
+++ b/features/steps/proxy_selection_steps.py
@@ -143,9 +143,6 @@
     assert HANDOVER.lower() not in context.heads[0].lower(), context.heads
 
 
-NAMES = strategies.text(min_size=1, max_size=20).filter(
-    lambda text: text.isprintable() or any(ord(one) < 32 for one in text)
-)
 IDS = strategies.lists(
     strategies.text(strategies.characters(exclude_categories=('Cs',)), min_size=1, max_size=20),
     max_size=16,
