Review case 3: a proxying host ignores that a target is leaving

A host that is partitioned from all targets passes on answers with Server-Leaving that its peers got for it. It does not note what they announce, and sends new requests to these targets once its paths are back. The store is down meanwhile, so that the targets cannot report that they drain.

Shown by review/3/run.sh with three entry hosts as processes, one of them partitioned for 2.6 s, and 39 targets, nine of which begin to leave. The harness now uses a loopback address of its own for each run.

--- a/review/harness.py
+++ b/review/harness.py
@@ -20,6 +20,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST_NAME = 'review.example'
+# The state of a connection in /proc/net/tcp.
+_ESTABLISHED = '01'
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 GRACE_S = 6.0
@@ -64,14 +66,19 @@
         self._file.close()
 
 
+# A loopback address of this run: connections leave from 127.0.0.1, so that none of them takes a port
+# on which a host or a target listens.
+NETWORK = f'127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1'
+
+
 def free_addresses(count):
     """Return addresses with ports that were free a moment ago."""
     sockets = []
     for _ in range(count):
         sock = socket.socket()
-        sock.bind(('127.0.0.1', 0))
+        sock.bind((NETWORK, 0))
         sockets.append(sock)
-    addresses = [f'127.0.0.1:{sock.getsockname()[1]}' for sock in sockets]
+    addresses = [f'{NETWORK}:{sock.getsockname()[1]}' for sock in sockets]
     for sock in sockets:
         sock.close()
     return addresses
@@ -324,7 +331,7 @@
         if self._boot > 1:
             # Each start is a new boot with a new id.
             self.target_id = f'{self.target_id.split(".")[0]}.{self._boot}'
-        number, port = self.address.split(':') if self.address else ('127.0.0.1', '0')
+        number, port = self.address.split(':') if self.address else (NETWORK, '0')
         self._server = await asyncio.start_server(self._serve, number, int(port))
         self.address = f'{number}:{self._server.sockets[0].getsockname()[1]}'
         self._born = int(time.time() * 1000)
@@ -571,7 +578,11 @@
                 if link.startswith('socket:['):
                     inodes.add(link[len('socket:[') : -1])
     rows = (line.split() for line in Path('/proc/net/tcp').read_text().splitlines()[1:])
-    return {int(row[1].rpartition(':')[2], 16) for row in rows if row[9] in inodes}
+    return {
+        int(row[1].rpartition(':')[2], 16)
+        for row in rows
+        if row[9] in inodes and row[3] == _ESTABLISHED
+    }
 
 
 def run_case(case, script):
