--- a/review/harness.py
+++ b/review/harness.py
@@ -283,6 +283,7 @@
 
     :param poison_path: a request with this path crashes the target that begins to run it; empty
         if there is none.
+    :param keeps_id: whether the target starts again under the id that it had.
     :param owner_of: returns the name of the host that has a local port; ``None`` if it does not
         matter.
     :param admits: returns whether a connection of a host comes through, by the host's name.
@@ -301,6 +302,7 @@
         slots=4,
         poison_path='',
         down_s=2.5,
+        keeps_id=False,
         owner_of=None,
         admits=None,
     ):
@@ -314,6 +316,7 @@
         self.slots = slots
         self.poison_path = poison_path
         self.down_s = down_s
+        self.keeps_id = keeps_id
         self.owner_of = owner_of
         self.admits = admits
         self.is_leaving = False
@@ -328,7 +331,7 @@
 
     async def start(self):
         self._boot += 1
-        if self._boot > 1:
+        if self._boot > 1 and not self.keeps_id:
             # Each start is a new boot with a new id.
             self.target_id = f'{self.target_id.split(".")[0]}.{self._boot}'
         number, port = self.address.split(':') if self.address else (NETWORK, '0')
@@ -380,7 +383,7 @@
 
     async def _lapse(self, old_id):
         await asyncio.sleep(3 * HEARTBEAT_S)
-        if old_id in self.store.objects.get('servers', {}):
+        if old_id != self.target_id and old_id in self.store.objects.get('servers', {}):
             self.store.remove('servers', old_id)
 
     async def _come_back(self):
