--- a/review/harness.py
+++ b/review/harness.py
@@ -7,10 +7,12 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -20,8 +22,12 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST_NAME = 'review.example'
-# The state of a connection in /proc/net/tcp.
-_ESTABLISHED = '01'
+# Constants of linux/netlink.h, linux/sock_diag.h and linux/inet_diag.h.
+_NETLINK_SOCK_DIAG = 4
+_SOCK_DIAG_BY_FAMILY = 20
+_NLM_F_REQUEST = 1
+_ALL_STATES = 0xFFFFFFFF
+_ANY_COOKIE = 0xFFFFFFFF
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 GRACE_S = 6.0
@@ -66,19 +72,22 @@
         self._file.close()
 
 
-# A loopback address of this run: connections leave from 127.0.0.1, so that none of them takes a port
-# on which a host or a target listens.
-NETWORK = f'127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1'
+# Loopback addresses of this run, one for the targets and one for each host: connections leave from
+# 127.0.0.1, so that none of them takes a port on which a host or a target listens.
+_NETWORK = f'127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}'
+_TARGETS = f'{_NETWORK}.1'
+_host_numbers = itertools.count(2)
 
 
 def free_addresses(count):
-    """Return addresses with ports that were free a moment ago."""
+    """Return addresses of a new host, with ports that were free a moment ago."""
+    number = f'{_NETWORK}.{next(_host_numbers)}'
     sockets = []
     for _ in range(count):
         sock = socket.socket()
-        sock.bind((NETWORK, 0))
+        sock.bind((number, 0))
         sockets.append(sock)
-    addresses = [f'{NETWORK}:{sock.getsockname()[1]}' for sock in sockets]
+    addresses = [f'{number}:{sock.getsockname()[1]}' for sock in sockets]
     for sock in sockets:
         sock.close()
     return addresses
@@ -188,9 +197,9 @@
             self.process.kill()
             self.process.wait()
 
-    def owns_port(self, port):
-        """Return whether a local port is that of a connection of the process."""
-        return port in _owned_ports(self.process.pid)
+    def owns_socket(self, inode):
+        """Return whether a socket belongs to the process."""
+        return inode in _socket_inodes(self.process.pid)
 
 
 class Answer:
@@ -284,7 +293,7 @@
     :param poison_path: a request with this path crashes the target that begins to run it; empty
         if there is none.
     :param keeps_id: whether the target starts again under the id that it had.
-    :param owner_of: returns the name of the host that has a local port; ``None`` if it does not
+    :param owner_of: returns the name of the host that opened a connection; ``None`` if it does not
         matter.
     :param admits: returns whether a connection of a host comes through, by the host's name.
     """
@@ -334,7 +343,7 @@
         if self._boot > 1 and not self.keeps_id:
             # Each start is a new boot with a new id.
             self.target_id = f'{self.target_id.split(".")[0]}.{self._boot}'
-        number, port = self.address.split(':') if self.address else (NETWORK, '0')
+        number, port = self.address.split(':') if self.address else (_TARGETS, '0')
         self._server = await asyncio.start_server(self._serve, number, int(port))
         self.address = f'{number}:{self._server.sockets[0].getsockname()[1]}'
         self._born = int(time.time() * 1000)
@@ -398,7 +407,7 @@
     async def _serve(self, reader, writer):
         sender = ''
         if self.owner_of is not None:
-            sender = self.owner_of(writer.get_extra_info('peername')[1])
+            sender = self.owner_of(writer)
         if self.admits is not None and not self.admits(sender):
             writer.transport.abort()
             return
@@ -553,9 +562,15 @@
         self.targets.append(target)
         return target
 
-    def owner_of(self, port):
-        """Return the name of the host that has a local port, empty if none has it."""
-        return next((host.name for host in self.hosts if host.owns_port(port)), '')
+    def owner_of(self, writer):
+        """Return the name of the host at the other end of a connection, empty if it is closed."""
+        ends = (writer.get_extra_info('peername'), writer.get_extra_info('sockname'))
+        try:
+            inode = _connection_inode(*ends)
+        except OSError:
+            # There is no sock_diag here.
+            inode = _listed_inode(*ends)
+        return next((host.name for host in self.hosts if host.owns_socket(inode)), '')
 
     async def start_hosts(self):
         seeds = [host.peer for host in self.hosts[:3]]
@@ -572,20 +587,54 @@
             )
 
 
-def _owned_ports(pid):
+def _connection_inode(local, peer):
+    """Return the inode of the socket that one end of a loopback connection has, 0 if none is found.
+
+    Asks the kernel for this one socket (sock_diag), since a list of all sockets is long on a busy
+    machine.
+
+    :param local: the address and port of that end.
+    :param peer: those of the other end.
+    """
+    socket_id = (
+        struct.pack('!HH', local[1], peer[1])
+        + socket.inet_aton(local[0]).ljust(16, b'\0')
+        + socket.inet_aton(peer[0]).ljust(16, b'\0')
+        + struct.pack('=III', 0, _ANY_COOKIE, _ANY_COOKIE)
+    )
+    body = struct.pack('=BBBBI', socket.AF_INET, socket.IPPROTO_TCP, 0, 0, _ALL_STATES) + socket_id
+    head = struct.pack('=IHHII', 16 + len(body), _SOCK_DIAG_BY_FAMILY, _NLM_F_REQUEST, 1, 0)
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, _NETLINK_SOCK_DIAG) as diag:
+        diag.settimeout(1)
+        diag.send(head + body)
+        answer = diag.recv(4096)
+    kind = struct.unpack_from('=H', answer, 4)[0]
+    # The inode is the last field of the message, behind the socket's id and four counters.
+    return struct.unpack_from('=I', answer, 16 + 4 + 48 + 16)[0] if kind == _SOCK_DIAG_BY_FAMILY else 0
+
+
+def _listed_inode(local, peer):
+    """Do the same by the list of all sockets."""
+    ends = tuple(
+        f'{int.from_bytes(socket.inet_aton(address), "little"):08X}:{port:04X}'
+        for address, port in (local, peer)
+    )
+    for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        row = line.split()
+        if (row[1], row[2]) == ends:
+            return int(row[9])
+    return 0
+
+
+def _socket_inodes(pid):
     inodes = set()
     with contextlib.suppress(OSError):
         for entry in Path(f'/proc/{pid}/fd').iterdir():
             with contextlib.suppress(OSError):
-                link = str(entry.readlink())
+                link = os.readlink(entry)
                 if link.startswith('socket:['):
-                    inodes.add(link[len('socket:[') : -1])
-    rows = (line.split() for line in Path('/proc/net/tcp').read_text().splitlines()[1:])
-    return {
-        int(row[1].rpartition(':')[2], 16)
-        for row in rows
-        if row[9] in inodes and row[3] == _ESTABLISHED
-    }
+                    inodes.add(int(link[len('socket:[') : -1]))
+    return inodes
 
 
 def run_case(case, script):
