--- a/review/harness.py
+++ b/review/harness.py
@@ -649,7 +649,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             is_broken, summary = asyncio.run(_in_time(case, folder, record, has_trouble))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.note(f'cannot run: {error!r}')
         print(f'cannot run: {error!r}')
         return 2
@@ -661,5 +661,7 @@
 
 
 async def _in_time(case, folder, record, has_trouble):
+    # Whoever ends the script by SIGTERM leaves no process of it behind either.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     async with asyncio.timeout(110):
         return await case(folder, record, has_trouble)
