--- a/features/directory.feature
+++ b/features/directory.feature
@@ -27,3 +27,17 @@
     Given hosts in attiki and makedonia, and none in kriti
     When callers look up hosts from 1000 regions that do not exist, at a host that is ready
     Then at most 2 log lines report it and 1 counter is kept
+
+  Scenario Outline: All hosts near a caller are suspected, <others>
+    Guards against callers who are told of lost hosts only, for as long as their loss is not certain.
+
+    Given hosts in attiki and makedonia, and none in kriti
+    When the hosts of <suspected> are suspected and a caller in attiki-a looks up hosts
+    Then <returned> are returned, in this order
+
+    Examples:
+      | others                     | suspected                          | returned                            |
+      | others of the region run   | attiki-a                           | attiki-b, attiki-a                  |
+      | others of other regions    | attiki-a, attiki-b                 | makedonia-a, attiki-a               |
+      | and so are all others      | attiki-a, attiki-b, makedonia-a    | attiki-a                            |
+      | but one of them is not     | attiki-b                           | attiki-a                            |
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -14,6 +14,7 @@
 class FakeMembers:
     def __init__(self, zones):
         self.zones = zones
+        self.suspected_zones = []
 
     def advertised(self):
         return [
@@ -22,6 +23,7 @@
                 availability_zone=zone,
                 region=REGION_BY_ZONE[zone],
                 caller_address=f'{zone}:80',
+                state='suspect' if zone in self.suspected_zones else 'alive',
             )
             for zone in self.zones
         ]
@@ -127,3 +129,18 @@
     lookup_lines = [line for line in context.log.lines if 'event=lookup_' in line]
     assert len(lookup_lines) <= lines, len(lookup_lines)
     assert len(context.dump['outside_by_region']) == counters, context.dump
+
+
+@when('the hosts of {zones} are suspected and a caller in attiki-a looks up hosts')
+def step_suspected(context, zones):
+    async def scenario():
+        directory, _, _ = _make_directory(context)
+        context.listed = directory.addresses(name=NAME, region='attiki', zone='attiki-a')
+
+    context.members.suspected_zones = zones.split(', ')
+    run_virtual(scenario())
+
+
+@then('{zones} are returned, in this order')
+def step_in_order(context, zones):
+    assert context.listed == [f'{zone}:80' for zone in zones.split(', ')], context.listed
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -13,8 +13,9 @@
 from balsamrail.errors import HistoryGoneError, StoreConflictError, StoreUnavailableError
 from balsamrail.logs import Log
 from balsamrail.membership import FailureDetector, HeartbeatStatus, Members, PeerNetwork
+from balsamrail.membership.loss_record import LossRecord
 from balsamrail.membership.updates import make_update
-from balsamrail.settings import Settings, StoreSettings
+from balsamrail.settings import Limits, Settings, StoreSettings
 from balsamrail.store import ListedHost, StoredObject, StoreEra
 from balsamrail.store.versions import join_version, split_version
 from features.steps.memory_network import CURRENT_GATE, Gate, MemoryNetwork, make_task
@@ -38,6 +39,7 @@
         self.list_down = False
         self.calls = 0
         self.listed_by_host = {}
+        self.losses = []
 
     def put(self, value):
         version = self.stored.version + 1 if self.stored else 1
@@ -102,6 +104,38 @@
             raise StoreUnavailableError('the list is down')
         return list(self.listed_by_host.values())
 
+    async def read_losses(self):
+        await self.list_hosts()
+        return self.losses
+
+    async def write_losses(self, losses):
+        await self.list_hosts()
+        self.losses = losses
+
+
+class HostStore:
+    """The store as one host reaches it: every call fails while ``is_cut_off`` is set."""
+
+    def __init__(self, *, store):
+        self.store = store
+        self.is_cut_off = False
+
+    async def list_hosts(self):
+        self._check()
+        return await self.store.list_hosts()
+
+    async def read_losses(self):
+        self._check()
+        return await self.store.read_losses()
+
+    async def write_losses(self, losses):
+        self._check()
+        await self.store.write_losses(losses)
+
+    def _check(self):
+        if self.is_cut_off:
+            raise StoreUnavailableError('the store cannot be reached')
+
 
 class MemoryTracker:
     """Tracks the record with the highest number, and the accepted numbers in order."""
@@ -156,10 +190,17 @@
             operator_address=self.address.replace(':7000', ':81'),
             store=StoreSettings(address='10.255.255.255:1'),
             seeds=list(options.get('seeds', [])),
+            limits=options.get('limits', Limits()),
         )
         log = Log(host=name, output=self.log)
         self.environment = fleet.make_environment(settings, log)
-        self.members = Members(environment=self.environment, **options.get('members', {}))
+        self.store = HostStore(store=fleet.store)
+        self.loss_record = LossRecord(environment=self.environment, source=self.store)
+        self.members = Members(
+            environment=self.environment,
+            loss_record=self.loss_record if options.get('has_loss_record') else None,
+            **options.get('members', {}),
+        )
         self.gate = Gate()
         self.tracker = MemoryTracker()
         detector = FailureDetector(
@@ -170,7 +211,7 @@
         self.network = PeerNetwork(
             environment=self.environment,
             members=self.members,
-            store=fleet.store,
+            store=self.store,
             transport=fleet.network.transport(self.address),
             detector=detector,
             replace_silent=options.get('replace_silent', True),
@@ -197,6 +238,7 @@
         self.tasks = [
             asyncio.create_task(self.network.run()),
             asyncio.create_task(self.sync.run()),
+            asyncio.create_task(self.loss_record.run()),
         ]
 
     def kill(self):
@@ -281,11 +323,11 @@
     }
 
 
-def make_fleet(context, **arguments):
+def make_fleet(context, *, options=None, **arguments):
     """Start a fleet on a loop in virtual time, both for the rest of the scenario."""
 
     async def begin():
-        context.fleet = MemoryFleet(seed=context.seed, options={}, **arguments)
+        context.fleet = MemoryFleet(seed=context.seed, options=options or {}, **arguments)
         context.fleet.start()
 
     async def end():
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -135,6 +135,7 @@
             'watch': self.store_components.watch,
             'hub': self.store_components.hub,
             'members': self.members,
+            'losses': self.store_components.loss_record,
             'metrics': self._environment.metrics,
         }
         state = {name: part.dump() for name, part in parts.items()}
@@ -144,6 +145,7 @@
         parts: dict[str, Any] = {
             'announcer': self.store_components.announcer,
             'network': self.store_components.network,
+            'losses': self.store_components.loss_record,
             'watch': self.store_components.watch,
             'hub': self.store_components.hub,
             'reviver': self.delivery.health_checker,
--- a/src/balsamrail/fleet/directory.py
+++ b/src/balsamrail/fleet/directory.py
@@ -31,7 +31,8 @@
 
     Hosts that announced that they reach few targets are left out as long as at least half of the
     zone's hosts remain, or else of the region's: the remaining ones have to carry the callers of
-    those.
+    those. If all hosts that would be returned are suspected to be lost, those that would be returned
+    without them are returned as well.
     """
 
     __slots__ = (
@@ -78,6 +79,17 @@
             for member in self._members.advertised()
             if member.host != own or not self.is_leaving
         ]
+        nearest = self._nearest(members, name=name, region=region, zone=zone)
+        if all(member.state == 'suspect' for member in nearest):
+            # They may be lost, and the caller needs a host that runs.
+            unsuspected = [member for member in members if member.state != 'suspect']
+            running = self._nearest(unsuspected, name=name, region=region, zone=zone)
+            nearest = [*running, *nearest]
+        return nearest[:_MAX_LISTED_HOSTS]
+
+    def _nearest(
+        self, members: list[Member], *, name: str, region: str, zone: str
+    ) -> list[Member]:
         in_zone = [member for member in members if member.availability_zone == zone]
         in_region = _in_regions(members, {region})
         nearest = (
@@ -86,17 +98,17 @@
             or in_zone
             or in_region
         )
-        if not nearest:
-            if not self._catalog.is_ready():
-                # Until the manifest is known the member table may be incomplete, so that the
-                # lack of hosts in the caller's region proves nothing.
-                return []
-            manifest = self._catalog.manifest
-            allowed_regions = (
-                manifest.allowed_regions_of_host(host=name.lower()) if manifest else frozenset()
-            )
-            nearest = _in_regions(members, allowed_regions) or members
-        return nearest[:_MAX_LISTED_HOSTS]
+        if nearest:
+            return nearest
+        if not self._catalog.is_ready():
+            # Until the manifest is known the member table may be incomplete, so that the lack of
+            # hosts in the caller's region proves nothing.
+            return []
+        manifest = self._catalog.manifest
+        allowed_regions = (
+            manifest.allowed_regions_of_host(host=name.lower()) if manifest else frozenset()
+        )
+        return _in_regions(members, allowed_regions) or members
 
     def _track_cross_region(self, region: str, named: set[str]) -> None:
         """Log the start and the end of a series of look-ups answered with other regions' hosts."""
--- a/src/balsamrail/membership/__init__.py
+++ b/src/balsamrail/membership/__init__.py
@@ -3,6 +3,7 @@
 from balsamrail.membership.failure_detector import FailureDetector
 from balsamrail.membership.heartbeat_status import HeartbeatStatus
 from balsamrail.membership.host_list_policy import HostListPolicy
+from balsamrail.membership.loss_record import LossRecord
 from balsamrail.membership.member import Member
 from balsamrail.membership.members import Members
 from balsamrail.membership.network import Network
@@ -15,6 +16,7 @@
     'FailureDetector',
     'HeartbeatStatus',
     'HostListPolicy',
+    'LossRecord',
     'Member',
     'Members',
     'Network',
--- a/src/balsamrail/membership/member.py
+++ b/src/balsamrail/membership/member.py
@@ -27,6 +27,14 @@
         """Return whether the host announced itself as one that serves and nobody suspects it."""
         return self.state in {'alive', 'degraded'}
 
+    def is_live(self) -> bool:
+        """Return whether the host may be running; a suspected one counts as live."""
+        return self.state == 'suspect' or self.is_unsuspected()
+
+    def is_unsuspected(self) -> bool:
+        """Return whether the host runs and nobody suspects it."""
+        return self.state == 'starting' or self.is_serving()
+
     @property
     def holder(self) -> str:
         """The identifier, ``host@incarnation``, under which shares and claims are held."""
--- a/src/balsamrail/membership/member_gossip.py
+++ b/src/balsamrail/membership/member_gossip.py
@@ -1,13 +1,13 @@
 """Dissemination of member updates: flooding with anti-entropy as a backup."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from balsamrail.membership.members import Members
 from balsamrail.membership.peer_link import PeerLink
 from balsamrail.membership.peer_streams import PeerStreams
 from balsamrail.membership.table_exchange import TableExchange
-from balsamrail.membership.updates import update_from_hello, update_order
+from balsamrail.membership.updates import make_update, update_from_hello, update_order
 from balsamrail.messages import Hello, MemberDigest, MemberUpdate
 
 _ANNOUNCED_STATES = frozenset(('starting', 'alive', 'degraded', 'leaving'))
@@ -91,6 +91,25 @@
         if member is not None and member.state in {'suspect', 'gone'}:
             self._exchange.send_rows(link, [link.host])
 
+    def repeat_suspicions(self, neighbours: Iterable[str], *, made_before: float) -> None:
+        """Send the suspicions of this host that were not confirmed yet to its neighbours again.
+
+        If most neighbours are lost, those of this moment may be others than when a suspicion was
+        flooded. The comparison of the tables does not show who suspects a member.
+
+        :param made_before: event loop time in seconds; newer suspicions are not sent again.
+        """
+        own = self._members.local_member().host
+        suspicions = [
+            make_update(member, observer=own)
+            for host, since in self._members.own_suspicions().items()
+            if since < made_before and (member := self._members.get(host)) is not None
+        ]
+        links = map(self._streams.links.newest, neighbours if suspicions else ())
+        for link in filter(None, links):
+            for update in suspicions:
+                self._streams.write(link, update)
+
     def publish(self, update: MemberUpdate) -> None:
         """Flood an update; the suspicions of different observers are flooded separately.
 
--- a/src/balsamrail/membership/member_table.py
+++ b/src/balsamrail/membership/member_table.py
@@ -88,6 +88,14 @@
         suspected_at[update.observer] = self._environment.clock.monotonic()
         return True
 
+    def suspected_by(self, observer: str) -> dict[str, float]:
+        """Return since when ``observer`` has suspected others, by host."""
+        return {
+            host: entry.suspected_at_by_observer[observer]
+            for host, entry in self._entry_by_host.items()
+            if entry.member.state == 'suspect' and observer in entry.suspected_at_by_observer
+        }
+
     def compensate_pause(self, paused_s: float) -> None:
         """Shift all suspicions by the time in which this process was paused."""
         for entry in self._entry_by_host.values():
--- a/src/balsamrail/membership/members.py
+++ b/src/balsamrail/membership/members.py
@@ -6,19 +6,17 @@
 
 from balsamrail.environment import Environment
 from balsamrail.membership.advertised_members import select_advertised
+from balsamrail.membership.gone_quorum import GoneQuorum
 from balsamrail.membership.gone_verifier import GoneVerifier
 from balsamrail.membership.host_list import HostList
 from balsamrail.membership.host_list_policy import HostListPolicy
 from balsamrail.membership.incarnations import advanced_beyond
+from balsamrail.membership.loss_record import LossRecord
 from balsamrail.membership.member import Member
-from balsamrail.membership.member_entry import MemberEntry
 from balsamrail.membership.member_table import MemberTable
 from balsamrail.membership.updates import is_valid_state, make_update
 from balsamrail.messages import MemberUpdate
 
-# Hosts that do not observe a member wait longer, in case the observers' update was lost.
-_NON_OBSERVER_DELAY_S = 3
-
 
 class Members:
     """Merges member updates and decides which members are gone.
@@ -38,6 +36,7 @@
         newer one of it, as after a restart with the clock set back. Only for hosts that hold
         nothing under their incarnation.
     :param host_list_policy: how the platform maintains the host list.
+    :param loss_record: without it the last host of a fleet never considers the others gone.
     """
 
     __slots__ = (
@@ -45,9 +44,9 @@
         '_advertised',
         '_alive',
         '_environment',
+        '_gone_quorum',
         '_listeners',
         '_local_member',
-        '_observers_needed',
         '_panic_mode',
         '_table',
         'gone_verifier',
@@ -66,10 +65,10 @@
         is_ready: bool = True,
         advances_incarnation: bool = False,
         host_list_policy: HostListPolicy | None = None,
+        loss_record: LossRecord | None = None,
     ) -> None:
         settings = environment.settings
         self._environment = environment
-        self._observers_needed = observers_needed
         self._panic_mode = panic_mode
         self._advances_incarnation = advances_incarnation
         self._local_member = Member(
@@ -92,6 +91,15 @@
             fleet_size=lambda: len(self._table) + 1,
             policy=host_list_policy or HostListPolicy(),
         )
+        self._gone_quorum = GoneQuorum(
+            environment=environment,
+            table=self._table,
+            host_list=self.host_list,
+            observers_needed=observers_needed,
+            loss_record=loss_record,
+        )
+        if loss_record is not None:
+            loss_record.on_check = self._publish_gone
         self.gone_verifier = GoneVerifier(
             environment=environment,
             table=self._table,
@@ -121,7 +129,7 @@
         Starting and suspected members and this host are included.
         """
         if self._alive is None:
-            live = [member for member in (self._local_member, *self.known()) if _is_live(member)]
+            live = [member for member in (self._local_member, *self.known()) if member.is_live()]
             self._alive = sorted(live, key=lambda member: member.host)
         return list(self._alive)
 
@@ -206,6 +214,10 @@
         entry = self._table.get(host)
         return entry is not None and entry.is_self_reported
 
+    def own_suspicions(self) -> dict[str, float]:
+        """Return since when this host itself has suspected others, by host."""
+        return self._table.suspected_by(self._local_member.host)
+
     def updates_of(self, host: str) -> list[MemberUpdate]:
         """Return the updates to send about ``host``, one per observer if it is suspected."""
         if host == self._local_member.host:
@@ -224,14 +236,9 @@
 
     def tick(self) -> None:
         """Evaluate suspicions and expire old entries; called once per heartbeat interval."""
-        now = self._environment.clock.monotonic()
         for host in self._table.expire():
             self.host_list.forget(host)
-        for entry in self._table.entries():
-            if entry.member.state != 'gone' and self._has_gone_quorum(entry, now):
-                update = make_update(entry.member, observer=self._local_member.host, state='gone')
-                self.apply(update)
-                self.publish(update)
+        self._publish_gone()
         # Panic mode retains lost members from one evaluation to the next, so it has to be
         # evaluated even if there is no lookup.
         self._advertised = None
@@ -255,23 +262,27 @@
         self._notify()
         self.publish(make_update(self._local_member, observer=self._local_member.host))
 
+    def _publish_gone(self) -> None:
+        own = self._local_member
+        for entry in self._table.entries():
+            if self._gone_quorum.is_reached(entry, own=own):
+                update = make_update(entry.member, observer=own.host, state='gone')
+                self.apply(update)
+                self.publish(update)
+        self._gone_quorum.record_losses(own=own)
+
     def _refute(self, update: MemberUpdate) -> None:
-        is_newer = update.incarnation > self._local_member.incarnation
+        own = self._local_member
+        is_newer = update.incarnation > own.incarnation
         # If the newer one is alive, two processes share this host name, and neither yields.
         if self._advances_incarnation and is_newer and update.state not in {'alive', 'degraded'}:
             self._advance_incarnation(update.incarnation)
             return
-        if (
-            update.incarnation != self._local_member.incarnation
-            or self._local_member.state == 'gone'
-        ):
+        if update.incarnation != own.incarnation or own.state == 'gone':
             return
-        if (
-            update.state in {'suspect', 'gone'}
-            and update.refutation >= self._local_member.refutation
-        ):
+        if update.state in {'suspect', 'gone'} and update.refutation >= own.refutation:
             self._environment.log.event('suspicion_refuted', observer=update.observer)
-            self._announce_local_state(self._local_member.state, update.refutation + 1)
+            self._announce_local_state(own.state, update.refutation + 1)
 
     def _advance_incarnation(self, incarnation: str) -> None:
         advanced = advanced_beyond(incarnation, own=self._local_member.incarnation)
@@ -280,21 +291,8 @@
         self._local_member = replace(self._local_member, incarnation=advanced)
         self._announce_local_state(self._local_member.state, 0)
 
-    def _has_gone_quorum(self, entry: MemberEntry, now: float) -> bool:
-        suspected_at = entry.suspected_at_by_observer
-        wait_s = self._environment.settings.limits.gone_after_s
-        if self._local_member.host not in suspected_at:
-            wait_s += _NON_OBSERVER_DELAY_S
-        confirmations = sum(now - since >= wait_s for since in suspected_at.values())
-        unlisted = self.host_list.is_unlisted(entry.member.host)
-        return confirmations >= (1 if unlisted else self._observers_needed)
-
     def _notify(self) -> None:
         self._alive = None
         self._advertised = None
         for changed in self._listeners:
             changed()
-
-
-def _is_live(member: Member) -> bool:
-    return member.state in {'starting', 'alive', 'degraded', 'suspect'}
--- a/src/balsamrail/membership/neighbour_streams.py
+++ b/src/balsamrail/membership/neighbour_streams.py
@@ -11,11 +11,17 @@
 from balsamrail.messages import Heartbeat
 
 _IDLE_TIMEOUT_S = 30
+# Bounds the connections that a host opens at a time to check members that it does not observe.
+_MAX_CHECKS = 256
 
 
 class NeighbourStreams:
     """Selects the neighbours, sends heartbeats and replaces silent streams.
 
+    If many hosts are lost at once, the observers of a lost host may be lost as well. Suspected hosts
+    are therefore also left out of the rings: those next to a suspected host check it once it has too
+    few observers, and a host that finds half of its neighbours silent checks all others.
+
     :param status: returns the fields of the next heartbeat.
     :param replace_silent: whether a second connection is tried before a neighbour is suspected.
     """
@@ -26,6 +32,7 @@
         '_members',
         '_members_changed',
         '_replace_silent',
+        '_replaced_observer_of',
         '_rings',
         '_sequence',
         '_status',
@@ -51,6 +58,8 @@
         self._status = status
         self._replace_silent = replace_silent
         self._rings = Rings(local_host=environment.settings.host)
+        # The suspected hosts of which this host is a neighbour while other suspected ones are left out.
+        self._replaced_observer_of: set[str] = set()
         self._sequence = 0
         self._members_changed = True
         self.successors: set[str] = set()
@@ -71,13 +80,46 @@
         for host in sorted(self.successors):
             if self._streams.links.newest_outbound(host) is None:
                 self._reconnect(host)
+        self._check_others()
 
     def _update_neighbours(self) -> None:
         self._members_changed = False
-        reachable = [member.host for member in self._members.known() if member.state != 'gone']
-        self.successors, self.predecessors = self._rings.neighbours(reachable)
+        reachable = [member for member in self._members.known() if member.state != 'gone']
+        unsuspected = [member.host for member in reachable if member.state != 'suspect']
+        suspected = [member.host for member in reachable if member.state == 'suspect']
+        self._replaced_observer_of = self._rings.adjacent(suspected, between=unsuspected)
+        successors, predecessors = self._rings.neighbours(unsuspected) if suspected else ((), ())
+        self.successors, self.predecessors = self._rings.neighbours([*unsuspected, *suspected])
+        self.successors.update(successors)
+        self.predecessors.update(predecessors)
         self._detector.watch(self.hosts())
 
+    def _check_others(self) -> None:
+        """Check members that this host does not observe, if their observers may be lost."""
+        checked = set(self._replaced_observer_of)
+        silent = self._detector.silent_hosts()
+        if silent and len(silent) * 2 >= len(self.hosts()):
+            checked = {member.host for member in self._members.known() if member.state != 'gone'}
+        checked -= self._members.own_suspicions().keys()
+        due = [host for host in sorted(checked) if self._is_check_due(host)]
+        for host in due[:_MAX_CHECKS]:
+            self._streams.spawn(self._check(host))
+
+    def _is_check_due(self, host: str) -> bool:
+        member = self._members.get(host)
+        if member is None or self._streams.is_opening(member.peer_address):
+            return False
+        link = self._streams.links.newest(host)
+        limit_s = self._environment.settings.limits.suspect_after_s
+        heard_after = self._environment.clock.monotonic() - limit_s
+        return link is None or link.last_received_at <= heard_after
+
+    async def _check(self, host: str) -> None:
+        member = self._members.get(host)
+        link = None if member is None else await self._streams.open(member.peer_address)
+        if link is None or link.host != host:
+            self._members.suspect(host)
+
     def _send_heartbeats(self) -> None:
         self._sequence += 1
         status = self._status()
--- a/src/balsamrail/membership/peer_network.py
+++ b/src/balsamrail/membership/peer_network.py
@@ -180,6 +180,11 @@
         self._members.tick()
         self._neighbours.maintain()
         self._open_contacts()
+        limits = self._environment.settings.limits
+        self._gossip.repeat_suspicions(
+            self._neighbours.hosts(),
+            made_before=self._environment.clock.monotonic() - limits.gone_after_s,
+        )
         self._gossip.sync_with_random_peer()
 
     def _open_contacts(self) -> None:
--- a/src/balsamrail/membership/rings.py
+++ b/src/balsamrail/membership/rings.py
@@ -1,5 +1,6 @@
 """Hash rings that determine the neighbours of each host."""
 
+from bisect import bisect
 from collections.abc import Collection
 from hashlib import blake2b
 
@@ -47,6 +48,26 @@
             predecessors.add(ranked[before - 1][1])
         return successors, predecessors
 
+    def adjacent(self, hosts: Collection[str], *, between: Collection[str]) -> set[str]:
+        """Return which of ``hosts`` the local host would be a neighbour of.
+
+        :param between: the hosts that are on the rings besides the local host and the one in question.
+        """
+        adjacent: set[str] = set()
+        for ring in range(_RING_COUNT):
+            ranked = sorted(
+                (self._position(host)[ring], host) for host in {*between, self._local_host}
+            )
+            for host in hosts:
+                after = bisect(ranked, (self._position(host)[ring], host))
+                ends = {ranked[after - 1][1], ranked[after % len(ranked)][1]}
+                if self._local_host in ends:
+                    adjacent.add(host)
+        return adjacent
+
+    def _position(self, host: str) -> tuple[bytes, ...]:
+        return self._position_by_host.get(host) or _positions(host)
+
 
 def _positions(host: str) -> tuple[bytes, ...]:
     return tuple(
--- a/src/balsamrail/platform/host_registry.py
+++ b/src/balsamrail/platform/host_registry.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 from balsamrail.environment import Environment
-from balsamrail.errors import StoreConflictError
 from balsamrail.platform import fields
 from balsamrail.platform.object_store import ObjectStore
 from balsamrail.settings.address import split_address
@@ -49,10 +48,7 @@
         """
         spec = {'address': host.address, 'state': host.state}
         if not await self._is_registered(host.host, spec):
-            try:
-                await self._store.create(_KIND, host.host, spec=spec)
-            except StoreConflictError:
-                await self._store.replace(_KIND, host.host, spec=spec)
+            await self._store.create_or_replace(_KIND, host.host, spec=spec)
         self._is_announced = True
 
     async def _is_registered(self, host: str, spec: dict[str, Any]) -> bool:
--- a/src/balsamrail/platform/object_store.py
+++ b/src/balsamrail/platform/object_store.py
@@ -151,6 +151,16 @@
         answer = await self._call('PUT', _object_path(kind, name), metric='replace', body=body)
         return _read_written(name, answer)
 
+    async def create_or_replace(self, kind: str, name: str, *, spec: Any) -> None:
+        """Create an object, or replace the ``spec`` of the one that exists, at any revision.
+
+        :raises StoreOutcomeUnknownError: if no answer came, so that it may have been written.
+        """
+        try:
+            await self.create(kind, name, spec=spec)
+        except StoreConflictError:
+            await self.replace(kind, name, spec=spec)
+
     async def delete(self, kind: str, name: str, *, revision: Revision) -> None:
         """Remove an object if it is at ``revision``; an object that no longer exists is no error.
 
