--- /dev/null
+++ b/features/crash_reports.feature
@@ -0,0 +1,49 @@
+Feature: Hosts that join later know which requests crash their targets
+
+  Scenario Outline: <restarts>, after a request has crashed its targets
+    Guards against hosts that forget such a request when they restart and send it to further targets
+    (review/3).
+
+    Given a fleet of 9 hosts that have seen a request crash 3 targets
+    When <restarts>
+    And 3 s pass
+    Then every host refuses the request
+
+    Examples:
+      | restarts                                        |
+      | every host restarts in turn                     |
+      | every host restarts in turn, twice              |
+      | hosts 0 to 3 restart at once and then the others |
+
+  Scenario: A host that was cut off while a request crashed its targets
+    Guards against a host that misses the flood of the reports and keeps its incarnation.
+
+    Given a fleet of 9 hosts
+    When host 4 is cut off, a request crashes 3 targets, and the cut ends after 30 s
+    And 10 s pass
+    Then every host refuses the request
+
+  Scenario: A host at which a target has completed the request since
+    Guards against a request that is refused again because another host repeats outdated reports.
+
+    Given a fleet of 9 hosts that have seen a request crash 3 targets
+    When a target completes the request at host 4, which is then cut off for 30 s
+    And 10 s pass
+    Then host 4 accepts the request
+
+  Scenario: The reports that are sent to a host that starts are bounded and not flooded again
+    Guards against restarts that cost more than the control traffic allows while many requests crash
+    targets.
+
+    Given a fleet of 9 hosts that know 10000 requests that crashed 3 targets each
+    When host 4 restarts
+    And 3 s pass
+    Then host 4 refuses the 1000 requests that were reported last
+    And at most 9 times 3000 reports were sent to host 4, and by host 4 to each neighbour
+
+  Scenario: A crash that has expired is not reported to hosts that start
+    Guards against a request that is refused for good because hosts keep telling each other of it.
+
+    Given a fleet of 9 hosts that have seen a request crash 3 targets
+    When 610 s pass and every host restarts in turn
+    Then no host refuses the request
--- /dev/null
+++ b/features/steps/crash_reports_steps.py
@@ -0,0 +1,163 @@
+"""Steps for crash_reports.feature on an in-memory fleet."""
+
+import asyncio
+
+from behave import given, then, when
+
+from balsamrail.errors import TargetCrashingRequestError
+from balsamrail.messages import CrashReport
+from features.steps.memory_fleet import START_WALL_S, make_fleet, run
+
+CRASH_LIMIT = 3
+REQUEST = b'deadly'
+HOST_COUNT = 9
+
+
+def refuses(host, fingerprint):
+    try:
+        host.crashes.check(fingerprint, limit=CRASH_LIMIT)
+    except TargetCrashingRequestError:
+        return True
+    return False
+
+
+def crash_targets(hosts, fingerprint):
+    """Report a crash by each of the first hosts."""
+    for number, host in enumerate(hosts[:CRASH_LIMIT]):
+        host.crashes.report(fingerprint, service='lepu', target=f'i-{number}')
+
+
+@given('a fleet of 9 hosts that have seen a request crash 3 targets')
+def step_crashed(context):
+    make_fleet(context, size=HOST_COUNT)
+
+    async def crash():
+        await asyncio.sleep(5)
+        crash_targets(context.fleet.hosts, REQUEST)
+        await asyncio.sleep(1)
+
+    run(context, crash())
+    step_refused(context)
+
+
+@given('a fleet of 9 hosts that know {count:d} requests that crashed 3 targets each')
+def step_many(context, count):
+    make_fleet(context, size=HOST_COUNT)
+    context.fingerprints = [number.to_bytes(16) for number in range(count)]
+    run(context, asyncio.sleep(5))
+    for host in context.fleet.hosts:
+        for fingerprint in context.fingerprints:
+            for number in range(CRASH_LIMIT):
+                report = CrashReport(
+                    fingerprint=fingerprint,
+                    service='lepu',
+                    target=f'i-{number}',
+                    wall_s=START_WALL_S,
+                )
+                host.crashes._record(report)
+
+
+async def restart_in_turn(fleet, *, seconds_between=3):
+    seeds = [fleet.hosts[number].address for number in (0, 1, 2)]
+    for index in range(len(fleet.hosts)):
+        fleet.restart(index, options={'seeds': seeds})
+        await asyncio.sleep(seconds_between)
+
+
+@when('every host restarts in turn')
+def step_restart(context):
+    run(context, restart_in_turn(context.fleet))
+
+
+@when('every host restarts in turn, twice')
+def step_restart_twice(context):
+    step_restart(context)
+    step_restart(context)
+
+
+@when('{seconds:d} s pass and every host restarts in turn')
+def step_restart_later(context, seconds):
+    run(context, asyncio.sleep(seconds))
+    step_restart(context)
+
+
+@when('hosts 0 to 3 restart at once and then the others')
+def step_restart_halves(context):
+    async def restart():
+        fleet = context.fleet
+        seeds = [host.address for host in fleet.hosts]
+        for half in (range(4), range(4, HOST_COUNT)):
+            for index in half:
+                fleet.restart(index, options={'seeds': seeds})
+            await asyncio.sleep(3)
+
+    run(context, restart())
+
+
+@when('host 4 is cut off, a request crashes 3 targets, and the cut ends after {seconds:d} s')
+def step_cut(context, seconds):
+    async def cut():
+        await asyncio.sleep(5)
+        groups = context.fleet.network.group_by_address
+        groups[context.fleet.hosts[4].address] = 'cut'
+        crash_targets(context.fleet.hosts, REQUEST)
+        await asyncio.sleep(seconds)
+        assert not refuses(context.fleet.hosts[4], REQUEST)
+        groups.clear()
+
+    run(context, cut())
+
+
+@when('a target completes the request at host 4, which is then cut off for {seconds:d} s')
+def step_served(context, seconds):
+    async def cut():
+        context.fleet.hosts[4].crashes.clear(REQUEST)
+        groups = context.fleet.network.group_by_address
+        groups[context.fleet.hosts[4].address] = 'cut'
+        await asyncio.sleep(seconds)
+        groups.clear()
+
+    run(context, cut())
+
+
+@then('host 4 accepts the request')
+def step_accepts(context):
+    assert not refuses(context.fleet.hosts[4], REQUEST)
+
+
+@when('host 4 restarts')
+def step_restart_one(context):
+    async def restart():
+        context.fleet.network.sent.clear()
+        seeds = [host.address for host in context.fleet.hosts[:3]]
+        context.fleet.restart(4, options={'seeds': seeds})
+
+    run(context, restart())
+
+
+@then('every host refuses the request')
+def step_refused(context):
+    accepting = [host.name for host in context.fleet.hosts if not refuses(host, REQUEST)]
+    assert not accepting, accepting
+
+
+@then('no host refuses the request')
+def step_accepted(context):
+    refusing = [host.name for host in context.fleet.hosts if refuses(host, REQUEST)]
+    assert not refusing, refusing
+
+
+@then('host 4 refuses the {count:d} requests that were reported last')
+def step_refuses_last(context, count):
+    host = context.fleet.hosts[4]
+    refused = [each for each in context.fingerprints if refuses(host, each)]
+    assert refused == context.fingerprints[-count:], (len(refused), refused[:1])
+
+
+@then(
+    'at most {peers:d} times {count:d} reports were sent to host 4, and by host 4 to each neighbour'
+)
+def step_sent(context, peers, count):
+    sent = context.fleet.network.sent['CrashReport']
+    print(f'{sent} crash reports sent')
+    assert sent <= 2 * peers * count, sent
--- a/features/steps/forwarding_parts.py
+++ b/features/steps/forwarding_parts.py
@@ -77,6 +77,9 @@
     def flood(self, message, *, topic, version):
         self.flooded.append(message)
 
+    def repeat_to_peers(self, messages):
+        self.repeated = messages
+
 
 class RawUpstream:
     """Calls ``answer(number, head, writer)`` for each request; ``answer`` may write anything."""
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -11,6 +11,7 @@
 from balsamrail.configuration.record_sync import RecordSync
 from balsamrail.environment import Environment
 from balsamrail.errors import HistoryGoneError, StoreConflictError, StoreUnavailableError
+from balsamrail.exchange.crash_registry import CrashRegistry
 from balsamrail.logs import Log
 from balsamrail.membership import FailureDetector, HeartbeatStatus, Members, PeerNetwork
 from balsamrail.membership.loss_record import LossRecord
@@ -219,6 +220,7 @@
         )
         if options.get('heartbeat_number', True):
             self.network.status = lambda: HeartbeatStatus(record_number=self.tracker.number)
+        self.crashes = CrashRegistry(environment=self.environment, network=self.network)
         self.sync = RecordSync(
             environment=self.environment,
             tracker=self.tracker,
--- a/src/balsamrail/exchange/crash_registry.py
+++ b/src/balsamrail/exchange/crash_registry.py
@@ -1,6 +1,9 @@
 """Registry of requests that crash targets."""
 
 from collections import Counter
+from collections.abc import Iterator
+from dataclasses import replace
+from itertools import islice
 from typing import Any
 
 from balsamrail.environment import Environment
@@ -11,23 +14,35 @@
 _REJECTION_PERIOD_S = 600.0
 # An attacker can create any number of fingerprints, so only the newest are stored.
 _MAX_FINGERPRINTS = 10_000
+# Bounds what a host sends to each peer that connects, to about 300 KB.
+_MAX_REPEATED_FINGERPRINTS = 1_000
 
 
 class CrashRegistry:
     """Counts, for each fingerprint, the distinct targets that crashed while running it.
 
-    Reports are broadcast to all hosts. They expire ten minutes after the last crash.
+    Reports are broadcast to all hosts, and repeated to each host that connects later, for example
+    because it has been restarted. They expire ten minutes after the last crash.
     """
 
-    __slots__ = ('_crashes', '_environment', '_in_flight_by_target', '_network')
+    __slots__ = (
+        '_environment',
+        '_in_flight_by_target',
+        '_network',
+        '_reports',
+        '_served_at_by_fingerprint',
+    )
 
     def __init__(self, *, environment: Environment, network: Network) -> None:
         self._environment = environment
         self._network = network
         self._in_flight_by_target: dict[str, Counter[bytes]] = {}
-        # Wall time of the last crash by fingerprint and target.
-        self._crashes: dict[bytes, dict[str, float]] = {}
+        # By fingerprint and target; the fingerprints that were reported last come last.
+        self._reports: dict[bytes, dict[str, CrashReport]] = {}
+        # Wall time at which a target completed a request that had been reported before.
+        self._served_at_by_fingerprint: dict[bytes, float] = {}
         network.subscribe(CrashReport, self._receive)
+        network.repeat_to_peers(self._recent_reports)
 
     def check(self, fingerprint: bytes, *, limit: int) -> None:
         """Reject a request that crashed ``limit`` targets.
@@ -35,7 +50,7 @@
         :raises TargetCrashingRequestError: for ten minutes after the last of these crashes.
         """
         last = self._last_crash_wall_s(fingerprint)
-        if len(self._crashes.get(fingerprint, ())) < limit:
+        if len(self._reports.get(fingerprint, ())) < limit:
             return
         remaining_s = int(last + _REJECTION_PERIOD_S - self._environment.clock.wall()) + 1
         raise TargetCrashingRequestError(
@@ -76,18 +91,15 @@
 
     def report(self, fingerprint: bytes, *, service: str, target: str) -> None:
         """Report to all hosts that a target crashed while running a request."""
-        if target in self._crashes.get(fingerprint, ()):
-            return
-        wall_s = self._environment.clock.wall()
         report = CrashReport(
             fingerprint=fingerprint,
             service=service,
             target=target,
-            wall_s=wall_s,
+            wall_s=self._environment.clock.wall(),
         )
-        self._record(report)
-        topic = f'crash/{fingerprint.hex()}/{target}'
-        self._network.flood(report, topic=topic, version=(wall_s,))
+        if not self._record(report):
+            return
+        self._flood(report)
         self._environment.log.event(
             'target_crashed',
             service=service,
@@ -97,30 +109,59 @@
 
     def clear(self, fingerprint: bytes) -> None:
         """Remove the crashes of a request, since a target has just completed it."""
-        self._crashes.pop(fingerprint, None)
+        if self._reports.pop(fingerprint, None) is None:
+            return
+        # Other hosts may repeat their reports.
+        served_at = self._served_at_by_fingerprint
+        served_at.pop(fingerprint, None)
+        served_at[fingerprint] = self._environment.clock.wall()
+        if len(served_at) > _MAX_FINGERPRINTS:
+            served_at.pop(next(iter(served_at)))
 
     def dump(self) -> dict[str, Any]:
         """Return the crashed targets by fingerprint."""
-        return {key.hex(): sorted(targets) for key, targets in self._crashes.items()}
+        return {key.hex(): sorted(reports) for key, reports in self._reports.items()}
 
     def _receive(self, host: str, report: CrashReport) -> None:
-        self._record(report)
+        # Only what is new here, so that a repeated report is not flooded again.
+        if self._record(report):
+            self._flood(report)
+
+    def _flood(self, report: CrashReport) -> None:
+        topic = f'crash/{report.fingerprint.hex()}/{report.target}'
+        self._network.flood(report, topic=topic, version=(report.wall_s,))
 
-    def _record(self, report: CrashReport) -> None:
+    def _record(self, report: CrashReport) -> bool:
+        """Add a report; return whether it is a new one."""
+        wall_s = self._environment.clock.wall()
+        oldest_s = max(
+            wall_s - _REJECTION_PERIOD_S,
+            self._served_at_by_fingerprint.get(report.fingerprint, 0),
+        )
+        known = self._reports.get(report.fingerprint, {})
+        if report.target in known or report.wall_s <= oldest_s:
+            return False
         # The clock of another host may be ahead, which must not extend the rejection period.
-        wall_s = min(report.wall_s, self._environment.clock.wall())
-        targets = self._crashes.pop(report.fingerprint, {})
-        targets[report.target] = max(wall_s, targets.get(report.target, 0))
-        self._crashes[report.fingerprint] = targets
-        if len(self._crashes) > _MAX_FINGERPRINTS:
-            self._crashes.pop(next(iter(self._crashes)))
+        known[report.target] = replace(report, wall_s=min(report.wall_s, wall_s))
+        self._reports.pop(report.fingerprint, None)
+        self._reports[report.fingerprint] = known
+        if len(self._reports) > _MAX_FINGERPRINTS:
+            self._reports.pop(next(iter(self._reports)))
+        return True
+
+    def _recent_reports(self) -> Iterator[CrashReport]:
+        """Yield the reports on the fingerprints that were reported last, the latest ones last."""
+        recent = list(islice(reversed(self._reports), _MAX_REPEATED_FINGERPRINTS))
+        for fingerprint in reversed(recent):
+            if self.is_suspect(fingerprint):
+                yield from self._reports[fingerprint].values()
 
     def _last_crash_wall_s(self, fingerprint: bytes) -> float:
-        targets = self._crashes.get(fingerprint)
-        if targets is None:
+        reports = self._reports.get(fingerprint)
+        if reports is None:
             return 0
-        last = max(targets.values())
+        last = max(report.wall_s for report in reports.values())
         if self._environment.clock.wall() - last >= _REJECTION_PERIOD_S:
-            self._crashes.pop(fingerprint)
+            self._reports.pop(fingerprint)
             return 0
         return last
--- a/src/balsamrail/membership/flood_key.py
+++ b/src/balsamrail/membership/flood_key.py
@@ -2,7 +2,6 @@
 
 from balsamrail.membership.flood_filter import Version
 from balsamrail.messages import (
-    CrashReport,
     Message,
     ShareEpochAnnounce,
     TargetLeaving,
@@ -14,17 +13,14 @@
 def flood_key(message: Message) -> tuple[str, Version] | None:
     """Return the topic and version of a message that is forwarded unchanged, else ``None``.
 
-    Member updates and record announcements are excluded: a host forwards those only after it has
-    applied them.
+    Member updates, record announcements and crash reports are excluded: a host forwards those only
+    after it has applied them.
     """
     match message:
         case TargetLeaving():
             return f'target/{message.service}/{message.address}', (message.wall_s,)
         case TargetLimitReport():
             return f'limit/{message.host}/{message.target}', (message.wall_s,)
-        case CrashReport():
-            topic = f'crash/{message.fingerprint.hex()}/{message.target}'
-            return topic, (message.wall_s,)
         case ShareEpochAnnounce():
             return f'epoch/{message.region}', (message.epoch, message.sealing)
         case TrialCounters():
--- a/src/balsamrail/membership/network.py
+++ b/src/balsamrail/membership/network.py
@@ -1,6 +1,6 @@
 """Interface of the peer network for other modules."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol, TypeVar
 
 from balsamrail.messages import Message
@@ -35,3 +35,10 @@
         receive: Callable[[str, MessageT], None],
     ) -> None:
         """Call ``receive`` with the sending host and each received message of ``kind``."""
+
+    def repeat_to_peers(self, messages: Callable[[], Iterable[Message]]) -> None:
+        """Send the result of ``messages`` to each peer that connects.
+
+        A flood reaches the hosts that run and are connected at that time. What others need to know
+        of it later has to be among these messages.
+        """
--- a/src/balsamrail/membership/peer_network.py
+++ b/src/balsamrail/membership/peer_network.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from balsamrail.environment import Environment
@@ -52,6 +52,7 @@
         '_neighbours',
         '_receivers_by_kind',
         '_receiving_from',
+        '_repeated',
         '_store',
         '_streams',
         'is_excluded',
@@ -76,6 +77,7 @@
         self._filter = FloodFilter()
         self._receivers_by_kind: dict[type[Any], list[Callable[[str, Any], None]]] = {}
         self._receiving_from = ''
+        self._repeated: list[Callable[[], Iterable[Message]]] = []
         self._streams = PeerStreams(
             environment=environment,
             members=members,
@@ -152,6 +154,10 @@
         """Call ``receive`` with the sending host and each message of ``kind``."""
         self._receivers_by_kind.setdefault(kind, []).append(receive)
 
+    def repeat_to_peers(self, messages: Callable[[], Iterable[Message]]) -> None:
+        """Send the result of ``messages`` to each peer that connects, also if it did before."""
+        self._repeated.append(messages)
+
     def dump(self) -> dict[str, Any]:
         """Return a diagnostic snapshot."""
         return {
@@ -198,6 +204,9 @@
     def _receive_hello(self, link: PeerLink, hello: Hello) -> None:
         self._detector.record_message(link.host)
         self._gossip.receive_hello(link, hello)
+        for messages in self._repeated:
+            for message in messages():
+                self._streams.write(link, message)
 
     def _receive(self, link: PeerLink, message: Message) -> None:
         self._detector.record_message(link.host)
