--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -183,6 +183,47 @@
     Then the request reaches 3 targets and is then refused with a retry delay
     And the other requests are served by the remaining targets
 
+  Scenario Outline: A request that crashes its targets, on a route that is <routed>
+    Guards against counting the crashes of one request apart for each service of its route (review/4).
+
+    Given targets of three services that crash on requests for the path /read/deadly
+    When callers send such requests repeatedly on a route that is <routed>, and others send other requests
+    Then the request reaches 3 targets and is then refused with a retry delay
+    And the other requests are served by the remaining targets
+
+    Examples:
+      | routed                                   |
+      | split between the services               |
+      | moved to another service after two sends |
+
+  Scenario Outline: Crashes that a host of <version> has reported under <fingerprint>
+    Guards against hosts of two versions, side by side, that do not count each other's reports, and
+    against counting the same crash twice.
+
+    Given targets that respond immediately
+    When a host of <version> reports 3 crashes of a request under <fingerprint>
+    Then that request is <handled>
+
+    Examples:
+      | version             | fingerprint                          | handled |
+      | an earlier version  | the service of its route             | refused |
+      | an earlier version  | another service                      | served  |
+      | an earlier version  | two services of its split route      | refused |
+      | this version        | its own fingerprint                  | refused |
+      | this version        | the copy for earlier versions        | served  |
+
+  Scenario: A crash is reported to hosts of earlier versions under the service as well
+    Guards against hosts of earlier versions that hear of no crashes while the fleet is replaced.
+
+    Given targets that crash on requests for the path /read/deadly
+    When a caller sends such a request
+    Then its crash is reported once under the request and once under its service
+
+  Scenario: The same request of two callers
+    Guards against refusing a caller for what the same request of another caller did.
+
+    Then requests differ in host name, method, path, body and Authorization, and in nothing else
+
   Scenario: A frequent request is not quarantined for unrelated crashes
     Guards against refusing a request because its targets failed for another reason.
 
--- /dev/null
+++ b/features/steps/delivery_crash_steps.py
@@ -0,0 +1,191 @@
+"""Steps of delivery.feature for the identity of requests that crash their targets."""
+
+import asyncio
+from dataclasses import replace
+
+from behave import given, then, when
+from delivery_parts import DeliveryHarness, response_to
+from placement_parts import make_manifest, make_route
+from platform_helpers import run_real
+from tornado.httputil import HTTPHeaders
+
+from balsamrail.catalog.weighted_service import WeightedService
+from balsamrail.delivery.entry_request import EntryRequest
+from balsamrail.delivery.request_fingerprint import RequestFingerprint
+from balsamrail.errors import RequestError
+from balsamrail.messages import CrashReport
+
+SERVICES = ('lepu', 'mora', 'tavi')
+TARGETS_PER_SERVICE = 5
+SENDS = 12
+# The copies of reports for hosts of earlier versions name no service.
+COPY = ''
+
+
+def manifest_of(*services, version):
+    parts = tuple(WeightedService(service=name, weight=1) for name in services)
+    manifest = make_manifest(make_route(path_prefix='/read/', parts=parts), version=version)
+    spec = manifest.services['lepu']
+    return replace(manifest, services={name: replace(spec, name=name) for name in SERVICES})
+
+
+@given('targets of three services that crash on requests for the path /read/deadly')
+def step_three_services(context):
+    entries = [{'service': name} for name in SERVICES for _ in range(TARGETS_PER_SERVICE)]
+    context.delivery = DeliveryHarness([], entries=entries)
+
+    def make(number):
+        async def crash(count, headers, writer):
+            target = context.delivery.targets[number]
+            if '/read/deadly' in target.heads[-1]:
+                target.stop()
+                raise ConnectionError
+            writer.write(response_to(headers))
+
+        return crash
+
+    context.delivery.behaviours = [make(number) for number in range(len(entries))]
+
+
+@when(
+    'callers send such requests repeatedly on a route that is {routed}, and others send other '
+    'requests'
+)
+def step_send(context, routed):
+    async def play():
+        delivery = await context.delivery.start()
+        is_split = routed.startswith('split')
+        services = SERVICES if is_split else SERVICES[:1]
+        delivery.catalog.offer_manifest(manifest_of(*services, version=2))
+        delivery.target_registry.refresh(now=0)
+        context.errors = []
+        context.codes = []
+        for number in range(SENDS):
+            if not is_split and number and number % 2 == 0:
+                moved = SERVICES[number // 2 % len(SERVICES)]
+                delivery.catalog.offer_manifest(manifest_of(moved, version=2 + number))
+                delivery.target_registry.refresh(now=0)
+            try:
+                await delivery.send(f'd-{number}', path='/read/deadly', key=f'k-{number}')
+            except RequestError as error:
+                context.errors.append(error)
+            await asyncio.sleep(0.05)
+            response = await delivery.send(f'r-{number}', key=f'k-{number}')
+            context.codes.append(response.status)
+        heads = [[head for head in t.heads if 'deadly' in head] for t in delivery.targets]
+        context.reached = sum(map(bool, heads))
+        delivery.stop()
+
+    run_real(play())
+
+
+def reports_of(fingerprint, version, name):
+    """Return pairs of the fingerprint and the service of three reports."""
+    if name == 'its own fingerprint':
+        return [(fingerprint.value, 'lepu')] * 3
+    if name == 'the copy for earlier versions':
+        return [(fingerprint.of_service('lepu'), COPY)] * 3
+    services = {
+        'the service of its route': ['lepu'] * 3,
+        'another service': ['tavi'] * 3,
+        'two services of its split route': ['lepu', 'mora', 'mora'],
+    }[name]
+    return [(fingerprint.of_service(service), service) for service in services]
+
+
+@when('a host of {version} reports 3 crashes of a request under {name}')
+def step_reported(context, version, name):
+    async def play():
+        delivery = await context.delivery.start()
+        delivery.catalog.offer_manifest(manifest_of('lepu', 'mora', version=2))
+        delivery.target_registry.refresh(now=0)
+        fingerprint = RequestFingerprint(request=delivery.request('r-1', '/read/x', 'x', 2))
+        (receive,) = delivery.crash_network.receivers
+        for number, (digest, service) in enumerate(reports_of(fingerprint, version, name)):
+            report = CrashReport(
+                fingerprint=digest,
+                service=service,
+                target=f'i-{number}',
+                wall_s=delivery.environment.clock.wall(),
+            )
+            receive('attiki-1', report)
+        try:
+            # The first request of a split route goes to its first service, which has targets.
+            context.codes = [(await delivery.send('r-1')).status]
+        except RequestError as error:
+            context.codes = [error.code]
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('that request is {handled}')
+def step_handled(context, handled):
+    assert context.codes == [{'refused': 'quarantined', 'served': 200}[handled]], context.codes
+
+
+@when('a caller sends such a request')
+def step_send_one(context):
+    async def play():
+        delivery = await context.delivery.start()
+        try:
+            await delivery.send('d-1', path='/read/deadly')
+        except RequestError as error:
+            context.error = error
+        await asyncio.sleep(0.1)
+        context.reports = delivery.crash_network.flooded
+        context.fingerprint = RequestFingerprint(
+            request=delivery.request('d-1', '/read/deadly', 'x', 2)
+        )
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('its crash is reported once under the request and once under its service')
+def step_reported_twice(context):
+    first_target = context.reports[0].target
+    reports = [
+        (report.fingerprint, report.service)
+        for report in context.reports
+        if report.target == first_target
+    ]
+    assert reports == [
+        (context.fingerprint.value, 'lepu'),
+        (context.fingerprint.of_service('lepu'), COPY),
+    ], reports
+
+
+@then('requests differ in host name, method, path, body and Authorization, and in nothing else')
+def step_identity(context):
+    def digest(headers=None, **changes):
+        fields = {
+            'request_id': 'r-1',
+            'method': 'POST',
+            'host': 'lepu.example',
+            'path': '/write/1',
+            'object_key': 'x',
+            'arrived_at': 1.0,
+            'caller_timeout_s': 2.0,
+            'body': b'body',
+            **changes,
+        }
+        headers = HTTPHeaders(headers or {})
+        return RequestFingerprint(request=EntryRequest(headers=headers, **fields)).value
+
+    same = [
+        {'request_id': 'r-2'},
+        {'object_key': None},
+        {'arrived_at': 2.0, 'caller_timeout_s': 1.0},
+        {'headers': {'X-Request-Id': 'r-3', 'Cookie': 'X-Affinity-Key=y'}},
+    ]
+    others = [
+        {'host': 'mora.example'},
+        {'method': 'PUT'},
+        {'path': '/write/1?x=1'},
+        {'body': b'other'},
+        {'headers': {'Authorization': 'Bearer a'}},
+        {'headers': {'Authorization': 'Bearer b'}},
+    ]
+    assert {digest(**changes) for changes in same} == {digest()}
+    assert len({digest(), *(digest(**changes) for changes in others)}) == len(others) + 1
--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -140,7 +140,8 @@
             environment=environment, target_registry=target_registry
         )
         self.liveness_task = asyncio.create_task(liveness_checker.run())
-        register = CrashRegistry(environment=environment, network=PeerNetwork())
+        self.crash_network = PeerNetwork()
+        register = CrashRegistry(environment=environment, network=self.crash_network)
         self.crash_detector = CrashDetector(environment=environment, register=register)
         self.network = PeerNetwork()
         self.notice_handler = NoticeHandler(
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -15,10 +15,8 @@
 
 from balsamrail.catalog.weighted_service import WeightedService
 from balsamrail.delivery.http_connection_pool import HttpConnectionPool
+from balsamrail.delivery.request_fingerprint import RequestFingerprint
 from balsamrail.errors import RequestError
-from balsamrail.exchange.fingerprint import fingerprint_of
-
-FINGERPRINT = fingerprint_of(service='lepu', method='GET', path='/read/popular', body=b'')
 
 
 async def respond(number, headers, writer):
@@ -587,7 +585,9 @@
             # The target fails while it runs the request, and the next one responds.
             context.delivery.targets[number].stop()
             state = delivery.target_registry.state_of(f'i-{number}')
-            delivery.crash_detector.record_disconnect(FINGERPRINT, state)
+            request = delivery.request(f'r-{number}', '/read/popular', 'x', 2)
+            fingerprint = RequestFingerprint(request=request)
+            delivery.crash_detector.record_disconnect(fingerprint, state)
             await asyncio.sleep(0.05)
             response = await delivery.send(f'r-{number}', path='/read/popular')
             assert response.status == 200
--- a/src/balsamrail/delivery/crash_detector.py
+++ b/src/balsamrail/delivery/crash_detector.py
@@ -1,8 +1,10 @@
 """Detects requests that crash the targets that run them."""
 
 import asyncio
+from collections.abc import Iterable
 
 from balsamrail.delivery.connect_probe import Reachability, probe_reachability
+from balsamrail.delivery.request_fingerprint import RequestFingerprint
 from balsamrail.environment import Environment
 from balsamrail.errors import QuarantinedError, TargetCrashingRequestError
 from balsamrail.exchange.crash_registry import CrashRegistry
@@ -32,32 +34,40 @@
         self._register = register
         self._checks: set[asyncio.Task[None]] = set()
 
-    def check(self, fingerprint: bytes) -> None:
+    def check(self, fingerprint: RequestFingerprint, *, services: Iterable[str]) -> None:
         """Refuse a request that crashed too many targets.
 
+        :param services: the services to which its route leads.
         :raises QuarantinedError: if it did.
         """
+        if not self._register.has_reports():
+            return
+        of_services = map(fingerprint.of_service, services)
         try:
-            self._register.check(fingerprint, limit=_CRASH_LIMIT)
+            self._register.check(fingerprint.value, *of_services, limit=_CRASH_LIMIT)
         except TargetCrashingRequestError as error:
             raise QuarantinedError(detail=error.detail, retry_after_s=_RETRY_AFTER_S) from error
 
-    def record_response(self, fingerprint: bytes) -> None:
-        """Clear the crash count of a request that a target has completed."""
-        self._register.clear(fingerprint)
+    def record_response(self, fingerprint: RequestFingerprint, *, service: str) -> None:
+        """Clear the crash count of a request that a target of ``service`` has completed."""
+        if self._register.has_reports():
+            self._register.clear(fingerprint.value)
+            self._register.clear(fingerprint.of_service(service))
 
-    def record_disconnect(self, fingerprint: bytes, state: TargetState) -> None:
+    def record_disconnect(self, fingerprint: RequestFingerprint, state: TargetState) -> None:
         """Start a check whether the target that dropped the connection has crashed."""
         check = asyncio.create_task(self._probe_target(fingerprint, state))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
-    async def _probe_target(self, fingerprint: bytes, state: TargetState) -> None:
+    async def _probe_target(self, fingerprint: RequestFingerprint, state: TargetState) -> None:
         reachability = await probe_reachability(
             environment=self._environment, address=state.entry.address, timeout_s=_PROBE_TIMEOUT_S
         )
         # A machine that lost power does not respond at all; a request cannot cause that.
         if reachability is Reachability.refusing:
-            self._register.report(
-                fingerprint, service=state.entry.service, target=state.entry.target_id
+            entry = state.entry
+            self._register.report(fingerprint.value, service=entry.service, target=entry.target_id)
+            self._register.report_to_earlier_versions(
+                fingerprint.of_service(entry.service), target=entry.target_id
             )
--- a/src/balsamrail/delivery/request_executor.py
+++ b/src/balsamrail/delivery/request_executor.py
@@ -9,6 +9,7 @@
 from balsamrail.delivery.delivery_planner import DeliveryPlanner
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.http_message import HttpResponse
+from balsamrail.delivery.request_fingerprint import RequestFingerprint
 from balsamrail.delivery.shutdown_deadline import ShutdownDeadline
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.delivery.target_response import TargetResponse
@@ -21,7 +22,6 @@
     RequestError,
     TargetFailedError,
 )
-from balsamrail.exchange.fingerprint import fingerprint_of
 from balsamrail.membership.member import Member
 from balsamrail.placement.exchange_sizes import ExchangeSizes
 from balsamrail.placement.exclusion_reason import ExclusionReason
@@ -93,12 +93,7 @@
         self._is_idempotent = plan.route.is_idempotent
         self._request = request
         self._deadline = request.arrived_at + min(caller_timeout_s, plan.route.timeout_s)
-        self._fingerprint = fingerprint_of(
-            service=plan.placement_key.service,
-            method=request.method,
-            path=request.path,
-            body=request.body,
-        )
+        self._fingerprint = RequestFingerprint(request=request)
         self._proxy = proxy
         self._record = AttemptRecord()
 
@@ -143,8 +138,9 @@
 
     def _choose(self) -> TargetState | Member:
         self._shutdown_deadline.check(self._deadline)
-        self._crash_detector.check(self._fingerprint)
         self._refresh_plan()
+        services = [part.service for part in self._plan.route.parts]
+        self._crash_detector.check(self._fingerprint, services=services)
         member = self._proxy.host_before_targets(self._request, self._plan, self._record)
         if member is not None:
             return member
@@ -194,7 +190,7 @@
         self._record.attempted.append(target_id)
         if not response.is_final:
             return _failure_of(response)
-        self._crash_detector.record_response(self._fingerprint)
+        self._crash_detector.record_response(self._fingerprint, service=state.entry.service)
         self._sizes.note(
             self._plan.route.name,
             sent_bytes=len(self._request.body),
--- /dev/null
+++ b/src/balsamrail/delivery/request_fingerprint.py
@@ -0,0 +1,39 @@
+"""The fingerprint under which the crashes of a request are counted."""
+
+from balsamrail.delivery.entry_request import EntryRequest
+from balsamrail.exchange.fingerprint import digest_of, fingerprint_of
+
+# A request of one caller is not held responsible for what the same request of another one did.
+_CALLER_HEADER = 'Authorization'
+
+
+class RequestFingerprint:
+    """Identifies a request that a caller sends again, whatever service its route leads to.
+
+    A split of the route or a new manifest must not make it another request, so the service is no
+    part of it. The affinity key is none either: it names an object, and callers may send it or not.
+
+    Hosts of earlier versions counted the crashes for each service apart, under
+    :meth:`of_service`::
+
+        fingerprint = RequestFingerprint(request=request)
+        fingerprint.value
+        fingerprint.of_service('bookings')
+    """
+
+    __slots__ = ('_request', 'value')
+
+    def __init__(self, *, request: EntryRequest) -> None:
+        self._request = request
+        caller = request.headers.get(_CALLER_HEADER, '')
+        texts = ('request', request.host, request.method, request.path, caller)
+        self.value = digest_of(texts, body=request.body)
+
+    def of_service(self, service: str) -> bytes:
+        """Return the fingerprint of the request at one service, for hosts of earlier versions."""
+        return fingerprint_of(
+            service=service,
+            method=self._request.method,
+            path=self._request.path,
+            body=self._request.body,
+        )
--- a/src/balsamrail/exchange/crash_registry.py
+++ b/src/balsamrail/exchange/crash_registry.py
@@ -14,6 +14,8 @@
 _REJECTION_PERIOD_S = 600.0
 # An attacker can create any number of fingerprints, so only the newest are stored.
 _MAX_FINGERPRINTS = 10_000
+# In place of the service, marks the copy of a report for hosts that count crashes by service.
+_EARLIER_VERSIONS = ''
 # Bounds what a host sends to each peer that connects, to about 300 KB.
 _MAX_REPEATED_FINGERPRINTS = 1_000
 
@@ -44,13 +46,18 @@
         network.subscribe(CrashReport, self._receive)
         network.repeat_to_peers(self._recent_reports)
 
-    def check(self, fingerprint: bytes, *, limit: int) -> None:
+    def has_reports(self) -> bool:
+        """Return whether any request is known to have crashed a target."""
+        return bool(self._reports)
+
+    def check(self, *fingerprints: bytes, limit: int) -> None:
         """Reject a request that crashed ``limit`` targets.
 
+        :param fingerprints: all fingerprints under which its crashes may have been reported.
         :raises TargetCrashingRequestError: for ten minutes after the last of these crashes.
         """
-        last = self._last_crash_wall_s(fingerprint)
-        if len(self._reports.get(fingerprint, ())) < limit:
+        last = max(map(self._last_crash_wall_s, fingerprints))
+        if sum(len(self._reports.get(each, ())) for each in fingerprints) < limit:
             return
         remaining_s = int(last + _REJECTION_PERIOD_S - self._environment.clock.wall()) + 1
         raise TargetCrashingRequestError(
@@ -107,6 +114,17 @@
             fingerprint=fingerprint.hex(),
         )
 
+    def report_to_earlier_versions(self, fingerprint: bytes, *, target: str) -> None:
+        """Report a crash under the fingerprint of earlier versions, which only those count."""
+        self._flood(
+            CrashReport(
+                fingerprint=fingerprint,
+                service=_EARLIER_VERSIONS,
+                target=target,
+                wall_s=self._environment.clock.wall(),
+            )
+        )
+
     def clear(self, fingerprint: bytes) -> None:
         """Remove the crashes of a request, since a target has just completed it."""
         if self._reports.pop(fingerprint, None) is None:
@@ -124,7 +142,7 @@
 
     def _receive(self, host: str, report: CrashReport) -> None:
         # Only what is new here, so that a repeated report is not flooded again.
-        if self._record(report):
+        if report.service == _EARLIER_VERSIONS or self._record(report):
             self._flood(report)
 
     def _flood(self, report: CrashReport) -> None:
