Exchange: responses count as memory until their callers have read them

Endless heads and bodies are bounded, also through a peer. Complete large responses that a slow caller did not read were not: they left the accounting when complete, and waited as two copies.

Change: a response counts until it is written, for callers, peers and on a node, and is released after Tornado has copied it. Above the limit the largest response is aborted, as before.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -65,6 +65,38 @@
     Then at most 16 MB of responses are buffered at any time
     And the responses of the ninth target are complete and the endless ones are aborted or time out
 
+  Scenario Outline: Large complete responses to <readers> that read nothing
+    Guards against memory use that grows with the number of such responses: they are complete, but
+    wait until they can be written.
+
+    Given a host of 64 MB and a second one, with targets that respond with 6 MB at once
+    When 16 <readers> send requests for such responses and read nothing
+    Then the responses take at most 64 MB of memory at each host
+    And other callers get complete small responses throughout
+    And once the readers have left, no response is accounted for
+
+    Examples:
+      | readers                      |
+      | callers                      |
+      | connections of another host  |
+      | callers of a host that sends through the second one |
+
+  Scenario: Large complete responses of a node to callers that read nothing
+    Guards against memory use of a node that grows with the number of such responses.
+
+    When 16 callers of a node of 64 MB request responses of 6 MB and read nothing
+    Then they take at most 64 MB of memory, besides one that is being sent to the node
+    And once the callers have left, the node accounts for no response
+
+  Scenario: Endless responses that reach a host through another one
+    Guards against a limit that holds only where a host calls the targets itself.
+
+    Given a host of 64 MB and a second one, with targets that send bodies without end
+    When 16 callers of a host that sends through the second one send requests for such responses and read nothing
+    Then the responses take at most 64 MB of memory at each host
+    And other callers get complete small responses throughout
+    And once the readers have left, no response is accounted for
+
   Scenario: An idempotent request whose first response is endless
     Guards against a caller that gets no response because of one target with an endless response.
 
--- a/features/steps/earlier_version_steps.py
+++ b/features/steps/earlier_version_steps.py
@@ -51,7 +51,7 @@
     has_crashed = False
 
     async def _answer(self, number, headers, writer):
-        if DEADLY in self.upstream.heads[-1]:
+        if DEADLY in self.upstream.heads[number - 1]:
             self.has_crashed = True
             self.upstream.stop()
             raise ConnectionError
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -252,7 +252,10 @@
     # The last one may reach its deadline before it is aborted; both give an unknown outcome.
     assert {result.status for result, _ in context.ends} <= {502, 504}, context.ends
     assert all(result.outcome == 'unknown' for result, _ in context.ends)
-    assert context.host.environment.metrics.counter('answers_cut_off') >= 7
+    assert context.host.environment.metrics.counter('answers_cut_off') >= 7, (
+        context.ends,
+        context.host.environment.metrics.counter('answers_cut_off'),
+    )
 
 
 @when('a target sends a chunked body without end to an idempotent request')
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -95,9 +95,13 @@
 
 
 class EntryFleet:
-    """Entry hosts with targets and a store."""
+    """Entry hosts with targets and a store.
 
-    def __init__(self, *, attiki, makedonia):
+    :param settings: settings of all hosts besides those that the fleet determines.
+    """
+
+    def __init__(self, *, attiki, makedonia, **settings):
+        self.settings = settings
         zones = ['attiki-a', 'attiki-b'] * attiki
         self.zone_by_host = {f'attiki-{n}': zones[n] for n in range(attiki)}
         self.zone_by_host.update({f'makedonia-{n}': 'makedonia-a' for n in range(makedonia)})
@@ -149,6 +153,7 @@
             limits=Limits(heartbeat_s=0.5, suspect_after_s=1.5, gone_after_s=0.5),
             store=StoreSettings(address=self.store.address, timeout_s=1),
             seeds=[addresses[3] for addresses in list(self.addresses.values())[:3]],
+            **self.settings,
         )
         started_ms, random_part = environment.incarnation[:12], environment.incarnation[12:]
         environment.incarnation = f'{int(started_ms, 16) - set_back_ms:012x}{random_part}'
--- a/features/steps/forwarding_parts.py
+++ b/features/steps/forwarding_parts.py
@@ -9,8 +9,10 @@
 from balsamrail.settings import Limits
 
 
-def make_environment(host='attiki-1', **limits):
-    return platform_helpers.make_environment(host=host, limits=Limits(**limits))
+def make_environment(host='attiki-1', memory_mb=300, **limits):
+    return platform_helpers.make_environment(
+        host=host, memory_mb=memory_mb, limits=Limits(**limits)
+    )
 
 
 def make_declaration(addresses, **fields):
--- a/features/steps/http_host.py
+++ b/features/steps/http_host.py
@@ -29,8 +29,8 @@
 class HttpHost:
     """A forwarder behind an HTTP listener."""
 
-    def __init__(self, addresses, *, members=None, host='attiki-1', **fields):
-        self.environment = make_environment(host=host, body_timeout_s=0.3)
+    def __init__(self, addresses, *, members=None, host='attiki-1', memory_mb=300, **fields):
+        self.environment = make_environment(host=host, body_timeout_s=0.3, memory_mb=memory_mb)
         self.forwarder = Forwarder(
             environment=self.environment,
             tracker=Tracker(make_declaration(addresses, **fields)),
--- a/src/balsamrail/exchange/response_memory_limiter.py
+++ b/src/balsamrail/exchange/response_memory_limiter.py
@@ -1,4 +1,4 @@
-"""Limits the total memory of incomplete responses of targets, upstreams and the store."""
+"""Limits the total memory of responses that are being received, or wait for their callers."""
 
 from balsamrail.exchange.response_usage import AbortCallback, ResponseUsage
 from balsamrail.metrics import Metrics
@@ -10,7 +10,10 @@
 
 
 class ResponseMemoryLimiter:
-    """Limits the bytes received for all incomplete responses of one host.
+    """Limits the bytes of all responses of one host that are not passed on completely.
+
+    These are the incomplete responses of targets, upstreams and the store, and the complete ones
+    that callers have not read yet, however slow the callers are.
 
     Above the limit the largest responses are aborted, so that responses of a normal size still
     complete while others are endless::
@@ -32,7 +35,7 @@
         self.used_bytes = 0
 
     def open(self, *, abort: AbortCallback) -> ResponseUsage:
-        """Start the accounting of a response that is about to be received.
+        """Start the accounting of a response that is about to be received or written.
 
         :param abort: aborts the response; called at most once.
         """
@@ -40,8 +43,17 @@
         self._open.add(usage)
         return usage
 
+    def hold(self, count: int, *, abort: AbortCallback) -> ResponseUsage:
+        """Account for ``count`` bytes of a complete response until it has been written.
+
+        :param abort: aborts the response, also before this method returns if it is the largest.
+        """
+        usage = self.open(abort=abort)
+        self.add_bytes(usage, count)
+        return usage
+
     def add_bytes(self, usage: ResponseUsage, count: int) -> None:
-        """Add received bytes, and abort the largest responses above the limit."""
+        """Add buffered bytes, and abort the largest responses above the limit."""
         usage.received_bytes += count
         self.used_bytes += count
         while self.used_bytes > self.limit_bytes:
--- a/src/balsamrail/forwarding/forward_handler.py
+++ b/src/balsamrail/forwarding/forward_handler.py
@@ -196,7 +196,14 @@
         if len(response.body) > _MAX_COALESCED_BODY_BYTES:
             # tornado would copy the body to join it with the headers.
             self.flush()
-        self.finish(response.body)
+        memory = self._environment.answer_memory
+        usage = memory.hold(len(response.body), abort=self._abort_response)
+        self.finish(response.body).add_done_callback(lambda _: memory.close(usage))
+
+    def _abort_response(self, reason: str) -> None:
+        self._environment.log.event('answer_cut_off', reason=reason)
+        connection: Any = self.request.connection
+        connection.stream.close()
 
     def _stop_timer(self) -> None:
         if self._body_timer is not None:
--- a/src/balsamrail/platform/caller_server.py
+++ b/src/balsamrail/platform/caller_server.py
@@ -205,15 +205,27 @@
             sent['Connection'] = 'close'
         start_line = httputil.ResponseStartLine('HTTP/1.1', answer.status, answer.reason)
         is_head = self._request is not None and self._request.method == 'HEAD'
-        body = None if is_head else answer.body or None
-        written = self._connection.write_headers(start_line, sent, body)
-        # Before the end of the response, since Tornado reads the next request right after it.
-        self._stream.is_finished = is_last
-        self._connection.finish()
-        await written
+        body = b'' if is_head else answer.body
+        memory = self._server.environment.answer_memory
+        usage = memory.hold(len(body), abort=self._abort_response)
+        try:
+            written = self._connection.write_headers(start_line, sent, body or None)
+            # The stream has a copy.
+            answer.body = body = b''
+            # Before the end of the response, since Tornado reads the next request right after it.
+            self._stream.is_finished = is_last
+            self._connection.finish()
+            await written
+        finally:
+            memory.close(usage)
         if is_last:
             self._stream.finish()
 
+    def _abort_response(self, reason: str) -> None:
+        request_id = '' if self._request is None else self._request.request_id
+        self._server.environment.log.event('answer_cut_off', request=request_id, reason=reason)
+        self._stream.close()
+
     def _decode_request(
         self, start_line: httputil.RequestStartLine, request_headers: httputil.HTTPHeaders
     ) -> EntryRequest:
--- a/tools/mutants/endless_bytes.py
+++ b/tools/mutants/endless_bytes.py
@@ -109,4 +109,20 @@
         feature=_FEATURE,
         scenario='The store of a node sends a body without a length at once',
     ),
+    Mutant(
+        mechanism='complete responses count until callers have read them',
+        file='src/balsamrail/platform/caller_server.py',
+        old='usage = memory.hold(len(body), ',
+        new='usage = memory.hold(0, ',
+        feature=_FEATURE,
+        scenario='Large complete responses to callers that read nothing',
+    ),
+    Mutant(
+        mechanism='complete responses of a node count until callers have read them',
+        file='src/balsamrail/forwarding/forward_handler.py',
+        old='usage = memory.hold(len(response.body), ',
+        new='usage = memory.hold(0, ',
+        feature=_FEATURE,
+        scenario='Large complete responses of a node',
+    ),
 )
--- a/tools/mutants/forwarding.py
+++ b/tools/mutants/forwarding.py
@@ -116,8 +116,8 @@
         file='src/balsamrail/delivery/crash_detector.py',
         old='self._register.report_to_earlier_versions(',
         new='(lambda *args, **fields: None)(',
-        feature='features/earlier_version.feature',
-        scenario='A request crashes its targets at the host of this version',
+        feature='features/delivery.feature',
+        scenario='A crash is reported to hosts of earlier versions',
     ),
     Mutant(
         mechanism='crash reports are repeated to hosts that connect later',
