--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -212,6 +212,20 @@
       | this version        | its own fingerprint                  | refused |
       | this version        | the copy for earlier versions        | served  |
 
+  Scenario Outline: A target that a request crashes <times> times, and that starts again under <identity>
+    Guards against a request that crashes one target again and again, since only other targets count
+    (review/2).
+
+    Given targets that respond immediately
+    When a request crashes a target <times> times, which starts again under <identity>
+    Then that request is <handled>
+
+    Examples:
+      | times | identity                          | handled |
+      | 3     | its id with another time of birth | refused |
+      | 2     | its id with another time of birth | served  |
+      | 3     | its id and is not noticed to      | served  |
+
   Scenario: A crash is reported to hosts of earlier versions under the service as well
     Guards against hosts of earlier versions that hear of no crashes while the fleet is replaced.
 
--- a/features/steps/delivery_crash_steps.py
+++ b/features/steps/delivery_crash_steps.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 from delivery_parts import DeliveryHarness, response_to
-from placement_parts import make_manifest, make_route
-from platform_helpers import run_real
+from placement_parts import make_entry, make_manifest, make_route
+from platform_helpers import free_address, run_real
 from tornado.httputil import HTTPHeaders
 
 from balsamrail.catalog.weighted_service import WeightedService
@@ -124,6 +124,28 @@
     assert context.codes == [{'refused': 'quarantined', 'served': 200}[handled]], context.codes
 
 
+@when('a request crashes a target {times:d} times, which starts again under {identity}')
+def step_crashed_again(context, times, identity):
+    async def play():
+        delivery = await context.delivery.start()
+        fingerprint = RequestFingerprint(request=delivery.request('r-1', '/read/x', 'x', 2))
+        address = free_address()
+        for number in range(times):
+            born_ms = number if identity.endswith('birth') else 1
+            delivery.catalog.put_target(make_entry('i-9', address=address, born_ms=born_ms))
+            delivery.target_registry.refresh(now=0)
+            state = delivery.target_registry.state_of('i-9')
+            delivery.crash_detector.record_disconnect(fingerprint, state)
+            await asyncio.sleep(0.05)
+        try:
+            context.codes = [(await delivery.send('r-1')).status]
+        except RequestError as error:
+            context.codes = [error.code]
+        delivery.stop()
+
+    run_real(play())
+
+
 @when('a caller sends such a request')
 def step_send_one(context):
     async def play():
--- a/src/balsamrail/delivery/crash_detector.py
+++ b/src/balsamrail/delivery/crash_detector.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
+from balsamrail.catalog.target_entry import TargetEntry
 from balsamrail.delivery.connect_probe import Reachability, probe_reachability
 from balsamrail.delivery.request_fingerprint import RequestFingerprint
 from balsamrail.environment import Environment
@@ -66,8 +67,14 @@
         )
         # A machine that lost power does not respond at all; a request cannot cause that.
         if reachability is Reachability.refusing:
-            entry = state.entry
-            self._register.report(fingerprint.value, service=entry.service, target=entry.target_id)
+            target = _incarnation_of(state.entry)
+            service = state.entry.service
+            self._register.report(fingerprint.value, service=service, target=target)
             self._register.report_to_earlier_versions(
-                fingerprint.of_service(entry.service), target=entry.target_id
+                fingerprint.of_service(service), target=target
             )
+
+
+def _incarnation_of(entry: TargetEntry) -> str:
+    """Return what a crash ends: a target that starts again under its id can crash again."""
+    return f'{entry.target_id}@{entry.born_ms}'
--- a/tools/mutants/forwarding.py
+++ b/tools/mutants/forwarding.py
@@ -119,6 +119,14 @@
         feature='features/delivery.feature',
         scenario='A crash is reported to hosts of earlier versions',
     ),
+    Mutant(
+        mechanism='a target that starts again under its id counts again when it crashes',
+        file='src/balsamrail/delivery/crash_detector.py',
+        old="    return f'{entry.target_id}@{entry.born_ms}'\n",
+        new='    return entry.target_id\n',
+        feature='features/delivery.feature',
+        scenario='A target that a request crashes 3 times, and that starts again under its id with',
+    ),
     Mutant(
         mechanism='crash reports are repeated to hosts that connect later',
         file='src/balsamrail/exchange/crash_registry.py',
