--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -27,6 +27,20 @@
       | has no room                           | a non-idempotent | overloaded         | 1 0      |
       | says nothing                          | a non-idempotent | outcome_unknown    | 1 0      |
 
+  Scenario Outline: A target announces <what> in a response that another host passes on
+    Guards against requests to targets whose announcements this host has passed on to callers without
+    noting them (review/5).
+
+    Given a host that reaches no target, and a peer whose target announces <what>
+    When one caller sends an idempotent request with a timeout of 1 s
+    Then this host <notes> that of the target that responded, and of no other
+
+    Examples:
+      | what                    | notes    |
+      | that it leaves          | notes    |
+      | a limit                 | notes    |
+      | a refusal for a time    | ignores  |
+
   Scenario: A request that no peer serves is refused at once
     Guards against callers that wait although the request is known not to be served.
 
--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -186,6 +186,8 @@
                 selector=selector,
                 codec=ProxyProtocol(),
             ),
+            codec=TargetProtocol(),
+            notice_handler=self.notice_handler,
         )
 
     def stop(self):
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -148,6 +148,37 @@
     context.proxying = ProxyHarness(reaches_none, reaches_none)
 
 
+ANNOUNCEMENTS = {
+    'that it leaves': (b'200 OK', {'Server_Leaving': '1'}),
+    'a limit': (b'200 OK', {'Server_Limit': '3'}),
+    'a refusal for a time': (b'503 Busy', {'Retry_After': '9'}),
+}
+
+
+@given('a host that reaches no target, and a peer whose target announces {what}')
+def step_announcing(context, what):
+    status, fields = ANNOUNCEMENTS[what]
+
+    async def announce(number, headers, writer):
+        writer.write(reply(headers, 'answered', status=status, sent='i-1,i-2', **fields))
+
+    context.what = what
+    context.proxying = ProxyHarness(announce, reaches_none)
+    context.proxying.delivery.behaviours = [close_connection] * 2
+
+
+@then('this host {verb} that of the target that responded, and of no other')
+def step_noted(context, verb):
+    states = context.proxying.delivery.target_registry.states_by_id
+    read = {
+        'that it leaves': lambda each: each.availability.leaving_since is not None,
+        'a limit': lambda each: each.availability.limit is not None,
+        'a refusal for a time': lambda each: each.availability.refusing_until > 0,
+    }[context.what]
+    noted = [target_id for target_id, state in states.items() if read(state)]
+    assert noted == (['i-2'] if verb == 'notes' else []), noted
+
+
 def path_of(kind):
     return '/write/x' if kind == 'a non-idempotent' else '/read/x'
 
--- a/src/balsamrail/entry/delivery_components.py
+++ b/src/balsamrail/entry/delivery_components.py
@@ -113,6 +113,8 @@
                 target_registry=self.target_registry,
                 selector=selector,
                 exchange=self.proxy_exchange,
+                codec=codec,
+                notice_handler=notice_handler,
             ),
         )
 
--- a/src/balsamrail/proxying/request_proxy.py
+++ b/src/balsamrail/proxying/request_proxy.py
@@ -1,11 +1,14 @@
 """Decides when a request goes through another host, and sends it there."""
 
+from dataclasses import replace
 from typing import Any
 
 from balsamrail.delivery.attempt_record import AttemptRecord
 from balsamrail.delivery.delivery_plan import DeliveryPlan
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.http_message import HttpResponse
+from balsamrail.delivery.notice_handler import NoticeHandler
+from balsamrail.delivery.target_codec import TargetCodec
 from balsamrail.environment import Environment
 from balsamrail.errors import ExchangeError, OverloadedError
 from balsamrail.membership.member import Member
@@ -39,9 +42,17 @@
     have, the peers do not reach them either and say so.
 
     :param target_registry: the targets as seen over this host's own paths.
+    :param notice_handler: records what targets announce in the responses that other hosts pass on.
     """
 
-    __slots__ = ('_environment', '_exchange', '_selector', '_target_registry')
+    __slots__ = (
+        '_codec',
+        '_environment',
+        '_exchange',
+        '_notice_handler',
+        '_selector',
+        '_target_registry',
+    )
 
     def __init__(
         self,
@@ -50,8 +61,12 @@
         target_registry: TargetRegistry,
         selector: ProxyHostSelector,
         exchange: ProxyExchange,
+        codec: TargetCodec,
+        notice_handler: NoticeHandler,
     ) -> None:
+        self._codec = codec
         self._environment = environment
+        self._notice_handler = notice_handler
         self._target_registry = target_registry
         self._selector = selector
         self._exchange = exchange
@@ -135,12 +150,24 @@
         record.attempted.extend(reply.attempted)
         if isinstance(reply, ProxyFailure) and not reply.attempted:
             record.note_unknown_attempts(member.host, count=handover.max_attempts)
+        if isinstance(reply, ProxyAnswer):
+            self._note_target(reply)
         return _outcome_of(reply, member)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
         return self._exchange.dump()
 
+    def _note_target(self, answer: ProxyAnswer) -> None:
+        """Record what the target announced that the other host sent the request to last."""
+        state = self._target_registry.state_of(answer.attempted[-1]) if answer.attempted else None
+        if state is None:
+            return
+        response = answer.response
+        notice = self._codec.decode_notice(response.status, response.headers, is_current=True)
+        # A refusal concerns the host that it was sent to.
+        self._notice_handler.handle(state, replace(notice, refuses_for_s=None))
+
     def _select(
         self, request: EntryRequest, plan: DeliveryPlan, record: AttemptRecord
     ) -> Member | None:
--- a/tools/mutants/proxying.py
+++ b/tools/mutants/proxying.py
@@ -158,4 +158,12 @@
         feature='features/delivery.feature',
         scenario='A caller with little time left takes no target down',
     ),
+    Mutant(
+        mechanism='what targets announce in responses that other hosts pass on is noted',
+        file='src/balsamrail/proxying/request_proxy.py',
+        old='            self._note_target(reply)\n',
+        new='            pass\n',
+        feature='features/proxying.feature',
+        scenario='A target announces that it leaves in a response',
+    ),
 )
