Proxying: a request at a dead peer ends when the peer is suspected

What callers saw: an idempotent request sent through a host that died could wait until its deadline (504), although another host would have served it.

Cause: a non-idempotent request that ended with an empty set of connections removed the host's entry from the table, and with it the newer set of a later request.

Change: only idempotent requests use the table.

Measured: three overlapping requests; the third ended with 504 at its deadline before, and is served within 0.3 s after.

--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -110,6 +110,15 @@
       | an idempotent    | closed |
       | a non-idempotent | open   |
 
+  Scenario: Three requests at a peer overlap, and the peer is suspected
+    Guards against an idempotent request that waits until its deadline at a host that has died, since
+    a non-idempotent one that was sent before it has ended.
+
+    Given a host that reaches no target, and two peers of which the first is slow to respond
+    When an idempotent request, a non-idempotent one and another idempotent one overlap at the first peer
+    And the first peer is suspected when the first two have ended
+    Then the third request is served by the other peer within 0.3 s
+
   Scenario: A peer that is suspected of a failure holds up no request
     Guards against requests that wait until their deadline at a host that has died.
 
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -91,7 +91,13 @@
     writer.write(reply(headers, 'unknown', status=b'502 Lost', code='target_failed', sent='i-1'))
 
 
+async def respond_by_id(number, headers, writer):
+    await asyncio.sleep({'first': 0.15, 'second': 0.35}.get(headers['x-request-id'], 60))
+    await serve(number, headers, writer)
+
+
 BEHAVIOURS = {
+    'is slow to respond': respond_by_id,
     'accepts no connection': None,
     'closes the connection': close_connection,
     'breaks off its response': break_off,
@@ -325,12 +331,7 @@
         delivery = await context.proxying.start()
         task = asyncio.create_task(delivery.send('r-1', caller_timeout_s=1.0))
         await asyncio.sleep(0.2)
-        members = delivery.members
-        members['near'] = make_member(
-            'near', state='suspect', peer_address=members['near'].peer_address
-        )
-        for changed in members.listeners:
-            changed()
+        suspect_peer(delivery)
         response = await task
         assert response.body == b'whole'
         context.outcome = 'the whole response'
@@ -339,6 +340,53 @@
     run_real(play())
 
 
+@when(
+    'an idempotent request, a non-idempotent one and another idempotent one overlap at the first '
+    'peer'
+)
+def step_overlap(context):
+    async def play(delivery):
+        context.ended = []
+        context.ended.append(asyncio.create_task(delivery.send('first')))
+        await asyncio.sleep(0.05)
+        context.ended.append(asyncio.create_task(delivery.send('second', path='/write/x')))
+        await asyncio.sleep(0.2)
+        context.third = asyncio.create_task(delivery.send('third'))
+
+    context.play_overlap = play
+
+
+@when('the first peer is suspected when the first two have ended')
+def step_suspected_later(context):
+    async def play():
+        delivery = await context.proxying.start()
+        await context.play_overlap(delivery)
+        await asyncio.gather(*context.ended)
+        suspect_peer(delivery)
+        started = time.monotonic()
+        response = await context.third
+        assert response.body == b'whole'
+        context.took_s = time.monotonic() - started
+        context.proxying.stop()
+
+    run_real(play())
+
+
+@then('the third request is served by the other peer within {limit:g} s')
+def step_third(context, limit):
+    assert context.took_s < limit, context.took_s
+    assert len(context.proxying.peers[1].heads) == 1
+
+
+def suspect_peer(delivery):
+    members = delivery.members
+    members['near'] = make_member(
+        'near', state='suspect', peer_address=members['near'].peer_address
+    )
+    for changed in members.listeners:
+        changed()
+
+
 @given('a host that has lost its paths to targets that respond again')
 def step_lost_targets(context):
     async def respond(number, headers, writer):
--- a/src/balsamrail/proxying/proxy_exchange.py
+++ b/src/balsamrail/proxying/proxy_exchange.py
@@ -1,6 +1,7 @@
 """Sends requests to other hosts, which send them to targets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Protocol
 
 from balsamrail.delivery.entry_request import EntryRequest
@@ -109,20 +110,29 @@
             raise DeadlineExpiredError(
                 detail='too little time left to send the request', retry_after_s=0.3
             )
-        retryable = self._retryable_by_host.setdefault(member.host, set())
-        if is_idempotent:
-            retryable.add(connection)
-        try:
+        with self._closed_on_suspicion(member.host, connection if is_idempotent else None):
             response = await connection.exchange(
                 self._codec.encode_request(request, handover=handover, left_s=left_s),
                 deadline=deadline,
             )
+        self.pool.release(member.host, connection)
+        return self._codec.decode_reply(request, response)
+
+    @contextmanager
+    def _closed_on_suspicion(self, host: str, connection: HttpConnection | None) -> Iterator[None]:
+        """Close a connection as soon as ``host`` is suspected; ``None`` for a request that stays."""
+        if connection is None:
+            yield
+            return
+        retryable = self._retryable_by_host.setdefault(host, set())
+        retryable.add(connection)
+        try:
+            yield
         finally:
             retryable.discard(connection)
+            # A set that has been in use all the time is the one in the table.
             if not retryable:
-                self._retryable_by_host.pop(member.host, None)
-        self.pool.release(member.host, connection)
-        return self._codec.decode_reply(request, response)
+                self._retryable_by_host.pop(host)
 
     def _note_failure(self, request: EntryRequest, member: Member, error: ExchangeError) -> None:
         self._environment.metrics.count('requests_proxied_failed')
