--- a/features/crash_reports.feature
+++ b/features/crash_reports.feature
@@ -14,6 +14,7 @@
       | every host restarts in turn                     |
       | every host restarts in turn, twice              |
       | hosts 0 to 3 restart at once and then the others |
+      | all hosts restart at once                       |
 
   Scenario: A host that was cut off while a request crashed its targets
     Guards against a host that misses the flood of the reports and keeps its incarnation.
@@ -47,3 +48,40 @@
     Given a fleet of 9 hosts that have seen a request crash 3 targets
     When 610 s pass and every host restarts in turn
     Then no host refuses the request
+
+  Scenario Outline: The store keeps refused requests while it is <store>
+    Guards against hosts that lose a report, or do not start, because a call to the store failed.
+
+    Given a fleet of 9 hosts whose store is <store> while a request crashes 3 targets
+    When the store is available again, 3 s pass, and all hosts restart at once
+    Then every host refuses the request
+    And at most 3 hosts have written to the store
+
+    Examples:
+      | store     |
+      | available |
+      | down      |
+
+  Scenario: The store answers late when all hosts restart at once
+    Guards against a host that gives up reading the refused requests.
+
+    Given a fleet of 9 hosts that have seen a request crash 3 targets
+    When all hosts restart at once while the store is down for 5 s
+    And 3 s pass
+    Then every host refuses the request
+
+  Scenario: Reports that have expired are removed from the store
+    Guards against entries in the store that accumulate.
+
+    Given a fleet of 9 hosts that have seen a request crash 3 targets
+    When 610 s pass and every host restarts in turn
+    Then no host refuses the request
+    And the store keeps no reports
+
+  Scenario: The entries of the platform's store
+    Guards against reports that are read back otherwise than they were written, and against malformed
+    entries of other writers that hide the others.
+
+    When reports on two requests are written to the platform's store, beside malformed entries
+    Then both are read back, and the malformed ones are logged
+    And a request whose entry was listed can be removed, and one that has changed since stays
--- a/features/steps/crash_reports_steps.py
+++ b/features/steps/crash_reports_steps.py
@@ -6,11 +6,17 @@
 
 from balsamrail.errors import TargetCrashingRequestError
 from balsamrail.messages import CrashReport
+from balsamrail.platform.crash_store import CrashStore
+from balsamrail.platform.object_store import ObjectStore
+from balsamrail.settings import StoreSettings
 from features.steps.memory_fleet import START_WALL_S, make_fleet, run
+from features.steps.platform_helpers import RecordedLog, make_environment, run_real
+from standins.platform_store import PlatformStore
 
 CRASH_LIMIT = 3
 REQUEST = b'deadly'
 HOST_COUNT = 9
+KIND = 'balsamrail-crashes'
 
 
 def refuses(host, fingerprint):
@@ -81,17 +87,22 @@
     step_restart(context)
 
 
+async def restart_parts(fleet, *parts):
+    seeds = [host.address for host in fleet.hosts]
+    for part in parts:
+        for index in part:
+            fleet.restart(index, options={'seeds': seeds})
+        await asyncio.sleep(3)
+
+
 @when('hosts 0 to 3 restart at once and then the others')
 def step_restart_halves(context):
-    async def restart():
-        fleet = context.fleet
-        seeds = [host.address for host in fleet.hosts]
-        for half in (range(4), range(4, HOST_COUNT)):
-            for index in half:
-                fleet.restart(index, options={'seeds': seeds})
-            await asyncio.sleep(3)
+    run(context, restart_parts(context.fleet, range(4), range(4, HOST_COUNT)))
 
-    run(context, restart())
+
+@when('all hosts restart at once')
+def step_restart_all(context):
+    run(context, restart_parts(context.fleet, range(HOST_COUNT)))
 
 
 @when('host 4 is cut off, a request crashes 3 targets, and the cut ends after {seconds:d} s')
@@ -161,3 +172,93 @@
     sent = context.fleet.network.sent['CrashReport']
     print(f'{sent} crash reports sent')
     assert sent <= 2 * peers * count, sent
+
+
+@given('a fleet of 9 hosts whose store is {state} while a request crashes 3 targets')
+def step_store_state(context, state):
+    make_fleet(context, size=HOST_COUNT)
+
+    async def crash():
+        await asyncio.sleep(5)
+        context.fleet.store.list_down = state == 'down'
+        crash_targets(context.fleet.hosts, REQUEST)
+        await asyncio.sleep(3)
+
+    run(context, crash())
+
+
+@when('the store is available again, 3 s pass, and all hosts restart at once')
+def step_store_available(context):
+    context.fleet.store.list_down = False
+    run(context, asyncio.sleep(3))
+    step_restart_all(context)
+
+
+@then('at most {count:d} hosts have written to the store')
+def step_writers(context, count):
+    assert 1 <= context.fleet.store.crash_writes <= count, context.fleet.store.crash_writes
+
+
+@when('all hosts restart at once while the store is down for {seconds:d} s')
+def step_restart_without_store(context, seconds):
+    async def restart():
+        context.fleet.store.list_down = True
+        await restart_parts(context.fleet, range(HOST_COUNT))
+        await asyncio.sleep(seconds)
+        context.fleet.store.list_down = False
+
+    run(context, restart())
+
+
+@then('the store keeps no reports')
+def step_store_empty(context):
+    assert not context.fleet.store.crashes, context.fleet.store.crashes
+
+
+@when("reports on two requests are written to the platform's store, beside malformed entries")
+def step_platform_entries(context):
+    context.written = [
+        [
+            CrashReport(fingerprint=fingerprint, service='lepu', target=f'i-{n}@1', wall_s=1.5 + n)
+            for n in range(CRASH_LIMIT)
+        ]
+        for fingerprint in (b'f' * 16, b'g' * 16)
+    ]
+
+    async def play():
+        standin = PlatformStore()
+        await standin.start()
+        log = RecordedLog()
+        environment = make_environment(
+            log=log, store=StoreSettings(address=standin.address, timeout_s=1)
+        )
+        objects = ObjectStore(environment=environment)
+        store = CrashStore(environment=environment, store=objects)
+        for reports in context.written:
+            await store.save_crashes(reports)
+        standin.put(KIND, 'no digits', {'crashes': []})
+        standin.put(KIND, 'aa', {'crashes': [{'service': 'lepu'}]})
+        context.read = await store.list_crashes()
+        context.rejected = [line for line in log.lines if 'event=crash_entry_rejected' in line]
+        changed, removed = (reports[0].fingerprint for reports in context.written)
+        await CrashStore(environment=environment, store=objects).save_crashes(
+            context.written[0][:2]
+        )
+        await store.delete_crashes(changed)
+        await store.delete_crashes(removed)
+        context.left = {name for name in standin.objects[KIND] if len(name) == 2 * 16}
+        objects.close()
+        await standin.stop()
+
+    run_real(play())
+
+
+@then('both are read back, and the malformed ones are logged')
+def step_read_back(context):
+    assert context.read == [report for reports in context.written for report in reports]
+    assert len(context.rejected) == 2, context.rejected
+
+
+@then('a request whose entry was listed can be removed, and one that has changed since stays')
+def step_removed(context):
+    assert context.left == {context.written[0][0].fingerprint.hex()}, context.left
--- a/features/steps/delivery_crash_steps.py
+++ b/features/steps/delivery_crash_steps.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from delivery_parts import DeliveryHarness, response_to
+from delivery_parts import DeliveryHarness, crash_on
 from placement_parts import make_entry, make_manifest, make_route
 from platform_helpers import free_address, run_real
 from tornado.httputil import HTTPHeaders
@@ -32,19 +32,19 @@
 @given('targets of three services that crash on requests for the path /read/deadly')
 def step_three_services(context):
     entries = [{'service': name} for name in SERVICES for _ in range(TARGETS_PER_SERVICE)]
-    context.delivery = DeliveryHarness([], entries=entries)
-
-    def make(number):
-        async def crash(count, headers, writer):
-            target = context.delivery.targets[number]
-            if '/read/deadly' in target.heads[-1]:
-                target.stop()
-                raise ConnectionError
-            writer.write(response_to(headers))
+    delivery = DeliveryHarness([], entries=entries)
+    delivery.behaviours = [
+        crash_on('/read/deadly', delivery, number) for number in range(len(entries))
+    ]
+    context.delivery = delivery
 
-        return crash
 
-    context.delivery.behaviours = [make(number) for number in range(len(entries))]
+async def answer_code(delivery):
+    """Send a request and return the status of its response, or the code of the error."""
+    try:
+        return (await delivery.send('r-1')).status
+    except RequestError as error:
+        return error.code
 
 
 @when(
@@ -109,11 +109,8 @@
                 wall_s=delivery.environment.clock.wall(),
             )
             receive('attiki-1', report)
-        try:
-            # The first request of a split route goes to its first service, which has targets.
-            context.codes = [(await delivery.send('r-1')).status]
-        except RequestError as error:
-            context.codes = [error.code]
+        # The first request of a split route goes to its first service, which has targets.
+        context.codes = [await answer_code(delivery)]
         delivery.stop()
 
     run_real(play())
@@ -137,10 +134,7 @@
             state = delivery.target_registry.state_of('i-9')
             delivery.crash_detector.record_disconnect(fingerprint, state)
             await asyncio.sleep(0.05)
-        try:
-            context.codes = [(await delivery.send('r-1')).status]
-        except RequestError as error:
-            context.codes = [error.code]
+        context.codes = [await answer_code(delivery)]
         delivery.stop()
 
     run_real(play())
--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -43,6 +43,19 @@
     return whole(body, **fields)
 
 
+def crash_on(path, harness, number):
+    """Return the behaviour of a target that ends when it begins to run a request for ``path``."""
+
+    async def crash(count, headers, writer):
+        target = harness.targets[number]
+        if path in target.heads[count - 1]:
+            target.stop()
+            raise ConnectionError
+        writer.write(response_to(headers))
+
+    return crash
+
+
 @contextlib.contextmanager
 def simulate_power_loss(target):
     """Keep a target's connections open while its address accepts no new ones.
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from behave import given, then, when
-from delivery_parts import DeliveryHarness, response_to, simulate_power_loss
+from delivery_parts import DeliveryHarness, crash_on, response_to, simulate_power_loss
 from forwarding_parts import whole
 from placement_parts import make_entry, make_manifest, make_route
 from platform_helpers import run_real
@@ -518,19 +518,9 @@
 
 @given('targets that crash on requests for the path /read/deadly')
 def step_crashing_targets(context):
-    context.delivery = DeliveryHarness([])
-
-    def make(number):
-        async def crash(count, headers, writer):
-            target = context.delivery.targets[number]
-            if '/read/deadly' in target.heads[-1]:
-                target.stop()
-                raise ConnectionError
-            writer.write(response_to(headers))
-
-        return crash
-
-    context.delivery.behaviours = [make(number) for number in range(6)]
+    delivery = DeliveryHarness([])
+    delivery.behaviours = [crash_on('/read/deadly', delivery, number) for number in range(6)]
+    context.delivery = delivery
 
 
 @when('callers send such requests repeatedly with new ids, and others send other requests')
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -11,6 +11,7 @@
 from balsamrail.configuration.record_sync import RecordSync
 from balsamrail.environment import Environment
 from balsamrail.errors import HistoryGoneError, StoreConflictError, StoreUnavailableError
+from balsamrail.exchange.crash_archive import CrashArchive
 from balsamrail.exchange.crash_registry import CrashRegistry
 from balsamrail.logs import Log
 from balsamrail.membership import FailureDetector, HeartbeatStatus, Members, PeerNetwork
@@ -41,6 +42,8 @@
         self.calls = 0
         self.listed_by_host = {}
         self.losses = []
+        self.crashes = {}
+        self.crash_writes = 0
 
     def put(self, value):
         version = self.stored.version + 1 if self.stored else 1
@@ -133,6 +136,21 @@
         self._check()
         await self.store.write_losses(losses)
 
+    async def list_crashes(self):
+        self._check()
+        await self.store.list_hosts()
+        return [report for reports in self.store.crashes.values() for report in reports]
+
+    async def save_crashes(self, reports):
+        self._check()
+        await self.store.list_hosts()
+        self.store.crash_writes += 1
+        self.store.crashes[reports[0].fingerprint] = reports
+
+    async def delete_crashes(self, fingerprint):
+        self._check()
+        self.store.crashes.pop(fingerprint, None)
+
     def _check(self):
         if self.is_cut_off:
             raise StoreUnavailableError('the store cannot be reached')
@@ -221,6 +239,9 @@
         if options.get('heartbeat_number', True):
             self.network.status = lambda: HeartbeatStatus(record_number=self.tracker.number)
         self.crashes = CrashRegistry(environment=self.environment, network=self.network)
+        self.crash_archive = CrashArchive(
+            environment=self.environment, registry=self.crashes, source=self.store, limit=3
+        )
         self.sync = RecordSync(
             environment=self.environment,
             tracker=self.tracker,
@@ -241,6 +262,7 @@
             asyncio.create_task(self.network.run()),
             asyncio.create_task(self.sync.run()),
             asyncio.create_task(self.loss_record.run()),
+            asyncio.create_task(self.crash_archive.run()),
         ]
 
     def kill(self):
--- a/src/balsamrail/delivery/crash_detector.py
+++ b/src/balsamrail/delivery/crash_detector.py
@@ -12,7 +12,7 @@
 from balsamrail.placement.target_state import TargetState
 
 # Requests with a fingerprint are refused once they have crashed this many targets.
-_CRASH_LIMIT = 3
+CRASH_LIMIT = 3
 _PROBE_TIMEOUT_S = 0.5
 _RETRY_AFTER_S = 5.0
 
@@ -45,7 +45,7 @@
             return
         of_services = map(fingerprint.of_service, services)
         try:
-            self._register.check(fingerprint.value, *of_services, limit=_CRASH_LIMIT)
+            self._register.check(fingerprint.value, *of_services, limit=CRASH_LIMIT)
         except TargetCrashingRequestError as error:
             raise QuarantinedError(detail=error.detail, retry_after_s=_RETRY_AFTER_S) from error
 
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -4,6 +4,7 @@
 import signal
 from typing import Any
 
+from balsamrail.delivery.crash_detector import CRASH_LIMIT
 from balsamrail.entry.delivery_components import DeliveryComponents
 from balsamrail.entry.entry_gauges import EntryGauges
 from balsamrail.entry.graceful_shutdown import GracefulShutdown
@@ -11,9 +12,11 @@
 from balsamrail.entry.settings_file import SettingsFile
 from balsamrail.entry.store_components import StoreComponents
 from balsamrail.environment import Environment
+from balsamrail.exchange.crash_archive import CrashArchive
 from balsamrail.fleet.directory import Directory
 from balsamrail.gauge import Gauge
 from balsamrail.platform.caller_server import CallerServer
+from balsamrail.platform.crash_store import CrashStore
 from balsamrail.platform.lookup_server import lookup_pages
 from balsamrail.process.operator_pages import operator_pages
 from balsamrail.process.supervisor import Supervisor
@@ -43,6 +46,12 @@
             members=self.members,
             network=self.store_components.network,
         )
+        self.crash_archive = CrashArchive(
+            environment=environment,
+            registry=self.delivery.crashes,
+            source=CrashStore(environment=environment, store=self.store_components.store),
+            limit=CRASH_LIMIT,
+        )
         self.catalog.subscribe(self._on_catalog_change)
         self.members.subscribe(self._on_members_change)
         self._gauges = EntryGauges(
@@ -132,6 +141,7 @@
             'catalog': self.catalog,
             'directory': self.directory,
             'delivery': self.delivery,
+            'crash_archive': self.crash_archive,
             'watch': self.store_components.watch,
             'hub': self.store_components.hub,
             'members': self.members,
@@ -146,6 +156,7 @@
             'announcer': self.store_components.announcer,
             'network': self.store_components.network,
             'losses': self.store_components.loss_record,
+            'crash_archive': self.crash_archive,
             'watch': self.store_components.watch,
             'hub': self.store_components.hub,
             'reviver': self.delivery.health_checker,
--- a/src/balsamrail/exchange/crash_registry.py
+++ b/src/balsamrail/exchange/crash_registry.py
@@ -1,7 +1,7 @@
 """Registry of requests that crash targets."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from itertools import islice
 from typing import Any
@@ -30,6 +30,7 @@
     __slots__ = (
         '_environment',
         '_in_flight_by_target',
+        '_listeners',
         '_network',
         '_reports',
         '_served_at_by_fingerprint',
@@ -39,6 +40,7 @@
         self._environment = environment
         self._network = network
         self._in_flight_by_target: dict[str, Counter[bytes]] = {}
+        self._listeners: list[Callable[[CrashReport, bool], None]] = []
         # By fingerprint and target; the fingerprints that were reported last come last.
         self._reports: dict[bytes, dict[str, CrashReport]] = {}
         # Wall time at which a target completed a request that had been reported before.
@@ -46,6 +48,19 @@
         network.subscribe(CrashReport, self._receive)
         network.repeat_to_peers(self._recent_reports)
 
+    def subscribe(self, on_report: Callable[[CrashReport, bool], None]) -> None:
+        """Call ``on_report`` with each new report, and whether it is this host's own."""
+        self._listeners.append(on_report)
+
+    def reports_of(self, fingerprint: bytes) -> list[CrashReport]:
+        """Return the known reports on a fingerprint."""
+        return list(self._reports.get(fingerprint, {}).values())
+
+    def add(self, reports: Iterable[CrashReport]) -> None:
+        """Add reports that were kept elsewhere, without telling other hosts."""
+        for report in reports:
+            self._record(report)
+
     def has_reports(self) -> bool:
         """Return whether any request is known to have crashed a target."""
         return bool(self._reports)
@@ -106,6 +121,7 @@
         )
         if not self._record(report):
             return
+        self._notify(report, is_own=True)
         self._flood(report)
         self._environment.log.event(
             'target_crashed',
@@ -142,8 +158,15 @@
 
     def _receive(self, host: str, report: CrashReport) -> None:
         # Only what is new here, so that a repeated report is not flooded again.
-        if report.service == _EARLIER_VERSIONS or self._record(report):
+        if report.service == _EARLIER_VERSIONS:
             self._flood(report)
+        elif self._record(report):
+            self._notify(report, is_own=False)
+            self._flood(report)
+
+    def _notify(self, report: CrashReport, *, is_own: bool) -> None:
+        for on_report in self._listeners:
+            on_report(report, is_own)
 
     def _flood(self, report: CrashReport) -> None:
         topic = f'crash/{report.fingerprint.hex()}/{report.target}'
--- a/tools/mutants/forwarding.py
+++ b/tools/mutants/forwarding.py
@@ -127,6 +127,14 @@
         feature='features/delivery.feature',
         scenario='A target that a request crashes 3 times, and that starts again under its id with',
     ),
+    Mutant(
+        mechanism='a host that starts reads the refused requests from the store',
+        file='src/balsamrail/exchange/crash_archive.py',
+        old='                    await self._restore()\n',
+        new='',
+        feature='features/crash_reports.feature',
+        scenario='all hosts restart at once, after a request',
+    ),
     Mutant(
         mechanism='crash reports are repeated to hosts that connect later',
         file='src/balsamrail/exchange/crash_registry.py',
