--- a/src/balsamrail/membership/neighbour_streams.py
+++ b/src/balsamrail/membership/neighbour_streams.py
@@ -27,12 +27,12 @@
     """
 
     __slots__ = (
+        '_adjacent_suspects',
         '_detector',
         '_environment',
         '_members',
         '_members_changed',
         '_replace_silent',
-        '_replaced_observer_of',
         '_rings',
         '_sequence',
         '_status',
@@ -58,8 +58,8 @@
         self._status = status
         self._replace_silent = replace_silent
         self._rings = Rings(local_host=environment.settings.host)
-        # The suspected hosts of which this host is a neighbour while other suspected ones are left out.
-        self._replaced_observer_of: set[str] = set()
+        # The suspected hosts next to this one on rings without the other suspected ones.
+        self._adjacent_suspects: set[str] = set()
         self._sequence = 0
         self._members_changed = True
         self.successors: set[str] = set()
@@ -87,7 +87,7 @@
         reachable = [member for member in self._members.known() if member.state != 'gone']
         unsuspected = [member.host for member in reachable if member.state != 'suspect']
         suspected = [member.host for member in reachable if member.state == 'suspect']
-        self._replaced_observer_of = self._rings.adjacent(suspected, between=unsuspected)
+        self._adjacent_suspects = self._rings.adjacent(suspected, between=unsuspected)
         successors, predecessors = self._rings.neighbours(unsuspected) if suspected else ((), ())
         self.successors, self.predecessors = self._rings.neighbours([*unsuspected, *suspected])
         self.successors.update(successors)
@@ -96,7 +96,7 @@
 
     def _check_others(self) -> None:
         """Check members that this host does not observe, if their observers may be lost."""
-        checked = set(self._replaced_observer_of)
+        checked = set(self._adjacent_suspects)
         silent = self._detector.silent_hosts()
         if silent and len(silent) * 2 >= len(self.hosts()):
             checked = {member.host for member in self._members.known() if member.state != 'gone'}
