--- a/features/steps/earlier_version_steps.py
+++ b/features/steps/earlier_version_steps.py
@@ -147,7 +147,7 @@
                 for each in self.hosts:
                     each.check_running()
                 await asyncio.sleep(0.1)
-        # Streams between all hosts are open by then, and the rules hold from then on.
+        # The rules bind a host once it has run undisturbed for this long.
         await asyncio.sleep(CONTACT_S)
 
     async def send_deadly(self, host):
