Notice the return of lost paths at once, whatever the checks under way

Cause: checks that hang for 1 s and 0.5 s of backoff put all checks of six targets in step, so that none was started for 0.75 s of each 1.5 s; then two rounds of 0.25 s passed before the other targets were checked.

Change: during a loss each round starts checks, at the targets with the fewest under way; the response that ends it starts the rest directly instead of at the next look of PathWatcher.

--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -208,6 +208,19 @@
     When the health checks of the host run for 1.5 s
     Then all targets are used again, and none of them is cold
 
+  Scenario Outline: The return of the paths is noticed soon, whenever it comes
+    Guards against seconds without a health check while all of them wait over lost paths, and callers
+    that are refused until the next one (RECOVER).
+
+    Given 12 hosts with <targets> targets each, all of which say nothing
+    When the health checks of the hosts run, and their targets respond again after 2.4 s to 4 s
+    Then each host uses all its targets again within 0.6 s
+
+    Examples:
+      | targets |
+      | 3       |
+      | 6       |
+
   Scenario: A host whose paths seem to be lost by mistake finds out
     Guards against hosts that send all requests through others for good since three targets are down.
 
--- a/src/balsamrail/delivery/health_checker.py
+++ b/src/balsamrail/delivery/health_checker.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from collections import Counter
+from collections.abc import Iterable
 from typing import Any
 
 from tornado.httputil import HTTPHeaders
@@ -14,6 +16,7 @@
 from balsamrail.delivery.notice_handler import NoticeHandler
 from balsamrail.environment import Environment
 from balsamrail.errors import ExchangeError
+from balsamrail.placement.exclusion_reason import ExclusionReason
 from balsamrail.placement.send_limits import SendLimits
 from balsamrail.placement.target_registry import TargetRegistry
 from balsamrail.placement.target_state import TargetState
@@ -24,7 +27,8 @@
 _MAX_BACKOFF_S = 2.0
 _MAX_RESPONSE_BYTES = 65_536
 # While the paths of this host seem to be lost, so many targets that are down are checked in each interval,
-# and so many that are not. They are spread, so that one of them is sent soon after the paths return.
+# and so many that are not, also if earlier checks of theirs hang: only one sent after the paths have returned
+# shows that they have.
 _CHECKS_IF_LOST = 2
 _SENTINELS = 2
 # The rate at which all targets are checked once one of them has responded after such a loss.
@@ -42,17 +46,17 @@
     all targets when that one failed.
 
     While these paths seem to be lost, targets that are not down are checked as well, a few at a time:
-    a response of any shows that they are not.
+    a response of any shows that they are not, and the targets lost with them are checked at once.
     """
 
     __slots__ = (
         '_backoff_by_id',
         '_catalog',
-        '_checks_by_id',
         '_codec',
         '_environment',
         '_notice_handler',
         '_send_limits',
+        '_target_id_by_check',
         '_target_registry',
     )
 
@@ -72,26 +76,42 @@
         self._codec = codec
         self._notice_handler = notice_handler
         self._send_limits = send_limits
-        self._checks_by_id: dict[str, asyncio.Task[None]] = {}
+        self._target_id_by_check: dict[asyncio.Task[None], str] = {}
         self._backoff_by_id: dict[str, float] = {}
+        target_registry.paths.subscribe(self._recheck_lost)
 
     async def run(self) -> None:
         """Start due health checks until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
-            now = self._environment.clock.monotonic()
-            due = [
+            for state in self._due():
+                self._start_check(state)
+
+    def _due(self) -> list[TargetState]:
+        now = self._environment.clock.monotonic()
+        states = self._target_registry.states_by_id.values()
+        if not self._target_registry.paths.is_lost():
+            checked = set(self._target_id_by_check.values())
+            return [
                 state
-                for target_id, state in self._target_registry.states_by_id.items()
-                if state.is_check_due(now=now) and target_id not in self._checks_by_id
+                for state in states
+                if state.is_check_due(now=now) and state.entry.target_id not in checked
             ]
-            if self._target_registry.paths.is_lost():
-                some_due = random.sample(due, min(_CHECKS_IF_LOST, len(due)))
-                due = [*self._sentinels(), *some_due]
-            for state in due:
-                self._start_check(state, now)
+        reasons = [(state, state.availability.exclusion_reason(now=now)) for state in states]
+        down = (state for state, reason in reasons if reason is ExclusionReason.down)
+        sentinels = (state for state, reason in reasons if reason is None)
+        return [
+            *self._least_checked(down, _CHECKS_IF_LOST),
+            *self._least_checked(sentinels, _SENTINELS),
+        ]
 
-    def recheck_lost(self) -> None:
+    def _least_checked(self, states: Iterable[TargetState], count: int) -> list[TargetState]:
+        checks_by_id = Counter(self._target_id_by_check.values())
+        return sorted(
+            states, key=lambda state: (checks_by_id[state.entry.target_id], random.random())
+        )[:count]
+
+    def _recheck_lost(self) -> None:
         """Check the targets soon that were lost together with the paths of this host."""
         now = self._environment.clock.monotonic()
         lost = [
@@ -102,37 +122,27 @@
         spread_s = max(_MIN_RECHECK_SPREAD_S, len(lost) / _RECHECKS_PER_S)
         for state in lost:
             self._backoff_by_id.pop(state.entry.target_id, None)
-            state.check_at = now + random.uniform(0, spread_s)
-            check = self._checks_by_id.get(state.entry.target_id)
-            if check is not None:
-                # It was sent over the lost path, and would wait for its timeout.
-                check.cancel()
-
-    def _sentinels(self) -> list[TargetState]:
-        unchecked = [
-            state
-            for target_id, state in self._target_registry.states_by_id.items()
-            if state.availability.exclusion_reason(now=self._environment.clock.monotonic()) is None
-            and target_id not in self._checks_by_id
-        ]
-        return random.sample(unchecked, min(_SENTINELS, len(unchecked)))
+            state.check_at = now
+            self._start_check(state, delay_s=random.uniform(0, spread_s))
 
     def dump(self) -> dict[str, Any]:
         """Return the targets that are being checked."""
-        return {'checking': sorted(self._checks_by_id)}
+        return {'checking': sorted(set(self._target_id_by_check.values()))}
 
-    def _start_check(self, state: TargetState, now: float) -> None:
-        """Start a check, unless the target named a limit that leaves no room for it."""
-        limiter = self._send_limits.rate_limiter
-        if limiter.allows(state, priority=_CHECK_PRIORITY, now=now):
-            limiter.record_sent(state, now=now)
-            self._checks_by_id[state.entry.target_id] = asyncio.create_task(self._check(state))
+    def _start_check(self, state: TargetState, *, delay_s: float = 0) -> None:
+        check = asyncio.create_task(self._check(state, delay_s))
+        self._target_id_by_check[check] = state.entry.target_id
+        check.add_done_callback(self._target_id_by_check.pop)
 
-    async def _check(self, state: TargetState) -> None:
-        try:
-            report = await self._probe(state.entry)
-        finally:
-            self._checks_by_id.pop(state.entry.target_id, None)
+    async def _check(self, state: TargetState, delay_s: float) -> None:
+        """Check a target, unless it named a limit that leaves no room for that."""
+        await asyncio.sleep(delay_s)
+        sent_at = self._environment.clock.monotonic()
+        limiter = self._send_limits.rate_limiter
+        if not limiter.allows(state, priority=_CHECK_PRIORITY, now=sent_at):
+            return
+        limiter.record_sent(state, now=sent_at)
+        report = await self._probe(state.entry)
         now = self._environment.clock.monotonic()
         if report is not None:
             state.paths.note_contact(now=now)
--- a/src/balsamrail/delivery/path_watcher.py
+++ b/src/balsamrail/delivery/path_watcher.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from balsamrail.delivery.health_checker import HealthChecker
 from balsamrail.environment import Environment
 from balsamrail.placement.target_registry import TargetRegistry
 
@@ -31,7 +30,6 @@
         '_announce',
         '_changing_since',
         '_environment',
-        '_health_checker',
         '_is_lost',
         '_target_registry',
         'is_degraded',
@@ -42,12 +40,10 @@
         *,
         environment: Environment,
         target_registry: TargetRegistry,
-        health_checker: HealthChecker,
         announce: Callable[[bool], None],
     ) -> None:
         self._environment = environment
         self._target_registry = target_registry
-        self._health_checker = health_checker
         self._announce = announce
         self._is_lost = False
         self._changing_since: float | None = None
@@ -73,8 +69,6 @@
         event = 'paths_lost' if self._is_lost else 'paths_regained'
         self._environment.metrics.count(event)
         self._environment.log.event(event, targets_down=self._target_registry.down_fraction())
-        if not self._is_lost:
-            self._health_checker.recheck_lost()
 
     def _mark_failed_down(self) -> None:
         """Exclude the targets that failed, also those that accepted a connection and reset it."""
--- a/src/balsamrail/entry/delivery_components.py
+++ b/src/balsamrail/entry/delivery_components.py
@@ -83,7 +83,6 @@
         self.path_watcher = PathWatcher(
             environment=environment,
             target_registry=self.target_registry,
-            health_checker=self.health_checker,
             announce=members.announce_degraded,
         )
         selector = ProxyHostSelector(environment=environment, members=members)
--- a/src/balsamrail/placement/path_monitor.py
+++ b/src/balsamrail/placement/path_monitor.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 
 # Targets that fail one after the other without a response of any target in between. Fewer targets
 # may fail at the same moment by themselves.
@@ -30,6 +31,7 @@
         '_failures',
         '_losses',
         '_lost_at',
+        '_regained',
         'last_contact_at',
     )
 
@@ -40,16 +42,25 @@
         self._losses: deque[tuple[float, float]] = deque(maxlen=_MAX_LOSSES)
         # When the present loss was noticed.
         self._lost_at: float = 0
+        self._regained: list[Callable[[], None]] = []
         self.last_contact_at: float = 0
 
+    def subscribe(self, regained: Callable[[], None]) -> None:
+        """Call ``regained`` whenever a response ends a loss."""
+        self._regained.append(regained)
+
     def note_contact(self, *, now: float) -> None:
         """Record a response of any target."""
-        if self.is_lost():
+        was_lost = self.is_lost()
+        if was_lost:
             began_at, _ = self._losses.pop()
             self._losses.append((began_at, now))
         self._failed_ids.clear()
         self._failures = 0
         self.last_contact_at = now
+        if was_lost:
+            for regained in self._regained:
+                regained()
 
     def note_failure(self, target_id: str, *, now: float) -> None:
         """Record that a request or a connection to a target failed without a response."""
--- a/tools/mutants/target_standing.py
+++ b/tools/mutants/target_standing.py
@@ -238,8 +238,8 @@
     Mutant(
         mechanism='health checks count against the limit of a target',
         file='src/balsamrail/delivery/health_checker.py',
-        old='if limiter.allows(state, priority=_CHECK_PRIORITY, now=now):',
-        new='if True:',
+        old='if not limiter.allows(state, priority=_CHECK_PRIORITY, now=sent_at):',
+        new='if False:',
         feature='features/target_limits.feature',
         scenario='A target that is down is checked',
     ),
