A health check sent over lost paths says nothing once they have returned

Callers saw: nothing by itself; after a cut, a host left out targets that were up, so that requests went to fewer of them or were refused.

Cause: while its paths seem lost a host also checks targets that are not down. Such a check, sent during the cut, fails up to 1 s later; if the paths had returned by then it marked its target down, which took another check to mend.

Change: a check that fails counts for nothing if it was sent during a loss that has ended.

Measured: proxying, "A check over lost paths proves nothing": three of six targets down without it (mutant; on too), none with it.

--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -221,6 +221,13 @@
       | 3       |
       | 6       |
 
+  Scenario: A check over lost paths proves nothing once they have returned
+    Guards against targets that are taken for down by checks that were sent during a cut (RECOVER).
+
+    Given a host of whose six targets three are down, and the others say nothing for a time
+    When the health checks of the host run, and all targets respond again after 0.9 s
+    Then from then on no target is taken for down
+
   Scenario: A host whose paths seem to be lost by mistake finds out
     Guards against hosts that send all requests through others for good since three targets are down.
 
--- a/src/balsamrail/delivery/health_checker.py
+++ b/src/balsamrail/delivery/health_checker.py
@@ -147,10 +147,16 @@
         if report is not None:
             state.paths.note_contact(now=now)
             self._notice_handler.handle(state, report.notice)
+        is_obsolete = report is None and self._is_regained_since(sent_at)
         # A leaving target is never used again, so its health does not matter.
-        if state.availability.leaving_since is None:
+        if state.availability.leaving_since is None and not is_obsolete:
             self._apply(state, report, now)
 
+    def _is_regained_since(self, sent_at: float) -> bool:
+        """Return whether a check was sent over lost paths that have returned since then."""
+        paths = self._target_registry.paths
+        return paths.was_lost(at=sent_at) and not paths.is_lost()
+
     def _apply(self, state: TargetState, report: HealthReport | None, now: float) -> None:
         target_id = state.entry.target_id
         if report is not None and report.is_usable:
--- a/tools/mutants/proxying.py
+++ b/tools/mutants/proxying.py
@@ -158,6 +158,14 @@
         feature=_FEATURE,
         scenario='The return of the paths is noticed soon',
     ),
+    Mutant(
+        mechanism='a check over paths that were lost then proves nothing',
+        file='src/balsamrail/delivery/health_checker.py',
+        old='is_obsolete = report is None and self._is_regained_since(sent_at)',
+        new='is_obsolete = False',
+        feature=_FEATURE,
+        scenario='A check over lost paths proves nothing',
+    ),
     Mutant(
         mechanism='look-ups prefer hosts that reach targets',
         file='src/balsamrail/fleet/directory.py',
