Record a loss with one write where the record of another host is seen

Callers saw: nothing; the price.

Change: a stale read, at a tenth of the price of a write, tells whether to create or replace the record, or that nothing is to be written. The second host by name waits 0.5 s for the first one; both come before a host that is alone decides.

Measured: platform_store, two hosts that record one loss, then two, then one over an unreadable record: 3, 4 and 2 writes before; 1, 1 and 1 now. host_loss 26 of 26, its mutants of this file and a new one caught.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -62,3 +62,9 @@
     When a host starts for the first time, restarts, and restarts with another address
     Then it makes 1 write, 1 stale read, and 1 stale read and 2 writes
     And its entry has the new address
+
+  Scenario: A loss that two hosts record costs one write
+    Guards against two or more writes for each host that is lost, of which one is enough.
+
+    When two hosts record a loss, then both record two, and one after the record has become unreadable
+    Then they make 1, 1 and 1 writes, and a host reads the losses
--- a/src/balsamrail/membership/gone_quorum.py
+++ b/src/balsamrail/membership/gone_quorum.py
@@ -13,6 +13,8 @@
 _LONE_DELAY_S = 1.25
 # Hosts that record a loss, in case that one of them has just been lost as well.
 _RECORDING_HOSTS = 2
+# The second finds the record of the first in the store; both come before _LONE_DELAY_S.
+_NEXT_RECORDER_DELAY_S = 0.5
 _RECORDED_FOR_S = 300
 
 
@@ -76,8 +78,10 @@
             and entry.state_since >= oldest
         ]
         others = self._unsuspected_others() if losses else []
-        if others and own.host in sorted([own.host, *others])[:_RECORDING_HOSTS]:
-            self._loss_record.report(losses)
+        recorders = sorted([own.host, *others])[:_RECORDING_HOSTS]
+        if others and own.host in recorders:
+            delay_s = recorders.index(own.host) * _NEXT_RECORDER_DELAY_S
+            self._loss_record.report(losses, delay_s=delay_s)
 
     def _is_reached_alone(self, entry: MemberEntry, own: Member, now: float) -> bool:
         suspected_at = entry.suspected_at_by_observer.get(own.host)
--- a/src/balsamrail/membership/loss_record.py
+++ b/src/balsamrail/membership/loss_record.py
@@ -21,7 +21,7 @@
         """
 
     async def write_losses(self, losses: list[str]) -> None:
-        """Replace the recorded losses.
+        """Replace the recorded losses, unless all of these are recorded already.
 
         :raises StoreError: if the store did not accept them.
         """
@@ -44,6 +44,7 @@
 
     __slots__ = (
         '_checked_at',
+        '_delay_s',
         '_environment',
         '_is_check_due',
         '_losses',
@@ -63,15 +64,20 @@
         self._is_check_due = False
         self._written: frozenset[str] = frozenset()
         self._unwritten: frozenset[str] | None = None
+        self._delay_s: float = 0
         self._wake_up = asyncio.Event()
         self.on_check: Callable[[], None] = lambda: None
 
-    def report(self, losses: Iterable[str]) -> None:
-        """Record the present losses unless all of them are recorded already."""
+    def report(self, losses: Iterable[str], *, delay_s: float = 0) -> None:
+        """Record the present losses unless all of them are recorded already.
+
+        :param delay_s: the time that another host has to record them first.
+        """
         present = frozenset(losses)
         if present <= (self._written if self._unwritten is None else self._unwritten):
             return
         self._unwritten = present
+        self._delay_s = delay_s
         self._wake_up.set()
 
     def report_again(self) -> None:
@@ -114,6 +120,7 @@
     async def _write(self) -> None:
         if self._unwritten is None:
             return
+        await asyncio.sleep(self._delay_s)
         losses = self._unwritten
         await self._source.write_losses(sorted(losses))
         self._written = losses
--- a/src/balsamrail/platform/loss_store.py
+++ b/src/balsamrail/platform/loss_store.py
@@ -1,5 +1,6 @@
 """The recorded losses of hosts in the platform's store."""
 
+from balsamrail.catalog.stored_objects import StoreObject
 from balsamrail.errors import StoreError
 from balsamrail.platform import fields
 from balsamrail.platform.object_store import ObjectStore
@@ -26,16 +27,33 @@
         :raises StoreError: if the store did not answer, or not with a list of losses.
         """
         stored = await self._store.read(_KIND, _NAME)
-        if stored is None:
-            return []
         try:
-            return [fields.string(loss) for loss in fields.mapping(stored.spec)['losses']]
+            return [] if stored is None else _read_losses(stored)
         except fields.FIELD_ERRORS as error:
             raise StoreError(f'the recorded losses are malformed: {error!r}') from error
 
     async def write_losses(self, losses: list[str]) -> None:
-        """Replace the recorded losses.
+        """Replace the recorded losses, unless all of these are recorded already.
+
+        A write costs ten times as much as the read that may show it to be needless. The object may be
+        seconds old, so a write that fails because it exists by now has to be repeated.
 
         :raises StoreError: if the store did not accept them.
         """
-        await self._store.create_or_replace(_KIND, _NAME, spec={'losses': losses})
+        stored = await self._store.read(_KIND, _NAME, is_stale_allowed=True)
+        spec = {'losses': losses}
+        if stored is None:
+            await self._store.create(_KIND, _NAME, spec=spec)
+        elif not _contains(stored, losses):
+            await self._store.replace(_KIND, _NAME, spec=spec)
+
+
+def _read_losses(stored: StoreObject) -> list[str]:
+    return [fields.string(loss) for loss in fields.mapping(stored.spec)['losses']]
+
+
+def _contains(stored: StoreObject, losses: list[str]) -> bool:
+    try:
+        return set(losses) <= set(_read_losses(stored))
+    except fields.FIELD_ERRORS:
+        return False
--- a/tools/mutants/membership.py
+++ b/tools/mutants/membership.py
@@ -235,6 +235,14 @@
         feature='features/host_loss.feature',
         scenario='1 of 3 hosts survive and the others die',
     ),
+    Mutant(
+        mechanism='a loss that is recorded already is not written again',
+        file='src/balsamrail/platform/loss_store.py',
+        old='elif not _contains(stored, losses):',
+        new='else:',
+        feature='features/platform_store.feature',
+        scenario='A loss that two hosts record costs one write',
+    ),
     Mutant(
         mechanism='a host that decides alone looks for its own loss in the store',
         file='src/balsamrail/membership/loss_record.py',
