--- a/features/crash_reports.feature
+++ b/features/crash_reports.feature
@@ -16,6 +16,29 @@
       | hosts 0 to 3 restart at once and then the others |
       | all hosts restart at once                       |
 
+  Scenario Outline: Requests crash targets while <hosts>
+    Guards against a report that is lost for good since it was sent after two hosts had met and before one
+    of them took the other for a neighbour.
+
+    Given a fleet of <size> hosts
+    When <hosts>, and at each of them, every 0.1 s for 4 s, another request crashes 3 targets
+    And 4 s pass
+    Then every host refuses each of these requests
+
+    Examples:
+      | size | hosts                     |
+      | 3    | all hosts restart at once |
+      | 9    | all hosts restart at once |
+      | 9    | host 4 restarts           |
+      | 72   | host 4 restarts           |
+
+  Scenario: A host of the version before starts after a request has crashed its targets
+    Guards against hosts that count crashes otherwise and miss the copies of reports for them.
+
+    Given a fleet of 9 hosts that have seen a request crash 3 targets, and copies for the version before
+    When host 4 restarts, and 3 s pass
+    Then it has been told the copies on 3 targets
+
   Scenario: A host that was cut off while a request crashed its targets
     Guards against a host that misses the flood of the reports and keeps its incarnation.
 
--- a/features/steps/crash_reports_steps.py
+++ b/features/steps/crash_reports_steps.py
@@ -46,6 +46,39 @@
     step_refused(context)
 
 
+@given(
+    'a fleet of 9 hosts that have seen a request crash 3 targets, and copies for the version before'
+)
+def step_copies(context):
+    step_crashed(context)
+
+    async def copy():
+        for number, host in enumerate(context.fleet.hosts[:CRASH_LIMIT]):
+            host.crashes.report_to_earlier_versions(b'copied', target=f'i-{number}')
+        await asyncio.sleep(1)
+
+    run(context, copy())
+
+
+@when('host 4 restarts, and 3 s pass')
+def step_restart_told(context):
+    fleet = context.fleet
+    context.told = []
+
+    async def play():
+        host = fleet.restart(4, options={'seeds': [each.address for each in fleet.hosts[:3]]})
+        host.network.subscribe(CrashReport, lambda _, report: context.told.append(report))
+        await asyncio.sleep(3)
+
+    run(context, play())
+
+
+@then('it has been told the copies on 3 targets')
+def step_told(context):
+    copied = {report.target for report in context.told if report.fingerprint == b'copied'}
+    assert copied == {'i-0', 'i-1', 'i-2'}, copied
+
+
 @given('a fleet of 9 hosts that know {count:d} requests that crashed 3 targets each')
 def step_many(context, count):
     make_fleet(context, size=HOST_COUNT)
@@ -136,6 +169,41 @@
     assert not refuses(context.fleet.hosts[4], REQUEST)
 
 
+@when('{hosts}, and at each of them, every 0.1 s for 4 s, another request crashes 3 targets')
+def step_crash_in_start(context, hosts):
+    fleet = context.fleet
+    seeds = [host.address for host in fleet.hosts]
+    restarted = range(len(fleet.hosts)) if hosts == 'all hosts restart at once' else [4]
+    context.fingerprints = []
+
+    async def play():
+        await asyncio.sleep(5)
+        for index in restarted:
+            fleet.restart(index, options={'seeds': seeds})
+        for tick in range(40):
+            for index in restarted:
+                fingerprint = (tick * 100 + index).to_bytes(16)
+                context.fingerprints.append(fingerprint)
+                for number in range(CRASH_LIMIT):
+                    fleet.hosts[index].crashes.report(
+                        fingerprint, service='lepu', target=f'i-{number}'
+                    )
+            await asyncio.sleep(0.1)
+
+    run(context, play())
+
+
+@then('every host refuses each of these requests')
+def step_refused_each(context):
+    missed = [
+        (index, int.from_bytes(fingerprint) // 100)
+        for index, host in enumerate(context.fleet.hosts)
+        for fingerprint in context.fingerprints
+        if not refuses(host, fingerprint)
+    ]
+    assert not missed, (len(missed), missed[:20])
+
+
 @when('host 4 restarts')
 def step_restart_one(context):
     async def restart():
--- a/features/steps/earlier_version_steps.py
+++ b/features/steps/earlier_version_steps.py
@@ -26,8 +26,9 @@
 DEADLY = '/write/deadly'
 TARGETS = 8
 RUN_S = 90
-# The time without disturbance after which a host is bound by the rules.
-CONTACT_S = 3
+# Hosts of the earlier version flood what they report only to the neighbours of their last heartbeat
+# interval, and never again.
+EARLIER_CONTACT_S = 3
 # Encoded by the earlier version.
 RECORDED = {
     'Hello': '9800a8617474696b692d31b43030303030303030303030303030303030303030aa31302e302e302e313a31aa31302e302e302e313a32a6617474696b69a8617474696b692d61a5616c697665',
@@ -147,8 +148,6 @@
                 for each in self.hosts:
                     each.check_running()
                 await asyncio.sleep(0.1)
-        # The rules bind a host once it has run undisturbed for this long.
-        await asyncio.sleep(CONTACT_S)
 
     async def send_deadly(self, host):
         """Send the request and return the status and the code of the answer."""
@@ -230,7 +229,10 @@
 def step_crash(context, where):
     async def act(fleet):
         old, _, new = fleet.hosts
-        senders = [new] * 3 if where == 'the host of this version' else [old, new, old]
+        senders = [new] * 3
+        if where != 'the host of this version':
+            senders = [old, new, old]
+            await asyncio.sleep(EARLIER_CONTACT_S)
         for host in senders:
             await fleet.send_deadly(host)
         assert fleet.crashed() == 3, fleet.crashed()
--- a/src/balsamrail/exchange/crash_registry.py
+++ b/src/balsamrail/exchange/crash_registry.py
@@ -28,6 +28,7 @@
     """
 
     __slots__ = (
+        '_copies',
         '_environment',
         '_in_flight_by_target',
         '_listeners',
@@ -43,6 +44,8 @@
         self._listeners: list[Callable[[CrashReport, bool], None]] = []
         # By fingerprint and target; the fingerprints that were reported last come last.
         self._reports: dict[bytes, dict[str, CrashReport]] = {}
+        # The copies for earlier versions, likewise.
+        self._copies: dict[bytes, dict[str, CrashReport]] = {}
         # Wall time at which a target completed a request that had been reported before.
         self._served_at_by_fingerprint: dict[bytes, float] = {}
         network.subscribe(CrashReport, self._receive)
@@ -132,7 +135,7 @@
 
     def report_to_earlier_versions(self, fingerprint: bytes, *, target: str) -> None:
         """Report a crash under the fingerprint of earlier versions, which only those count."""
-        self._flood(
+        self._flood_copy(
             CrashReport(
                 fingerprint=fingerprint,
                 service=_EARLIER_VERSIONS,
@@ -143,6 +146,7 @@
 
     def clear(self, fingerprint: bytes) -> None:
         """Remove the crashes of a request, since a target has just completed it."""
+        self._copies.pop(fingerprint, None)
         if self._reports.pop(fingerprint, None) is None:
             return
         # Other hosts may repeat their reports.
@@ -159,7 +163,7 @@
     def _receive(self, host: str, report: CrashReport) -> None:
         # Only what is new here, so that a repeated report is not flooded again.
         if report.service == _EARLIER_VERSIONS:
-            self._flood(report)
+            self._flood_copy(report)
         elif self._record(report):
             self._notify(report, is_own=False)
             self._flood(report)
@@ -168,6 +172,18 @@
         for on_report in self._listeners:
             on_report(report, is_own)
 
+    def _flood_copy(self, report: CrashReport) -> None:
+        known = self._copies.get(report.fingerprint, {})
+        if report.target in known or self._has_expired(report):
+            return
+        self._copies.setdefault(report.fingerprint, known)[report.target] = report
+        if len(self._copies) > _MAX_REPEATED_FINGERPRINTS:
+            self._copies.pop(next(iter(self._copies)))
+        self._flood(report)
+
+    def _has_expired(self, report: CrashReport) -> bool:
+        return self._environment.clock.wall() - report.wall_s >= _REJECTION_PERIOD_S
+
     def _flood(self, report: CrashReport) -> None:
         topic = f'crash/{report.fingerprint.hex()}/{report.target}'
         self._network.flood(report, topic=topic, version=(report.wall_s,))
@@ -191,11 +207,16 @@
         return True
 
     def _recent_reports(self) -> Iterator[CrashReport]:
-        """Yield the reports on the fingerprints that were reported last, the latest ones last."""
+        """Yield the reports on the fingerprints that were reported last, the latest ones last.
+
+        The copies for earlier versions follow, since hosts of this version need them last.
+        """
         recent = list(islice(reversed(self._reports), _MAX_REPEATED_FINGERPRINTS))
         for fingerprint in reversed(recent):
             if self.is_suspect(fingerprint):
                 yield from self._reports[fingerprint].values()
+        for copies in self._copies.values():
+            yield from (copy for copy in copies.values() if not self._has_expired(copy))
 
     def _last_crash_wall_s(self, fingerprint: bytes) -> float:
         reports = self._reports.get(fingerprint)
--- a/src/balsamrail/membership/neighbour_streams.py
+++ b/src/balsamrail/membership/neighbour_streams.py
@@ -72,8 +72,7 @@
 
     def maintain(self) -> None:
         """Update the neighbours, send heartbeats and replace silent streams."""
-        if self._members_changed:
-            self._update_neighbours()
+        self.refresh()
         self._send_heartbeats()
         for host in self._detector.silent_hosts():
             self._reconnect(host)
@@ -82,7 +81,10 @@
                 self._reconnect(host)
         self._check_others()
 
-    def _update_neighbours(self) -> None:
+    def refresh(self) -> None:
+        """Select the neighbours anew if the members have changed."""
+        if not self._members_changed:
+            return
         self._members_changed = False
         reachable = [member for member in self._members.known() if member.state != 'gone']
         unsuspected = [member.host for member in reachable if member.state != 'suspect']
--- a/src/balsamrail/membership/peer_network.py
+++ b/src/balsamrail/membership/peer_network.py
@@ -204,6 +204,8 @@
     def _receive_hello(self, link: PeerLink, hello: Hello) -> None:
         self._detector.record_message(link.host)
         self._gossip.receive_hello(link, hello)
+        # What is flooded from now on has to reach this peer, since it is not repeated to it.
+        self._neighbours.refresh()
         for messages in self._repeated:
             for message in messages():
                 self._streams.write(link, message)
--- a/tools/mutants/forwarding.py
+++ b/tools/mutants/forwarding.py
@@ -82,8 +82,8 @@
     Mutant(
         mechanism='a request that crashed targets is refused',
         file='src/balsamrail/exchange/crash_registry.py',
-        old='        if len(self._reports.get(fingerprint, ())) < limit:\n            return\n        remaining_s',
-        new='        if len(self._reports.get(fingerprint, ())) < 9 * limit:\n            return\n        remaining_s',
+        old='for each in fingerprints) < limit:',
+        new='for each in fingerprints) < 9 * limit:',
         feature='features/forwarding.feature',
         scenario='A request that crashes targets',
     ),
@@ -141,7 +141,7 @@
         old='        network.repeat_to_peers(self._recent_reports)\n',
         new='',
         feature='features/crash_reports.feature',
-        scenario='every host restarts in turn, after a request',
+        scenario='A host that was cut off while a request crashed',
     ),
     Mutant(
         mechanism='crash reports from before a complete response do not count',
--- a/tools/mutants/membership.py
+++ b/tools/mutants/membership.py
@@ -243,6 +243,22 @@
         feature='features/platform_store.feature',
         scenario='A loss that two hosts record costs one write',
     ),
+    Mutant(
+        mechanism='copies of reports for earlier versions are repeated to peers',
+        file='src/balsamrail/exchange/crash_registry.py',
+        old='        for copies in self._copies.values():\n',
+        new='        for copies in ():\n',
+        feature='features/crash_reports.feature',
+        scenario='A host of the version before starts',
+    ),
+    Mutant(
+        mechanism='a peer that has just connected is a neighbour at once',
+        file='src/balsamrail/membership/peer_network.py',
+        old='        self._neighbours.refresh()\n',
+        new='',
+        feature='features/crash_reports.feature',
+        scenario='Requests crash targets while all hosts restart at once -- @1.1',
+    ),
     Mutant(
         mechanism='a host that decides alone looks for its own loss in the store',
         file='src/balsamrail/membership/loss_record.py',
