Compute the fingerprint of a request when it is needed, and play deadly requests once

The loop that plays such requests stood in two step files.

Change: RequestFingerprint computes its value at the first use; delivery_parts has the loop.

--- a/features/steps/delivery_crash_steps.py
+++ b/features/steps/delivery_crash_steps.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from delivery_parts import DeliveryHarness, crash_on
+from delivery_parts import DeliveryHarness, crash_on, send_deadly_repeatedly
 from placement_parts import make_entry, make_manifest, make_route
 from platform_helpers import free_address, run_real
 from tornado.httputil import HTTPHeaders
@@ -17,7 +17,6 @@
 
 SERVICES = ('lepu', 'mora', 'tavi')
 TARGETS_PER_SERVICE = 5
-SENDS = 12
 # The copies of reports for hosts of earlier versions name no service.
 COPY = ''
 
@@ -58,23 +57,14 @@
         services = SERVICES if is_split else SERVICES[:1]
         delivery.catalog.offer_manifest(manifest_of(*services, version=2))
         delivery.target_registry.refresh(now=0)
-        context.errors = []
-        context.codes = []
-        for number in range(SENDS):
+
+        def move(number):
             if not is_split and number and number % 2 == 0:
                 moved = SERVICES[number // 2 % len(SERVICES)]
                 delivery.catalog.offer_manifest(manifest_of(moved, version=2 + number))
                 delivery.target_registry.refresh(now=0)
-            try:
-                await delivery.send(f'd-{number}', path='/read/deadly', key=f'k-{number}')
-            except RequestError as error:
-                context.errors.append(error)
-            await asyncio.sleep(0.05)
-            response = await delivery.send(f'r-{number}', key=f'k-{number}')
-            context.codes.append(response.status)
-        heads = [[head for head in t.heads if 'deadly' in head] for t in delivery.targets]
-        context.reached = sum(map(bool, heads))
-        delivery.stop()
+
+        await send_deadly_repeatedly(context, delivery, prepare=move)
 
     run_real(play())
 
--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -19,6 +19,7 @@
 from balsamrail.delivery.liveness_checker import LivenessChecker
 from balsamrail.delivery.notice_handler import NoticeHandler
 from balsamrail.delivery.target_exchange import TargetExchange
+from balsamrail.errors import RequestError
 from balsamrail.exchange.crash_registry import CrashRegistry
 from balsamrail.placement.fleet_hosts import FleetHosts
 from balsamrail.placement.retry_budgets import RetryBudgets
@@ -43,6 +44,28 @@
     return whole(body, **fields)
 
 
+async def send_deadly_repeatedly(context, delivery, *, prepare=lambda number: None):
+    """Send 12 requests for /read/deadly, and one for another path after each of them.
+
+    ``context`` gets the errors of the first, the codes of the second, and how many targets the first
+    reached. ``prepare`` is called with the number of each before it is sent.
+    """
+    context.errors = []
+    context.codes = []
+    for number in range(12):
+        prepare(number)
+        try:
+            await delivery.send(f'd-{number}', path='/read/deadly', key=f'k-{number}')
+        except RequestError as error:
+            context.errors.append(error)
+        await asyncio.sleep(0.05)
+        response = await delivery.send(f'r-{number}', key=f'k-{number}')
+        context.codes.append(response.status)
+    heads = [[head for head in t.heads if 'deadly' in head] for t in delivery.targets]
+    context.reached = sum(map(bool, heads))
+    delivery.stop()
+
+
 def crash_on(path, harness, number):
     """Return the behaviour of a target that ends when it begins to run a request for ``path``."""
 
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -8,7 +8,13 @@
 from unittest import mock
 
 from behave import given, then, when
-from delivery_parts import DeliveryHarness, crash_on, response_to, simulate_power_loss
+from delivery_parts import (
+    DeliveryHarness,
+    crash_on,
+    response_to,
+    send_deadly_repeatedly,
+    simulate_power_loss,
+)
 from forwarding_parts import whole
 from placement_parts import make_entry, make_manifest, make_route
 from platform_helpers import run_real
@@ -526,20 +532,7 @@
 @when('callers send such requests repeatedly with new ids, and others send other requests')
 def step_send_crashing(context):
     async def play():
-        delivery = await context.delivery.start()
-        context.errors = []
-        context.codes = []
-        for number in range(12):
-            try:
-                await delivery.send(f'd-{number}', path='/read/deadly', key=f'k-{number}')
-            except RequestError as error:
-                context.errors.append(error)
-            await asyncio.sleep(0.05)
-            response = await delivery.send(f'r-{number}', key=f'k-{number}')
-            context.codes.append(response.status)
-        heads = [[head for head in t.heads if 'deadly' in head] for t in delivery.targets]
-        context.reached = sum(map(bool, heads))
-        delivery.stop()
+        await send_deadly_repeatedly(context, await context.delivery.start())
 
     run_real(play())
 
--- a/src/balsamrail/delivery/request_fingerprint.py
+++ b/src/balsamrail/delivery/request_fingerprint.py
@@ -21,13 +21,21 @@
         fingerprint.of_service('bookings')
     """
 
-    __slots__ = ('_request', 'value')
+    __slots__ = ('_request', '_value')
 
     def __init__(self, *, request: EntryRequest) -> None:
         self._request = request
-        caller = request.headers.get(_CALLER_HEADER, '')
-        texts = ('request', request.host, request.method, request.path, caller)
-        self.value = digest_of(texts, body=request.body)
+        self._value: bytes | None = None
+
+    @property
+    def value(self) -> bytes:
+        """The digest; computed when it is first needed, since few requests crash targets."""
+        if self._value is None:
+            request = self._request
+            caller = request.headers.get(_CALLER_HEADER, '')
+            texts = ('request', request.host, request.method, request.path, caller)
+            self._value = digest_of(texts, body=request.body)
+        return self._value
 
     def of_service(self, service: str) -> bytes:
         """Return the fingerprint of the request at one service, for hosts of earlier versions."""
