Pause each host as soon as it listens, not once an earlier one does

Cause: "Hosts that are slow to start are not named before they serve" waited for the hosts of a group one after the other and paused each only then. The test asks for hosts that are paused as soon as they listen, so it did not play its own words.

Change: a thread for each host waits and pauses it. The check, the pause and the load are the same.

--- a/features/steps/fleet_stop_steps.py
+++ b/features/steps/fleet_stop_steps.py
@@ -29,10 +29,14 @@
 def step_slow_starts(context, count, seconds):
     fleet = context.fleet_run.fleet
 
+    def pause_listening(host):
+        wait_until_listening(fleet.settings_by_host[host]['caller_address'])
+        fleet.signal(host, signal.SIGSTOP)
+
     def pause(group):
-        for host in group:
-            wait_until_listening(fleet.settings_by_host[host]['caller_address'])
-            fleet.signal(host, signal.SIGSTOP)
+        # Each by itself, since one that listens while another is awaited is named soon.
+        with ThreadPoolExecutor() as pool:
+            list(pool.map(pause_listening, group))
         time.sleep(seconds)
         for host in group:
             fleet.signal(host, signal.SIGCONT)
