Read the record of losses afresh when the store may have lost it

Cause: when the store comes back from an older copy, hosts record their losses again. A stale read may still show what the store has lost, so that nothing would be written, and a host that is cut off alone would not find its own loss.

Change: after a return of the store the read is a fresh one, also when a write was under way or failed.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -68,3 +68,11 @@
 
     When two hosts record a loss, then both record two, and one after the record has become unreadable
     Then they make 1, 1 and 1 writes, and a host reads the losses
+
+  Scenario: A store that has lost a record still shows it in old answers
+    Guards against a loss that is not recorded again, so that a host that is cut off alone takes all
+    others for lost.
+
+    Given a host that has recorded a loss
+    When the store comes back from a copy without the record, while stale reads still show it
+    Then the host records the loss again
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -112,7 +112,7 @@
         await self.list_hosts()
         return self.losses
 
-    async def write_losses(self, losses):
+    async def write_losses(self, losses, *, is_stale_allowed):
         await self.list_hosts()
         self.losses = losses
 
@@ -132,9 +132,9 @@
         self._check()
         return await self.store.read_losses()
 
-    async def write_losses(self, losses):
+    async def write_losses(self, losses, *, is_stale_allowed):
         self._check()
-        await self.store.write_losses(losses)
+        await self.store.write_losses(losses, is_stale_allowed=is_stale_allowed)
 
     async def list_crashes(self):
         self._check()
--- a/src/balsamrail/membership/loss_record.py
+++ b/src/balsamrail/membership/loss_record.py
@@ -20,9 +20,10 @@
         :raises StoreError: if the store did not answer.
         """
 
-    async def write_losses(self, losses: list[str]) -> None:
+    async def write_losses(self, losses: list[str], *, is_stale_allowed: bool) -> None:
         """Replace the recorded losses, unless all of these are recorded already.
 
+        :param is_stale_allowed: whether what is recorded may be read from an answer that is seconds old.
         :raises StoreError: if the store did not accept them.
         """
 
@@ -48,6 +49,7 @@
         '_environment',
         '_is_check_due',
         '_losses',
+        '_may_be_lost',
         '_source',
         '_unwritten',
         '_wake_up',
@@ -65,6 +67,8 @@
         self._written: frozenset[str] = frozenset()
         self._unwritten: frozenset[str] | None = None
         self._delay_s: float = 0
+        # Whether the store may have lost what was written.
+        self._may_be_lost = False
         self._wake_up = asyncio.Event()
         self.on_check: Callable[[], None] = lambda: None
 
@@ -82,9 +86,12 @@
 
     def report_again(self) -> None:
         """Record what was recorded before once more, since the store may have lost it."""
-        if self._written and self._unwritten is None:
+        if not self._written:
+            return
+        self._may_be_lost = True
+        if self._unwritten is None:
             self._unwritten = self._written
-            self._wake_up.set()
+        self._wake_up.set()
 
     def request_check(self) -> None:
         """Read the recorded losses soon."""
@@ -122,9 +129,14 @@
             return
         await asyncio.sleep(self._delay_s)
         losses = self._unwritten
-        await self._source.write_losses(sorted(losses))
+        may_be_lost, self._may_be_lost = self._may_be_lost, False
+        try:
+            await self._source.write_losses(sorted(losses), is_stale_allowed=not may_be_lost)
+        except StoreError:
+            self._may_be_lost |= may_be_lost
+            raise
         self._written = losses
-        if self._unwritten == losses:
+        if self._unwritten == losses and not self._may_be_lost:
             self._unwritten = None
         self._environment.log.event('losses_recorded', losses=','.join(sorted(losses)))
 
--- a/src/balsamrail/platform/loss_store.py
+++ b/src/balsamrail/platform/loss_store.py
@@ -32,15 +32,17 @@
         except fields.FIELD_ERRORS as error:
             raise StoreError(f'the recorded losses are malformed: {error!r}') from error
 
-    async def write_losses(self, losses: list[str]) -> None:
+    async def write_losses(self, losses: list[str], *, is_stale_allowed: bool) -> None:
         """Replace the recorded losses, unless all of these are recorded already.
 
         A write costs ten times as much as the read that may show it to be needless. The object may be
         seconds old, so a write that fails because it exists by now has to be repeated.
 
+        :param is_stale_allowed: false if the store has come back from a copy, and an old answer might
+            show what it has lost.
         :raises StoreError: if the store did not accept them.
         """
-        stored = await self._store.read(_KIND, _NAME, is_stale_allowed=True)
+        stored = await self._store.read(_KIND, _NAME, is_stale_allowed=is_stale_allowed)
         spec = {'losses': losses}
         if stored is None:
             await self._store.create(_KIND, _NAME, spec=spec)
--- a/tools/mutants/membership.py
+++ b/tools/mutants/membership.py
@@ -235,6 +235,14 @@
         feature='features/host_loss.feature',
         scenario='1 of 3 hosts survive and the others die',
     ),
+    Mutant(
+        mechanism='after the return of a store old answers do not tell what is recorded',
+        file='src/balsamrail/membership/loss_record.py',
+        old='is_stale_allowed=not may_be_lost',
+        new='is_stale_allowed=True',
+        feature='features/platform_store.feature',
+        scenario='A store that has lost a record',
+    ),
     Mutant(
         mechanism='a loss that is recorded already is not written again',
         file='src/balsamrail/platform/loss_store.py',
