--- a/src/balsamrail/exchange/crash_registry.py
+++ b/src/balsamrail/exchange/crash_registry.py
@@ -16,7 +16,7 @@
 _MAX_FINGERPRINTS = 10_000
 # In place of the service, marks the copy of a report for hosts that count crashes by service.
 _EARLIER_VERSIONS = ''
-# Bounds what a host sends to each peer that connects, to about 300 KB.
+# Bounds what a host sends to each peer that connects, to about 400 KB with the copies.
 _MAX_REPEATED_FINGERPRINTS = 1_000
 
 
@@ -44,7 +44,7 @@
         self._listeners: list[Callable[[CrashReport, bool], None]] = []
         # By fingerprint and target; the fingerprints that were reported last come last.
         self._reports: dict[bytes, dict[str, CrashReport]] = {}
-        # The copies for earlier versions, likewise.
+        # The reports for earlier versions, which are not counted here.
         self._copies: dict[bytes, dict[str, CrashReport]] = {}
         # Wall time at which a target completed a request that had been reported before.
         self._served_at_by_fingerprint: dict[bytes, float] = {}
@@ -209,7 +209,7 @@
     def _recent_reports(self) -> Iterator[CrashReport]:
         """Yield the reports on the fingerprints that were reported last, the latest ones last.
 
-        The copies for earlier versions follow, since hosts of this version need them last.
+        The copies follow, which hosts of this version only pass on.
         """
         recent = list(islice(reversed(self._reports), _MAX_REPEATED_FINGERPRINTS))
         for fingerprint in reversed(recent):
