--- a/src/balsamrail/errors/__init__.py
+++ b/src/balsamrail/errors/__init__.py
@@ -15,8 +15,10 @@
 )
 from balsamrail.errors.document_errors import DocumentError, EntryError
 from balsamrail.errors.not_run_errors import (
+    CallerMemoryError,
     DeadlineExpiredError,
     HostLeavingError,
+    ManifestUnconfirmedError,
     NoTargetError,
     NotReadyError,
     NotRunError,
@@ -24,6 +26,7 @@
     PathsLostError,
     ProxyBusyError,
     QuarantinedError,
+    QuotaExceededError,
 )
 from balsamrail.errors.outcome_unknown_errors import (
     AnswerDroppedError,
@@ -39,6 +42,7 @@
     KeyInvalidError,
     TargetCrashingRequestError,
     TooLargeError,
+    UnknownKeyError,
     UnknownRouteError,
     UnknownServiceError,
 )
@@ -57,6 +61,7 @@
     'BadRequestError',
     'BalsamrailError',
     'BodyTimeoutError',
+    'CallerMemoryError',
     'ConnectError',
     'DeadlineExpiredError',
     'DocumentError',
@@ -68,6 +73,7 @@
     'KeyClaimError',
     'KeyInvalidError',
     'KeyNotReadyError',
+    'ManifestUnconfirmedError',
     'NoTargetError',
     'NotReadyError',
     'NotRunError',
@@ -77,6 +83,7 @@
     'PeerError',
     'ProxyBusyError',
     'QuarantinedError',
+    'QuotaExceededError',
     'RequestError',
     'StoreConflictError',
     'StoreError',
@@ -86,6 +93,7 @@
     'TargetExcludedError',
     'TargetFailedError',
     'TooLargeError',
+    'UnknownKeyError',
     'UnknownRouteError',
     'UnknownServiceError',
     'UnsolicitedDataError',
--- a/src/balsamrail/errors/not_run_errors.py
+++ b/src/balsamrail/errors/not_run_errors.py
@@ -60,3 +60,22 @@
     """Several requests like this one in succession crashed their targets without a response."""
 
     code = 'quarantined'
+
+
+class ManifestUnconfirmedError(NotRunError):
+    """The host does not know whether the API key of the request has been withdrawn meanwhile."""
+
+    code = 'manifest_unconfirmed'
+
+
+class QuotaExceededError(NotRunError):
+    """The requests of the customer, over all hosts, exceed its quota."""
+
+    code = 'quota_exceeded'
+    status = 429
+
+
+class CallerMemoryError(NotRunError):
+    """The requests that the host is receiving take all the memory that it has for them."""
+
+    code = 'caller_memory'
--- a/src/balsamrail/errors/refusal_errors.py
+++ b/src/balsamrail/errors/refusal_errors.py
@@ -55,3 +55,10 @@
 
     code = 'key_invalid'
     status = 400
+
+
+class UnknownKeyError(RequestError):
+    """The request has no API key, or one that the manifest in force gives to no customer."""
+
+    code = 'unknown_key'
+    status = 401
--- a/src/balsamrail/settings/bounds.py
+++ b/src/balsamrail/settings/bounds.py
@@ -24,6 +24,11 @@
     :param lookup_ttl_s: maximum time that a lookup may be cached.
     :param max_shift: maximum fraction of a region's requests that may change region within two
         seconds.
+    :param revoke_s: maximum time until a withdrawn API key is refused by every host, also by those
+        that have lost the store; ``None`` if such hosts may still accept it.
+    :param quota_window_s: length of each window in which the requests of a customer are counted.
+    :param quota_overage: fraction of a customer's quota that may run beyond it.
+    :param quota_slack: requests of a customer that may run beyond that, in each window.
     """
 
     contact_s: float = field(default=3, metadata=_NON_NEGATIVE)
@@ -38,3 +43,7 @@
     cold_slack: float = field(default=0, metadata=_NON_NEGATIVE)
     lookup_ttl_s: float = field(default=5, metadata=_NON_NEGATIVE)
     max_shift: float = field(default=1, metadata=_NON_NEGATIVE)
+    revoke_s: float | None = field(default=None, metadata=_NON_NEGATIVE)
+    quota_window_s: float = field(default=5, metadata=schema(min=0.1))
+    quota_overage: float = field(default=0, metadata=_NON_NEGATIVE)
+    quota_slack: float = field(default=0, metadata=_NON_NEGATIVE)
--- a/src/balsamrail/settings/settings.py
+++ b/src/balsamrail/settings/settings.py
@@ -21,7 +21,8 @@
     The fields from ``lookup_address`` on apply to a host on the users' platform: the addresses for
     lookups and readiness checks, the region of each availability zone, the promised bounds, and
     whether all hosts start for the first time. ``memory_mb`` is the memory of the process in MB;
-    unfinished responses may use a quarter of it.
+    unfinished responses may use a quarter of it. ``max_descriptors`` is the number of files and
+    sockets that the process may have open.
     """
 
     deployment: str = field(metadata=_NAME)
@@ -40,3 +41,4 @@
     bounds: Bounds = field(default_factory=Bounds)
     is_first_start: bool = False
     memory_mb: int = field(default=300, metadata=schema(min=1))
+    max_descriptors: int = field(default=4_096, metadata=schema(min=64))
