Run idempotent requests of one connection concurrently

Change: up to 8 idempotent requests of a connection run at once; ResponseQueue keeps the order of the responses. A request that is not idempotent runs alone.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -45,3 +45,31 @@
     When one connection carries 1 MB of requests behind one that takes 0.5 s
     Then at most 200 kB of them are buffered while it is in progress
     And all of them are answered
+
+  Scenario: Idempotent requests of one connection run at the same time
+    Guards against lookups that wait for the runs of those before them, until they are too late.
+
+    When one connection carries idempotent requests that take 0.4, 0.2, 0.0 s at once
+    Then it gets their responses in that order
+    And they end in the order r-2, r-1, r-0
+
+  Scenario: A request that is not idempotent waits for those before it, and those behind wait for it
+    Guards against a request that runs although the caller never got the response before it.
+
+    When one connection carries a request that is not idempotent between idempotent ones
+    Then it gets their responses in that order
+    And they end in the order r-0, r-1, r-2
+
+  Scenario: A caller leaves while several of its requests run
+    Guards against targets that work for a caller that has left, and against one connection that
+    takes a host for itself.
+
+    When a caller with 20 idempotent requests in progress leaves
+    Then 8 of them have begun, all these are cancelled and none counts as in flight
+
+  Scenario: Requests that run when a host begins to stop are answered
+    Guards against responses that are lost in a planned stop because an earlier one closed their
+    connection.
+
+    When a host begins to stop while idempotent requests of one connection run
+    Then all are answered, and only the last response closes the connection
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -23,6 +23,9 @@
         self.ended = []
         self.cancelled = []
 
+    def idempotent_timeout_s(self, request):
+        return 2 if request.method == 'GET' and '/idempotent/' in request.path else None
+
     async def handle(self, request):
         self.requests.append(request)
         try:
@@ -72,8 +75,10 @@
         self.server.stop()
         await self.server.close_all_connections()
 
-    def send(self, *takes_s, first=0):
-        requests = (request(number, take_s) for number, take_s in enumerate(takes_s, start=first))
+    def send(self, *takes_s, first=0, prefix=''):
+        requests = (
+            request(number, take_s, prefix) for number, take_s in enumerate(takes_s, start=first)
+        )
         self.write(b''.join(requests))
 
     def write(self, part):
@@ -94,9 +99,9 @@
         return [request.arrived_at for request in self.handler.requests]
 
 
-def request(number, take_s):
+def request(number, take_s, prefix=''):
     return (
-        f'GET /{take_s} HTTP/1.1\r\nHost: lepu.example\r\nX-Request-Id: r-{number}\r\n\r\n'
+        f'GET {prefix}/{take_s} HTTP/1.1\r\nHost: lepu.example\r\nX-Request-Id: r-{number}\r\n\r\n'
     ).encode()
 
 
@@ -275,3 +280,80 @@
 @then('all of them are answered')
 def step_all(context):
     assert ids(context.heads) == [f'r-{number}' for number in range(context.expected)]
+
+
+@when('one connection carries idempotent requests that take {takes} s at once')
+def step_idempotent(context, takes):
+    async def main():
+        async with Connection() as connection:
+            connection.send(*(float(one) for one in takes.split(', ')), prefix='/idempotent')
+            context.heads = await connection.responses(len(takes.split(', ')))
+            await asyncio.sleep(0)
+            context.ended = connection.handler.ended
+            context.in_flight = connection.callers.in_flight
+
+    play(main)
+
+
+@then('they end in the order {order}')
+def step_ended_in_order(context, order):
+    assert context.ended == order.split(', '), context.ended
+    assert not context.in_flight
+
+
+@when('one connection carries a request that is not idempotent between idempotent ones')
+def step_mixed(context):
+    async def main():
+        async with Connection() as connection:
+            connection.send(0.3, prefix='/idempotent')
+            connection.send(0.1, first=1)
+            connection.send(0, first=2, prefix='/idempotent')
+            context.heads = await connection.responses(3)
+            await asyncio.sleep(0)
+            context.ended = connection.handler.ended
+            context.in_flight = connection.callers.in_flight
+
+    play(main)
+
+
+@when('a caller with {count:d} idempotent requests in progress leaves')
+def step_idempotent_leaves(context, count):
+    async def main():
+        async with Connection() as connection:
+            connection.send(*[2] * count, prefix='/idempotent')
+            await asyncio.sleep(0.1)
+            context.begun = len(connection.handler.requests)
+            connection.writer.close()
+            await asyncio.sleep(0.3)
+            context.cancelled = len(connection.handler.cancelled)
+            context.in_flight = connection.callers.in_flight
+
+    play(main)
+
+
+@then('{count:d} of them have begun, all these are cancelled and none counts as in flight')
+def step_idempotent_cancelled(context, count):
+    assert context.begun == count, context.begun
+    assert context.cancelled == count, context.cancelled
+    assert not context.in_flight
+
+
+@when('a host begins to stop while idempotent requests of one connection run')
+def step_idempotent_stop(context):
+    async def main():
+        async with Connection() as connection:
+            connection.send(0.3, 0.1, 0.2, prefix='/idempotent')
+            await asyncio.sleep(0.05)
+            connection.callers.is_leaving = True
+            context.heads = await connection.responses(3)
+            context.rest = await connection.reader.read()
+
+    play(main)
+
+
+@then('all are answered, and only the last response closes the connection')
+def step_idempotent_stopped(context):
+    assert ids(context.heads) == ['r-0', 'r-1', 'r-2'], context.heads
+    closing = ['connection: close' in head.lower() for head in context.heads]
+    assert closing == [False, False, True], context.heads
+    assert context.rest == b''
--- a/src/balsamrail/delivery/delivery_planner.py
+++ b/src/balsamrail/delivery/delivery_planner.py
@@ -41,6 +41,13 @@
             )
         return self._plan(manifest, route, self._part_picker.pick(route), request)
 
+    def route_of(self, request: EntryRequest) -> ManifestRoute | None:
+        """Return the route of a request, ``None`` if no route is known for it."""
+        manifest = self._catalog.manifest
+        if manifest is None:
+            return None
+        return manifest.route_for(host=request.host, path=request.path)
+
     def refreshed(self, plan: DeliveryPlan, request: EntryRequest) -> DeliveryPlan:
         """Return the plan of a request in progress under the current manifest.
 
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -79,6 +79,13 @@
         run = self._run(plan, request)
         return await (run if plan.route.is_idempotent else self._run_detached(run))
 
+    def idempotent_timeout_s(self, request: EntryRequest) -> float | None:
+        """Return how long a request may run, ``None`` if it is not known to be idempotent."""
+        route = self._planner.route_of(request)
+        if route is None or not route.is_idempotent:
+            return None
+        return min(route.timeout_s, request.caller_timeout_s or route.timeout_s)
+
     def has_detached_requests(self) -> bool:
         """Return whether requests run that continue when their caller disconnects."""
         return bool(self._detached_runs)
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -3,12 +3,14 @@
 import contextlib
 import socket
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
 from balsamrail.environment import Environment
+from balsamrail.exchange.response_queue import ResponseQueue
 
 # How long a caller has to close a connection after the last response on it.
 _LINGER_S = 1.0
@@ -28,13 +30,16 @@
         stream.consumed_at()  # when the last processed byte arrived
 
     ``is_finished`` is true once no further request on the connection is to be processed.
-    ``is_from_peer`` is true if the caller is another host.
+    ``is_from_peer`` is true if the caller is another host. ``responses`` orders the responses to
+    requests that run concurrently.
     """
 
     def __init__(self, *args: Any, environment: Environment, **kwargs: Any) -> None:
         self._environment = environment
         self.is_finished = False
         self.is_from_peer = False
+        self.responses = ResponseQueue()
+        self._close_listeners: list[Callable[[], None]] = []
         self._received_bytes = 0
         # Pairs of the number of bytes received in total and the time.
         self._arrivals: deque[tuple[int, float]] = deque()
@@ -71,6 +76,23 @@
             self.socket.shutdown(socket.SHUT_WR)
         self.io_loop.call_later(_LINGER_S, self.close)
 
+    def add_close_listener(self, on_close: Callable[[], None]) -> None:
+        """Call ``on_close`` when the connection closes, and read ahead until it is removed."""
+        self._close_listeners.append(on_close)
+        self._maybe_add_error_listener()
+
+    def remove_close_listener(self, on_close: Callable[[], None]) -> None:
+        """Do not call ``on_close`` any more."""
+        if on_close in self._close_listeners:
+            self._close_listeners.remove(on_close)
+
+    def close_fd(self) -> None:
+        """Close the socket and notify the listeners."""
+        super().close_fd()
+        for on_close in self._close_listeners:
+            self.io_loop.add_callback(on_close)
+        self._close_listeners = []
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket and record the time."""
         count = super().read_from_fd(buf)
@@ -89,6 +111,6 @@
 
     def _read_ahead(self) -> None:
         """Keep reading while a request is in progress, even if bytes are left in the buffer."""
-        is_in_progress = self._close_callback is not None and not self.closed()
-        if is_in_progress and self._read_buffer_size < _READ_AHEAD_BYTES:
+        is_in_progress = bool(self._close_listeners) or self._close_callback is not None
+        if is_in_progress and not self.closed() and self._read_buffer_size < _READ_AHEAD_BYTES:
             self._add_io_state(IOLoop.READ)
