Read the load of targets that tell more than three figures

Cause: a load of four figures was dropped whole, so that hosts knew nothing of the requests that other hosts have at such a target. Change: the first three figures count as before; the fourth is read as the slowdown of the target's machine, which no decision uses yet.

--- a/src/balsamrail/platform/target_protocol.py
+++ b/src/balsamrail/platform/target_protocol.py
@@ -19,7 +19,9 @@
 
 _MS_IN_S = 1_000
 _MISDIRECTED = 421
-_LOAD_FIELD_COUNT = 3
+# The figures that every target reports, see ReportedLoad; newer ones add the slowdown.
+_MIN_LOAD_FIELDS = 3
+_USUAL_SLOWDOWN = 100
 _NUMBER_FORMAT = re.compile(r'\d+(\.\d*)?([eE][+-]?\d+)?', re.ASCII)
 # Length to which an invalid header value is cut in the log.
 _MAX_LOGGED_CHARACTERS = 40
@@ -137,10 +139,21 @@
 
 def _parse_load(text: str | None) -> ReportedLoad | None:
     fields = (text or '').split(',')
-    if len(fields) != _LOAD_FIELD_COUNT:
+    if len(fields) < _MIN_LOAD_FIELDS:
         return None
     try:
-        running, waiting, slots = (int(field) for field in fields)
+        running, waiting, slots = (int(field) for field in fields[:_MIN_LOAD_FIELDS])
     except ValueError:
         return None
-    return ReportedLoad(running=running, waiting=waiting, slots=slots)
+    return ReportedLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=_parse_slowdown(fields[_MIN_LOAD_FIELDS:]),
+    )
+
+
+def _parse_slowdown(fields: list[str]) -> float:
+    """Return the fourth figure, in which 100 means as usual; 1 if it is missing or unreadable."""
+    number = _HeaderNumber.of(fields[0].strip()).number if fields else None
+    return number / _USUAL_SLOWDOWN if number else 1.0
