--- a/src/balsamrail/platform/caller_server.py
+++ b/src/balsamrail/platform/caller_server.py
@@ -44,8 +44,4 @@
     ) -> httputil.HTTPMessageDelegate:
         """Return the delegate that receives one request."""
         stream: CallerStream = request_conn.stream  # type: ignore[attr-defined]
-        if stream.closed() or stream.is_finished:
-            # The caller has left, or sends the request again on another connection.
-            self.environment.metrics.count('requests_behind_close')
-            return httputil.HTTPMessageDelegate()
         return CallerExchange(server=self, connection=request_conn, stream=stream)
--- a/tools/mutants/endless_bytes.py
+++ b/tools/mutants/endless_bytes.py
@@ -111,7 +111,7 @@
     ),
     Mutant(
         mechanism='complete responses count until callers have read them',
-        file='src/balsamrail/platform/caller_server.py',
+        file='src/balsamrail/platform/caller_exchange.py',
         old='usage = memory.hold(len(body), ',
         new='usage = memory.hold(0, ',
         feature=_FEATURE,
--- a/tools/mutants/proxying.py
+++ b/tools/mutants/proxying.py
@@ -104,8 +104,8 @@
     ),
     Mutant(
         mechanism='the header between hosts counts only on connections of other hosts',
-        file='src/balsamrail/platform/caller_server.py',
-        old='decode_handover(request_headers) if self._stream.is_from_peer else None',
+        file='src/balsamrail/platform/caller_codec.py',
+        old='decode_handover(request_headers) if stream.is_from_peer else None',
         new='decode_handover(request_headers)',
         feature=_FEATURE,
         scenario="A caller's connection cannot pass for one of another host",
