Tests: responses whose status is none in HTTP

Cause: on other systems a target in trouble sent the status 000, and the caller got it as an answer.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -136,6 +136,24 @@
       | HEAD   | with a length    | close | the head     |
       | HEAD   | with a length    | reset | the head     |
 
+  Scenario Outline: A target in trouble responds with the status <status> on <connection>
+    Guards against a status that is none in HTTP (RFC 9110 ends at 599) that reaches the caller as an
+    answer, and against a request that is sent again though it may have run.
+
+    Given a target that responds with the status <status>, on <connection>, and one that responds
+    When callers send a non-idempotent and an idempotent request
+    Then the first gets target_failed with an unknown outcome, the other one the response of the other target
+
+    Examples:
+      | status | connection      |
+      | 000    | a new one       |
+      | 000    | one used before |
+      | 099    | a new one       |
+      | 600    | a new one       |
+      | 600    | one used before |
+      | 999    | a new one       |
+      | 1000   | a new one       |
+
   Scenario: The caller gets a response within its timeout
     Guards against callers that wait longer than the timeout that they sent.
 
--- a/features/proxying.feature
+++ b/features/proxying.feature
@@ -26,6 +26,9 @@
       | knows no such route                   | an idempotent    | the whole response | 1 1      |
       | has no room                           | a non-idempotent | overloaded         | 1 0      |
       | says nothing                          | a non-idempotent | outcome_unknown    | 1 0      |
+      | passes on the status 000              | a non-idempotent | target_failed      | 1 0      |
+      | passes on the status 600              | a non-idempotent | target_failed      | 1 0      |
+      | passes on the status 999              | an idempotent    | the whole response | 1 1      |
 
   Scenario Outline: A target announces <what> in a response that another host passes on
     Guards against requests to targets whose announcements this host has passed on to callers without
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -809,3 +809,44 @@
 @then('the second took those down that it could not connect to')
 def step_some_down(context):
     assert context.down[1] >= 2, context.down
+
+
+@given('a target that responds with the status {status}, on {connection}, and one that responds')
+def step_odd_status(context, status, connection):
+    async def respond_oddly(number, headers, writer):
+        line = b'200 OK' if headers['x-request-id'] == 'before' else f'{status} Odd'.encode()
+        writer.write(response_to(headers).replace(b'200 OK', line))
+
+    context.is_used_before = connection == 'one used before'
+    context.delivery = DeliveryHarness([respond_oddly, respond])
+
+
+@when('callers send a non-idempotent and an idempotent request')
+def step_send_both_kinds(context):
+    async def play():
+        delivery = await context.delivery.start()
+        key = delivery.key_that_prefers('i-0')
+        context.outcomes = []
+        for path in ('/write/x', '/read/x'):
+            if context.is_used_before:
+                await delivery.send('before', path=path, key=key)
+            try:
+                outcome = await delivery.send('r-1', path=path, key=key)
+            except RequestError as error:
+                outcome = error
+            context.outcomes.append(outcome)
+        context.counts = delivery.attempts()
+        delivery.stop()
+
+    run_real(play())
+
+
+@then(
+    'the first gets {code} with an unknown outcome, the other one the response of the other target'
+)
+def step_both_outcomes(context, code):
+    first, second = context.outcomes
+    assert isinstance(first, RequestError), first
+    assert (first.code, first.outcome) == (code, 'unknown'), first
+    assert (second.status, second.body) == (200, b'whole'), second
+    assert context.counts[1] == 1, context.counts
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -96,7 +96,17 @@
     await serve(number, headers, writer)
 
 
+def pass_on(status):
+    async def write(number, headers, writer):
+        writer.write(reply(headers, 'answered', status=status, sent='i-9'))
+
+    return write
+
+
 BEHAVIOURS = {
+    'passes on the status 000': pass_on(b'000 Odd'),
+    'passes on the status 600': pass_on(b'600 Odd'),
+    'passes on the status 999': pass_on(b'999 Odd'),
     'is slow to respond': respond_by_id,
     'accepts no connection': None,
     'closes the connection': close_connection,
--- a/features/upstream_framing.feature
+++ b/features/upstream_framing.feature
@@ -25,6 +25,12 @@
       | GET    | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nabc\r\n0\r\n\r\n      | waits  | error   | closed     |
       | GET    | HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nabc                          | waits  | error   | closed     |
       | GET    | not HTTP\r\n\r\n                                                                | waits  | error   | closed     |
+      | GET    | HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nabc                                  | waits  | error   | closed     |
+      | GET    | HTTP/1.1 099 X\r\nContent-Length: 3\r\n\r\nabc                                  | waits  | error   | closed     |
+      | GET    | HTTP/1.1 600 X\r\nContent-Length: 3\r\n\r\nabc                                  | waits  | error   | closed     |
+      | GET    | HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nabc                                  | waits  | error   | closed     |
+      | GET    | HTTP/1.1 1000 X\r\nContent-Length: 3\r\n\r\nabc                                 | waits  | error   | closed     |
+      | GET    | HTTP/1.1 599 X\r\nContent-Length: 3\r\n\r\nabc                                  | waits  | abc     | kept       |
 
   Scenario Outline: Truncation at every byte; guards against forwarding a truncated response
     When the upstream truncates its response "<answer>" to <method> after each of its bytes by <way>
