Treat responses with a status outside 100 to 599 as malformed

Change: the shared response buffer of entry hosts and nodes rejects such a status, so that the request is retried if that is allowed, or ends with an unknown outcome.

--- a/src/balsamrail/exchange/response_buffer.py
+++ b/src/balsamrail/exchange/response_buffer.py
@@ -9,6 +9,9 @@
 )
 
 _SWITCHING_PROTOCOLS = 101
+# RFC 9110 defines no other classes of status codes; tornado accepts any three digits.
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 _BODYLESS_STATUSES = frozenset((204, 304))
 
 
@@ -37,8 +40,13 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Store the headers; an interim response is replaced by the next one."""
+        """Store the headers; an interim response is replaced by the next one.
+
+        :raises HTTPInputError: if the status is not one of HTTP, or not one that was asked for.
+        """
         assert isinstance(start_line, ResponseStartLine)
+        if not _MIN_STATUS <= start_line.code <= _MAX_STATUS:
+            raise HTTPInputError(f'{start_line.code:03} is not a status code')
         if start_line.code == _SWITCHING_PROTOCOLS:
             raise HTTPInputError('unsolicited 101 Switching Protocols')
         self.start = start_line
--- a/tools/mutants/endless_bytes.py
+++ b/tools/mutants/endless_bytes.py
@@ -125,4 +125,12 @@
         feature=_FEATURE,
         scenario='Large complete responses of a node',
     ),
+    Mutant(
+        mechanism='statuses that are none in HTTP do not reach callers',
+        file='src/balsamrail/exchange/response_buffer.py',
+        old='if not _MIN_STATUS <= start_line.code <= _MAX_STATUS:',
+        new='if False:',
+        feature='features/delivery.feature',
+        scenario='A target in trouble responds with the status 600',
+    ),
 )
