--- a/src/balsamrail/catalog/manifest_route.py
+++ b/src/balsamrail/catalog/manifest_route.py
@@ -4,6 +4,10 @@
 
 from balsamrail.catalog.weighted_service import WeightedService
 
+# The regions of a request that may be processed nowhere: an empty set means anywhere. No region has
+# such a name, so that no target and no host is in it.
+NO_REGIONS = frozenset(('(none)',))
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ManifestRoute:
@@ -16,6 +20,7 @@
     :param max_attempts: the maximum number of targets to which a request is sent.
     :param is_sticky: whether a target is faster for objects that it handled recently.
     :param allowed_regions: the regions in which requests may be processed; empty if anywhere.
+    :param is_anonymous: whether requests without a known API key are accepted.
     :param parts: the services among which the requests are split.
     """
 
@@ -30,6 +35,7 @@
     is_sticky: bool
     allowed_regions: frozenset[str]
     parts: tuple[WeightedService, ...]
+    is_anonymous: bool = False
 
     def allows(self, region: str) -> bool:
         """Return whether requests of the route may be processed in ``region``."""
--- a/src/balsamrail/delivery/delivery_plan.py
+++ b/src/balsamrail/delivery/delivery_plan.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from balsamrail.catalog.customer import Customer
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.delivery.placement_key import PlacementKey
 from balsamrail.placement.retry_budget import RetryBudget
@@ -11,6 +12,9 @@
 class DeliveryPlan:
     """The route and the placement key of a request under one version of the manifest.
 
+    :param route: the route with the priority and the regions of the customer.
+    :param base_route: the route as the manifest has it.
+    :param customer: who sent the request, ``None`` if it belongs to no customer.
     :param budget: retry budget of the service.
     """
 
@@ -18,3 +22,5 @@
     route: ManifestRoute
     placement_key: PlacementKey
     budget: RetryBudget
+    base_route: ManifestRoute
+    customer: Customer | None = None
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -10,6 +10,7 @@
 from balsamrail.delivery.delivery_planner import DeliveryPlanner
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.http_message import HttpResponse
+from balsamrail.delivery.manifest_freshness import ALWAYS_CONFIRMED, ManifestFreshness
 from balsamrail.delivery.request_executor import RequestExecutor
 from balsamrail.delivery.shutdown_deadline import ShutdownDeadline
 from balsamrail.delivery.target_exchange import TargetExchange
@@ -26,6 +27,7 @@
 
     :param admission: limits the requests that other hosts send to this one.
     :param proxy: sends requests through other hosts.
+    :param freshness: tells whether API keys of the manifest in force can be relied on.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         crashes: CrashDetector,
         admission: ProxyAdmission,
         proxy: RequestProxy,
+        freshness: ManifestFreshness = ALWAYS_CONFIRMED,
     ) -> None:
         self._admission = admission
         self._proxy = proxy
@@ -61,7 +64,7 @@
         self._crash_detector = crashes
         self._exchange = exchange
         self._budgets = budgets
-        self._planner = DeliveryPlanner(catalog=catalog, budgets=budgets)
+        self._planner = DeliveryPlanner(catalog=catalog, budgets=budgets, freshness=freshness)
         self._sizes = ExchangeSizes()
         self._shutdown_deadline = ShutdownDeadline()
         self._detached_runs: set[asyncio.Task[HttpResponse]] = set()
--- a/src/balsamrail/entry/delivery_components.py
+++ b/src/balsamrail/entry/delivery_components.py
@@ -9,6 +9,7 @@
 from balsamrail.delivery.http_connection_pool import HttpConnectionPool
 from balsamrail.delivery.limit_reports import LimitReports
 from balsamrail.delivery.liveness_checker import LivenessChecker
+from balsamrail.delivery.manifest_freshness import ALWAYS_CONFIRMED, ManifestFreshness
 from balsamrail.delivery.notice_handler import NoticeHandler
 from balsamrail.delivery.path_watcher import PathWatcher
 from balsamrail.delivery.target_exchange import TargetExchange
@@ -33,6 +34,7 @@
 
     :param members: provides the hosts that share the fleet-wide retry limits, and those through which
         requests go while this host does not reach the targets.
+    :param freshness: tells whether API keys of the manifest in force can be relied on.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         catalog: Catalog,
         members: Members,
         network: PeerNetwork,
+        freshness: ManifestFreshness = ALWAYS_CONFIRMED,
     ) -> None:
         settings = environment.settings
         codec = TargetProtocol()
@@ -115,6 +118,7 @@
                 codec=codec,
                 notice_handler=notice_handler,
             ),
+            freshness=freshness,
         )
 
     def close_stale_connections(self) -> None:
--- a/src/balsamrail/errors/__init__.py
+++ b/src/balsamrail/errors/__init__.py
@@ -27,6 +27,7 @@
     ProxyBusyError,
     QuarantinedError,
     QuotaExceededError,
+    UnknownCustomerError,
 )
 from balsamrail.errors.outcome_unknown_errors import (
     AnswerDroppedError,
@@ -93,6 +94,7 @@
     'TargetExcludedError',
     'TargetFailedError',
     'TooLargeError',
+    'UnknownCustomerError',
     'UnknownKeyError',
     'UnknownRouteError',
     'UnknownServiceError',
--- a/src/balsamrail/errors/not_run_errors.py
+++ b/src/balsamrail/errors/not_run_errors.py
@@ -68,6 +68,12 @@
     code = 'manifest_unconfirmed'
 
 
+class UnknownCustomerError(NotRunError):
+    """The host does not know the customer that another host identified."""
+
+    code = 'unknown_customer'
+
+
 class QuotaExceededError(NotRunError):
     """The requests of the customer, over all hosts, exceed its quota."""
 
--- a/src/balsamrail/proxying/handover.py
+++ b/src/balsamrail/proxying/handover.py
@@ -13,10 +13,12 @@
     :param origin: the host that received the request from the caller.
     :param max_attempts: how many targets the request may still be sent to.
     :param tried: the targets to which the request was sent before.
+    :param customer: the customer that the first host identified, ``None`` if it identified none.
     :param attempted: the targets to which this host has sent it.
     """
 
     origin: str
     max_attempts: int
     tried: tuple[str, ...] = ()
+    customer: str | None = None
     attempted: list[str] = field(default_factory=list)
