Accept requests by the API keys of customers, and name the customer to targets

Change: the manifest's customers are read; requests of customers are accepted by their keys, or answered 401, 503 while the manifest is not confirmed; targets and hosts get X-Tenant instead of Authorization; the handover names the customer; crashes are counted by the customer's name. Unreadable customers are left out alone, and the log line of an unreadable manifest, or of a malformed feed update, has no values any more. The step about the identity of requests sets the field that the adapter now fills from the header.

--- a/features/steps/delivery_crash_steps.py
+++ b/features/steps/delivery_crash_steps.py
@@ -190,8 +190,8 @@
         {'method': 'PUT'},
         {'path': '/write/1?x=1'},
         {'body': b'other'},
-        {'headers': {'Authorization': 'Bearer a'}},
-        {'headers': {'Authorization': 'Bearer b'}},
+        {'credentials': 'Bearer a'},
+        {'credentials': 'Bearer b'},
     ]
     assert {digest(**changes) for changes in same} == {digest()}
     assert len({digest(), *(digest(**changes) for changes in others)}) == len(others) + 1
--- a/src/balsamrail/catalog/catalog.py
+++ b/src/balsamrail/catalog/catalog.py
@@ -54,6 +54,7 @@
             version=manifest.version,
             routes=len(manifest.routes),
             confined=_count_confined(manifest),
+            **({'customers': len(manifest.customers)} if manifest.has_customers else {}),
         )
         self._notify_subscribers()
         return True
--- a/src/balsamrail/delivery/attempt_record.py
+++ b/src/balsamrail/delivery/attempt_record.py
@@ -73,6 +73,7 @@
             left_s=deadline - now,
             manifest=plan.manifest_version,
             allowed_regions=','.join(sorted(plan.route.allowed_regions)),
+            **({} if plan.customer is None else {'customer': plan.customer.name}),
             **self._choice_fields(),
         )
 
--- a/src/balsamrail/delivery/request_fingerprint.py
+++ b/src/balsamrail/delivery/request_fingerprint.py
@@ -3,15 +3,15 @@
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.exchange.fingerprint import digest_of, fingerprint_of
 
-# A request of one caller is not held responsible for what the same request of another one did.
-_CALLER_HEADER = 'Authorization'
-
 
 class RequestFingerprint:
     """Identifies a request that a caller sends again, whatever service its route leads to.
 
     A split of the route or a new manifest must not make it another request, so the service is no
     part of it. The affinity key is none either: it names an object, and callers may send it or not.
+    A request of one caller is not held responsible for what the same request of another one did.
+    Callers are told apart by the customer, which keeps its name when its API key changes, and
+    otherwise by the credentials, if targets get them.
 
     Hosts of earlier versions counted the crashes for each service apart, under
     :meth:`of_service`::
@@ -32,9 +32,8 @@
         """The digest; computed when it is first needed, since few requests crash targets."""
         if self._value is None:
             request = self._request
-            caller = request.headers.get(_CALLER_HEADER, '')
-            texts = ('request', request.host, request.method, request.path, caller)
-            self._value = digest_of(texts, body=request.body)
+            texts = ('request', request.host, request.method, request.path)
+            self._value = digest_of((*texts, *_caller_of(request)), body=request.body)
         return self._value
 
     def of_service(self, service: str) -> bytes:
@@ -45,3 +44,9 @@
             path=self._request.path,
             body=self._request.body,
         )
+
+
+def _caller_of(request: EntryRequest) -> tuple[str, ...]:
+    if request.customer_name is not None:
+        return ('customer', request.customer_name)
+    return ('',) if request.hides_credentials else (request.credentials,)
--- a/src/balsamrail/entry/delivery_components.py
+++ b/src/balsamrail/entry/delivery_components.py
@@ -13,6 +13,7 @@
 from balsamrail.delivery.notice_handler import NoticeHandler
 from balsamrail.delivery.path_watcher import PathWatcher
 from balsamrail.delivery.target_exchange import TargetExchange
+from balsamrail.entry.proxy_components import ProxyComponents
 from balsamrail.environment import Environment
 from balsamrail.exchange.crash_registry import CrashRegistry
 from balsamrail.membership import Members, PeerNetwork
@@ -21,12 +22,8 @@
 from balsamrail.placement.send_limits import SendLimits
 from balsamrail.placement.target_registry import TargetRegistry
 from balsamrail.placement.target_selector import TargetSelector
-from balsamrail.platform.proxy_protocol import ProxyProtocol
 from balsamrail.platform.target_protocol import TargetProtocol
 from balsamrail.proxying.proxy_admission import ProxyAdmission
-from balsamrail.proxying.proxy_exchange import ProxyExchange
-from balsamrail.proxying.proxy_host_selector import ProxyHostSelector
-from balsamrail.proxying.request_proxy import RequestProxy
 
 
 class DeliveryComponents:
@@ -88,10 +85,14 @@
             target_registry=self.target_registry,
             announce=members.announce_degraded,
         )
-        selector = ProxyHostSelector(environment=environment, members=members)
-        self.proxy_exchange = ProxyExchange(
-            environment=environment, members=members, selector=selector, codec=ProxyProtocol()
+        proxying = ProxyComponents(
+            environment=environment,
+            members=members,
+            target_registry=self.target_registry,
+            codec=codec,
+            notice_handler=notice_handler,
         )
+        self.proxy_exchange = proxying.exchange
         self.crashes = CrashRegistry(environment=environment, network=network)
         self.dispatcher = Dispatcher(
             environment=environment,
@@ -110,14 +111,7 @@
                 bounds=settings.bounds, fleet_size=lambda: len(members.known()) + 1
             ),
             admission=ProxyAdmission(paths=self.target_registry.paths),
-            proxy=RequestProxy(
-                environment=environment,
-                target_registry=self.target_registry,
-                selector=selector,
-                exchange=self.proxy_exchange,
-                codec=codec,
-                notice_handler=notice_handler,
-            ),
+            proxy=proxying.proxy,
             freshness=freshness,
         )
 
--- a/src/balsamrail/fleet/object_codec.py
+++ b/src/balsamrail/fleet/object_codec.py
@@ -36,7 +36,9 @@
     try:
         return [_unpack_object(item) for part in packed for item in _unpack_part(part)]
     except Exception as error:
-        raise PeerError(f'malformed object in a feed update: {error!r}') from error
+        # Without the cause, whose text may have values of the object, such as API keys.
+        reason = type(error).__name__
+        raise PeerError(f'malformed object in a feed update: {reason}') from None
 
 
 def _pack_object(stored: StoreObject) -> bytes:
--- a/src/balsamrail/platform/caller_codec.py
+++ b/src/balsamrail/platform/caller_codec.py
@@ -9,10 +9,11 @@
 
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.http_message import HttpResponse
-from balsamrail.errors import RequestError
+from balsamrail.errors import RequestError, UnknownKeyError
 from balsamrail.exchange.caller_stream import CallerStream
 from balsamrail.exchange.problem import problem_response
 from balsamrail.platform import headers
+from balsamrail.platform.customer_headers import KEY_SCHEME, parse_key
 from balsamrail.platform.proxy_protocol import decode_handover
 
 _MS_IN_S = 1_000
@@ -30,6 +31,7 @@
     caller_timeout_s = (
         float(timeout_ms) / _MS_IN_S if _TIMEOUT_FORMAT.fullmatch(timeout_ms) else None
     )
+    credentials = request_headers.get(headers.AUTHORIZATION, '')
     return EntryRequest(
         request_id=request_headers.get(headers.REQUEST_ID, ''),
         method=start_line.method,
@@ -39,6 +41,8 @@
         object_key=_object_key(request_headers.get('Cookie', '')),
         arrived_at=stream.consumed_at(),
         caller_timeout_s=caller_timeout_s,
+        credentials=credentials,
+        api_key=parse_key(credentials) if credentials else '',
         handover=decode_handover(request_headers) if stream.is_from_peer else None,
     )
 
@@ -51,6 +55,8 @@
     problem = problem_response(error)
     if error.retry_after_s is not None:
         problem.headers[headers.RETRY_AFTER] = f'{math.ceil(error.retry_after_s * 100) / 100:g}'
+    if isinstance(error, UnknownKeyError):
+        problem.headers[headers.CHALLENGE] = KEY_SCHEME
     if request_id:
         problem.headers[headers.REQUEST_ID] = request_id
     return HttpResponse(
--- a/src/balsamrail/platform/caller_exchange.py
+++ b/src/balsamrail/platform/caller_exchange.py
@@ -20,13 +20,15 @@
 from balsamrail.exchange.hop_headers import connection_options, end_to_end_headers
 from balsamrail.exchange.response_queue import ResponseTurn
 from balsamrail.platform.caller_codec import decode_request, problem_answer
-from balsamrail.platform.headers import HANDOVER
+from balsamrail.platform.headers import CUSTOMER, HANDOVER
 from balsamrail.platform.proxy_protocol import encode_outcome
 
 if TYPE_CHECKING:
     from balsamrail.platform.caller_server import CallerServer
 
 _CONTENT_LENGTH = frozenset(('content-length',))
+# Headers that another host adds to the request of its caller, which do not count as the caller's.
+_ADDED_HEADERS = frozenset((CUSTOMER, HANDOVER))
 _BODYLESS_STATUSES = frozenset((204, 304))
 # Bytes of a header line besides its name and value: the colon, the space and the line break.
 _HEADER_LINE_OVERHEAD_BYTES = 4
@@ -115,7 +117,7 @@
         size = len(start_line.path) + sum(
             len(name) + len(value) + _HEADER_LINE_OVERHEAD_BYTES
             for name, value in request.headers.get_all()
-            if name != HANDOVER or request.handover is None
+            if request.handover is None or name not in _ADDED_HEADERS
         )
         length = request.headers.get('Content-Length', '0')
         if size > limits.header_bytes:
@@ -187,6 +189,7 @@
             code=error.code,
             reason=error.detail,
             after_s=environment.clock.monotonic() - request.arrived_at,
+            **({} if request.customer_name is None else {'customer': request.customer_name}),
         )
         return problem_answer(error, request_id=request.request_id)
 
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -7,6 +7,7 @@
 from balsamrail.catalog.delayed_removal import DelayedRemoval
 from balsamrail.catalog.era_tracker import EraTracker
 from balsamrail.catalog.grace_timers import GraceTimers
+from balsamrail.catalog.manifest import Manifest
 from balsamrail.catalog.object_view import ObjectView
 from balsamrail.catalog.outdated_entries import OutdatedEntries
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject
@@ -136,7 +137,8 @@
             except EntryError as error:
                 self._report_rejected('manifest_rejected', event.stored, error)
             else:
-                self._catalog.offer_manifest(manifest)
+                if self._catalog.offer_manifest(manifest):
+                    self._report_customers(manifest)
 
     def _on_targets_changed(self, events: list[ObjectEvent]) -> None:
         for event in events:
@@ -193,6 +195,16 @@
         zones = frozenset((*view.objects_by_name, *self._lost_evacuations))
         self._catalog.set_evacuated(zones)
 
+    def _report_customers(self, manifest: Manifest) -> None:
+        for rejected in manifest.rejected_customers:
+            self._environment.metrics.count('customer_rejected')
+            self._environment.log.event(
+                'customer_rejected', customer=rejected.name, reason=rejected.fault
+            )
+        for owner, other in manifest.shared_keys:
+            self._environment.metrics.count('customer_key_shared')
+            self._environment.log.event('customer_key_shared', customer=owner, other=other)
+
     def _report_rejected(self, event: str, stored: StoreObject, error: EntryError) -> None:
         self._environment.metrics.count(event)
         self._environment.log.event(event, object=stored.name, reason=error)
--- a/src/balsamrail/platform/headers.py
+++ b/src/balsamrail/platform/headers.py
@@ -10,6 +10,10 @@
 TARGET_ID = 'X-Instance-Id'
 WARMUP_LEFT_MS = 'X-Warmup-Ms'
 RETRY_AFTER = 'Retry-After'
+# The caller's API key, in the scheme 'Bearer'; targets get the customer's name instead.
+AUTHORIZATION = 'Authorization'
+CUSTOMER = 'X-Tenant'
+CHALLENGE = 'WWW-Authenticate'
 # Between hosts: what one tells another of a request that it sends there, and of its outcome.
 HANDOVER = 'Balsamrail-Handover'
 # '1' in answers of a target that accepts no new requests and is about to stop.
--- a/src/balsamrail/platform/manifest_reader.py
+++ b/src/balsamrail/platform/manifest_reader.py
@@ -5,6 +5,7 @@
 from balsamrail.catalog import CallerLimits, Manifest, ManifestRoute, ServiceSpec, WeightedService
 from balsamrail.errors import EntryError
 from balsamrail.platform import fields
+from balsamrail.platform.customer_reader import CustomerReader
 
 _IDEMPOTENT = 'idempotent'
 
@@ -12,35 +13,65 @@
 def read_manifest(spec: Any) -> Manifest:
     """Return the manifest that ``spec`` describes.
 
-    Entries of unknown kinds are ignored.
+    Entries of unknown kinds are ignored, and unreadable entries of customers are left out.
 
-    :raises EntryError: if a field is missing or malformed.
+    :raises EntryError: if another field is missing or malformed. Its text contains no values, since
+        they may be API keys.
     """
+    reader = _ManifestReader()
     try:
-        return _parse_manifest(spec)
+        return reader.read(spec)
     except fields.FIELD_ERRORS as error:
-        raise EntryError(f'malformed manifest: {error!r}') from error
+        place = '' if reader.index is None else f'resource {reader.index}: '
+        # Without the cause, whose text has the value.
+        raise EntryError(f'malformed manifest: {place}{_fault_of(error)}') from None
 
 
-def _parse_manifest(spec: dict[str, Any]) -> Manifest:
-    routes: list[ManifestRoute] = []
-    services: dict[str, ServiceSpec] = {}
-    limits = CallerLimits()
-    for entry in spec['resources']:
-        name = fields.mapping(fields.mapping(entry).get('metadata', {})).get('name', '')
-        match entry['entryKind']:
+class _ManifestReader:
+    """Reads one manifest.
+
+    :param index: the index of the entry that is being read, ``None`` before the first one.
+    """
+
+    def __init__(self) -> None:
+        self.index: int | None = None
+        self._routes: list[ManifestRoute] = []
+        self._services: dict[str, ServiceSpec] = {}
+        self._limits = CallerLimits()
+        self._customers = CustomerReader()
+
+    def read(self, spec: dict[str, Any]) -> Manifest:
+        version = fields.integer(spec['version'])
+        for index, entry in enumerate(spec['resources']):
+            self.index = index
+            self._read_entry(fields.mapping(entry))
+        return Manifest(
+            version=version,
+            routes=tuple(self._routes),
+            services=self._services,
+            limits=self._limits,
+            customers=tuple(self._customers.customers),
+            rejected_customers=tuple(self._customers.rejected),
+        )
+
+    def _read_entry(self, entry: dict[str, Any]) -> None:
+        kind = entry['entryKind']
+        if kind == 'tenants':
+            self._customers.read(entry)
+            return
+        name = fields.mapping(entry.get('metadata', {})).get('name', '')
+        match kind:
             case 'routes':
-                routes.append(_parse_route(name, fields.mapping(entry['spec'])))
+                self._routes.append(_parse_route(name, fields.mapping(entry['spec'])))
             case 'services':
-                services[name] = _parse_service(name, fields.mapping(entry['spec']))
+                self._services[name] = _parse_service(name, fields.mapping(entry['spec']))
             case 'limits':
-                limits = _parse_limits(entry['spec'])
-    return Manifest(
-        version=fields.integer(spec['version']),
-        routes=tuple(routes),
-        services=services,
-        limits=limits,
-    )
+                self._limits = _parse_limits(entry['spec'])
+
+
+def _fault_of(error: Exception) -> str:
+    """Return the kind of an error; the key of a :class:`KeyError` is the name of a field."""
+    return f'missing {error}' if isinstance(error, KeyError) else type(error).__name__
 
 
 def _parse_route(name: str, spec: dict[str, Any]) -> ManifestRoute:
@@ -57,6 +88,7 @@
         priority=fields.integer(spec.get('priority', 0)),
         max_attempts=max(1, fields.integer(spec.get('maxAttempts', 1))),
         is_sticky=bool(spec.get('sticky')),
+        is_anonymous=spec.get('anonymous') is True,
         allowed_regions=frozenset(spec.get('allowedRegions') or ()),
         parts=tuple(
             WeightedService(
--- a/src/balsamrail/platform/proxy_protocol.py
+++ b/src/balsamrail/platform/proxy_protocol.py
@@ -10,6 +10,7 @@
 from balsamrail.errors import RequestError
 from balsamrail.exchange.hop_headers import end_to_end_headers
 from balsamrail.platform import headers
+from balsamrail.platform.customer_headers import ForwardedHeaders
 from balsamrail.proxying.handover import Handover
 from balsamrail.proxying.proxy_reply import (
     ProxyAnswer,
@@ -21,8 +22,8 @@
 _MS_IN_S = 1_000
 # Bounds the header; a request is sent to few targets.
 _MAX_IDS = 16
-_REPLACED_HEADERS = frozenset(
-    ('content-length', headers.TIMEOUT_MS.lower(), headers.HANDOVER.lower())
+_FORWARDED_HEADERS = ForwardedHeaders(
+    without=frozenset(('content-length', headers.TIMEOUT_MS.lower(), headers.HANDOVER.lower()))
 )
 _COUNT_FORMAT = re.compile(r'\d{1,3}', re.ASCII)
 _SECONDS_FORMAT = re.compile(r'\d{1,6}(\.\d{1,6})?', re.ASCII)
@@ -35,7 +36,7 @@
     """Encodes requests to other hosts and their replies.
 
     The request is the caller's, with the time that is left and the header ``Balsamrail-Handover``,
-    as in ``origin=attiki-a-1 attempts=2 tried=i-1,i-2``. The reply has the same header, as in
+    as in ``origin=attiki-a-1 attempts=2 tried=i-1,i-2 customer=acme``. The reply has the same header, as in
     ``outcome=not_run code=no_target sent=``. Implements
     :class:`balsamrail.proxying.proxy_codec.ProxyCodec`.
     """
@@ -44,12 +45,13 @@
         self, request: EntryRequest, *, handover: Handover, left_s: float
     ) -> HttpRequest:
         """Return a caller's request as it is sent to another host."""
-        fields = end_to_end_headers(request.headers, without=_REPLACED_HEADERS)
+        fields = _FORWARDED_HEADERS.of(request)
         fields[headers.TIMEOUT_MS] = str(max(1, int(left_s * _MS_IN_S)))
         fields[headers.HANDOVER] = _encode_fields(
             origin=quote(handover.origin, safe=''),
             attempts=str(handover.max_attempts),
             tried=_encode_ids(handover.tried),
+            **_encode_customer(handover),
         )
         return HttpRequest(
             method=request.method, path=request.path, headers=fields, body=request.body
@@ -82,12 +84,14 @@
     """Return the handover in the headers of a request, ``None`` if there is no valid one."""
     values = _decode_fields(fields.get(headers.HANDOVER, ''))
     attempts = values.get('attempts', '')
+    customer = values.get('customer', '')
     if not values.get('origin') or not _COUNT_FORMAT.fullmatch(attempts):
         return None
     return Handover(
         origin=unquote(values['origin']),
         max_attempts=int(attempts),
         tried=_decode_ids(values.get('tried', '')),
+        customer=unquote(customer) if customer else None,
     )
 
 
@@ -103,6 +107,10 @@
     )
 
 
+def _encode_customer(handover: Handover) -> dict[str, str]:
+    return {} if handover.customer is None else {'customer': quote(handover.customer, safe='')}
+
+
 def _encode_fields(**fields: str) -> str:
     return ' '.join(f'{name}={value}' for name, value in fields.items())
 
--- a/src/balsamrail/platform/target_protocol.py
+++ b/src/balsamrail/platform/target_protocol.py
@@ -12,10 +12,10 @@
 from balsamrail.delivery.health_report import HealthReport
 from balsamrail.delivery.http_message import HttpRequest, HttpResponse
 from balsamrail.delivery.target_response import TargetResponse
-from balsamrail.exchange.hop_headers import end_to_end_headers
 from balsamrail.placement.reported_load import ReportedLoad
 from balsamrail.placement.target_notice import TargetNotice
 from balsamrail.platform import headers
+from balsamrail.platform.customer_headers import ForwardedHeaders
 
 _MS_IN_S = 1_000
 _MISDIRECTED = 421
@@ -26,12 +26,14 @@
 # Length to which an invalid header value is cut in the log.
 _MAX_LOGGED_CHARACTERS = 40
 _EMPTY_TEXT = 'empty'
-_REPLACED_HEADERS = frozenset(
-    (
-        'content-length',
-        headers.TIMEOUT_MS.lower(),
-        headers.EXPECTED_TARGET.lower(),
-        headers.HANDOVER.lower(),
+_FORWARDED_HEADERS = ForwardedHeaders(
+    without=frozenset(
+        (
+            'content-length',
+            headers.TIMEOUT_MS.lower(),
+            headers.EXPECTED_TARGET.lower(),
+            headers.HANDOVER.lower(),
+        )
     )
 )
 
@@ -67,8 +69,11 @@
     def encode_request(
         self, request: EntryRequest, *, entry: TargetEntry, left_s: float
     ) -> HttpRequest:
-        """Return the caller's request with the remaining time and the target's id in its headers."""
-        target_headers = end_to_end_headers(request.headers, without=_REPLACED_HEADERS)
+        """Return the caller's request with the remaining time and the target's id in its headers.
+
+        While customers are in force, the customer's name replaces the API key.
+        """
+        target_headers = _FORWARDED_HEADERS.of(request)
         target_headers[headers.TIMEOUT_MS] = str(max(1, int(left_s * _MS_IN_S)))
         target_headers[headers.EXPECTED_TARGET] = entry.target_id
         return HttpRequest(
--- a/src/balsamrail/proxying/request_proxy.py
+++ b/src/balsamrail/proxying/request_proxy.py
@@ -137,6 +137,7 @@
             origin=self._environment.settings.host,
             max_attempts=max(1, attempts_left - 1),
             tried=tuple(record.attempted),
+            customer=request.customer_name,
         )
         record.proxy_hosts.append(member.host)
         try:
