--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -17,6 +17,7 @@
 from balsamrail.delivery.http_connection_pool import HttpConnectionPool
 from balsamrail.delivery.limit_reports import LimitReports
 from balsamrail.delivery.liveness_checker import LivenessChecker
+from balsamrail.delivery.manifest_freshness import ALWAYS_CONFIRMED
 from balsamrail.delivery.notice_handler import NoticeHandler
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.errors import RequestError
@@ -135,6 +136,7 @@
         self.other_hosts = other_hosts
         self.bounds = Bounds(retry_ratio=0, retry_slack=slack)
         self.settings = settings
+        self.freshness = ALWAYS_CONFIRMED
         self.targets = []
         self.members = MemberTable()
 
@@ -207,6 +209,7 @@
             budgets=RetryBudgets(bounds=self.bounds, fleet_size=lambda: 1),
             admission=ProxyAdmission(paths=target_registry.paths),
             proxy=self._make_proxy(),
+            freshness=self.freshness,
         )
         return self
 
--- a/src/balsamrail/catalog/stored_objects.py
+++ b/src/balsamrail/catalog/stored_objects.py
@@ -1,6 +1,6 @@
 """Objects, listings and watch events of the platform's store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from balsamrail.catalog.revision import Revision
@@ -16,7 +16,8 @@
 
     name: str
     revision: Revision
-    spec: Any
+    # Not in the representation, since a manifest has API keys.
+    spec: Any = field(repr=False)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/balsamrail/delivery/delivery_planner.py
+++ b/src/balsamrail/delivery/delivery_planner.py
@@ -58,6 +58,7 @@
                 detail=f'manifest version {manifest.version} has no route for the host name and path'
             )
         customer = self._identifier.identify(request, route, manifest=manifest)
+        _name_customer(request, customer, manifest)
         if manifest.effective_route(route, customer).allowed_regions == NO_REGIONS:
             raise NoTargetError(
                 detail='the route and the customer allow no region in common',
@@ -84,6 +85,7 @@
             return plan
         route = manifest.route_for(host=request.host, path=request.path)
         customer = _current_customer(plan, manifest)
+        _name_customer(request, customer, manifest)
         if route is None or route.path_prefix != plan.route.path_prefix:
             return _with_terms_of(customer, plan)
         service = plan.placement_key.service
@@ -99,8 +101,6 @@
         request: EntryRequest,
         customer: Customer | None,
     ) -> DeliveryPlan:
-        request.hides_credentials = request.hides_credentials or manifest.has_customers
-        request.customer_name = None if customer is None else customer.name
         return DeliveryPlan(
             manifest_version=manifest.version,
             route=manifest.effective_route(route, customer),
@@ -111,6 +111,11 @@
         )
 
 
+def _name_customer(request: EntryRequest, customer: Customer | None, manifest: Manifest) -> None:
+    request.hides_credentials = request.hides_credentials or manifest.has_customers
+    request.customer_name = None if customer is None else customer.name
+
+
 def _current_customer(plan: DeliveryPlan, manifest: Manifest) -> Customer | None:
     if plan.customer is None:
         return None
--- a/src/balsamrail/platform/customer_reader.py
+++ b/src/balsamrail/platform/customer_reader.py
@@ -9,6 +9,8 @@
 from balsamrail.errors import EntryError
 from balsamrail.platform import fields
 
+# The kind of the manifest's entries that describe customers.
+CUSTOMERS = 'tenants'
 _Value = TypeVar('_Value')
 _UNLIMITED: float = 0
 
--- a/src/balsamrail/platform/manifest_reader.py
+++ b/src/balsamrail/platform/manifest_reader.py
@@ -5,7 +5,7 @@
 from balsamrail.catalog import CallerLimits, Manifest, ManifestRoute, ServiceSpec, WeightedService
 from balsamrail.errors import EntryError
 from balsamrail.platform import fields
-from balsamrail.platform.customer_reader import CustomerReader
+from balsamrail.platform.customer_reader import CUSTOMERS, CustomerReader
 
 _IDEMPOTENT = 'idempotent'
 
@@ -56,7 +56,7 @@
 
     def _read_entry(self, entry: dict[str, Any]) -> None:
         kind = entry['entryKind']
-        if kind == 'tenants':
+        if kind == CUSTOMERS:
             self._customers.read(entry)
             return
         name = fields.mapping(entry.get('metadata', {})).get('name', '')
--- a/src/balsamrail/platform/store_codec.py
+++ b/src/balsamrail/platform/store_codec.py
@@ -4,7 +4,6 @@
 from contextlib import suppress
 from typing import Any
 
-import msgpack
 from tornado.httputil import HTTPHeaders
 
 from balsamrail.catalog.revision import Revision
@@ -12,6 +11,7 @@
 from balsamrail.errors import StoreError
 from balsamrail.lenient_json import parse_json
 from balsamrail.platform import fields, headers
+from balsamrail.platform.portable_spec import portable_spec
 
 # An entry may be no JSON object at all.
 _OBJECT_ERRORS = (*fields.FIELD_ERRORS, AttributeError)
@@ -41,7 +41,7 @@
 def read_object(payload: Any, *, era: int) -> StoreObject:
     """Return the object in a listing, an event or an answer.
 
-    A spec that cannot be passed on to other hosts counts as missing, so that all hosts read the same.
+    What cannot be passed on to other hosts counts as missing, so that all hosts read the same.
 
     :param era: the era of the store that gave the answer.
     :raises StoreError: if the name is missing or the revision is malformed.
@@ -49,11 +49,10 @@
     try:
         metadata = payload['metadata']
         number = int(metadata.get('revision') or 0)
-        spec = payload.get('spec')
         return StoreObject(
             name=fields.string(str(metadata['name'])),
             revision=Revision(era=era, number=fields.integer(number)),
-            spec=spec if _is_portable(spec) else None,
+            spec=portable_spec(payload.get('spec')),
         )
     except _OBJECT_ERRORS as error:
         raise StoreError(f'malformed object: {error!r}') from error
@@ -100,12 +99,3 @@
     if not isinstance(entries, list):
         raise StoreError(f'{name} is not a list')
     return entries
-
-
-def _is_portable(spec: Any) -> bool:
-    """Return whether a value can be encoded in a message to other hosts."""
-    try:
-        msgpack.packb(spec)
-    except (ValueError, OverflowError, RecursionError):
-        return False
-    return True
