--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -2,6 +2,7 @@
 
 from tools.mutants.configuration import CONFIGURATION
 from tools.mutants.currency import CURRENCY
+from tools.mutants.customers import CUSTOMERS
 from tools.mutants.endless_bytes import ENDLESS_BYTES
 from tools.mutants.entry import ENTRY
 from tools.mutants.forwarding import FORWARDING
@@ -25,6 +26,7 @@
     *HOST,
     *ENTRY,
     *CURRENCY,
+    *CUSTOMERS,
     *ENDLESS_BYTES,
     *PIPELINING,
     *PROXYING,
