--- a/features/customers.feature
+++ b/features/customers.feature
@@ -50,6 +50,12 @@
     When a request with that key arrives
     Then it is served as the first one, and the log names both
 
+  Scenario: A change of the manifest is parsed once
+    Guards against hosts that serve nobody while they parse thousands of customers several times.
+
+    Given a host whose manifest changes, and then becomes unreadable
+    Then each of the manifests has been parsed once, and the last readable one is in force
+
   Scenario: A manifest that cannot be read is reported without its values
     Guards against API keys in the log line about a faulty manifest.
 
--- a/features/steps/customers_manifest_steps.py
+++ b/features/steps/customers_manifest_steps.py
@@ -1,6 +1,7 @@
 """Steps of customers.feature about the manifest."""
 
 import json
+from unittest import mock
 
 from behave import given, then, when
 from customer_parts import (
@@ -13,7 +14,7 @@
     outcome_of,
     received,
 )
-from customers_steps import KEYS, lines_of, run_host
+from customers_steps import KEYS, StoredManifests, lines_of, run_host
 from hypothesis import given as for_all
 from hypothesis import strategies
 
@@ -158,6 +159,37 @@
     assert SECRET not in line and ACME_KEY not in line, line
 
 
+@given('a host whose manifest changes, and then becomes unreadable')
+def step_changes(context):
+    specs = [
+        manifest_spec(ACME),
+        manifest_spec(ACME, version=3),
+        manifest_spec(ACME, version=SECRET),
+    ]
+    context.parsed = []
+
+    def read(spec):
+        context.parsed.append(spec['version'])
+        return read_manifest(spec)
+
+    async def play(delivery):
+        stored = StoredManifests(delivery)
+        for spec in specs:
+            stored.put(spec)
+        return delivery.catalog.manifest.version
+
+    with mock.patch('balsamrail.platform.parsed_manifests.read_manifest', read):
+        context.version = run_host(context, play)
+
+
+@then('each of the manifests has been parsed once, and the last readable one is in force')
+def step_parsed_once(context):
+    assert context.parsed == [2, 3, SECRET], context.parsed
+    assert context.version == 3, context.version
+    (line,) = lines_of(context.delivery, 'manifest_rejected')
+    assert SECRET not in line, line
+
+
 PLACES = strategies.recursive(
     strategies.sampled_from([SECRET, f'{SECRET}\ud800', 1, None, True, 0.5]),
     lambda inner: strategies.one_of(
--- a/src/balsamrail/platform/catalog_reader.py
+++ b/src/balsamrail/platform/catalog_reader.py
@@ -13,7 +13,7 @@
 from balsamrail.catalog.stored_objects import ObjectEvent, StoreObject
 from balsamrail.environment import Environment
 from balsamrail.errors import EntryError
-from balsamrail.platform.manifest_reader import read_manifest
+from balsamrail.platform.parsed_manifests import ParsedManifests
 from balsamrail.platform.target_reader import read_target
 
 MANIFESTS = 'config'
@@ -46,6 +46,7 @@
         '_newest_era',
         '_on_new_era',
         '_outdated_entries',
+        '_parsed_manifests',
         '_store_up_for_s',
         '_suspicion_timer',
         '_unbelieved_ids',
@@ -69,7 +70,8 @@
         self._outdated_entries = OutdatedEntries()
         self._suspicion_timer: asyncio.TimerHandle | None = None
         self._unbelieved_ids: set[str] = set()
-        manifests = ObjectView(kind=MANIFESTS, content_version=_manifest_version)
+        self._parsed_manifests = ParsedManifests()
+        manifests = ObjectView(kind=MANIFESTS, content_version=self._manifest_version)
         targets = ObjectView(kind=TARGETS)
         evacuations = ObjectView(kind=EVACUATIONS)
         self._lost_evacuations = GraceTimers(
@@ -128,12 +130,17 @@
         self._unbelieved_ids.clear()
         self._catalog.publish()
 
+    def _manifest_version(self, stored: StoreObject) -> int | None:
+        if stored.name != _MANIFEST_NAME:
+            return None
+        return self._parsed_manifests.version(stored.spec)
+
     def _on_manifests_changed(self, events: list[ObjectEvent]) -> None:
         for event in events:
             if event.stored.name != _MANIFEST_NAME or event.is_removal:
                 continue
             try:
-                manifest = read_manifest(event.stored.spec)
+                manifest = self._parsed_manifests.read(event.stored.spec)
             except EntryError as error:
                 self._report_rejected('manifest_rejected', event.stored, error)
             else:
@@ -208,12 +215,3 @@
     def _report_rejected(self, event: str, stored: StoreObject, error: EntryError) -> None:
         self._environment.metrics.count(event)
         self._environment.log.event(event, object=stored.name, reason=error)
-
-
-def _manifest_version(stored: StoreObject) -> int | None:
-    if stored.name != _MANIFEST_NAME:
-        return None
-    try:
-        return read_manifest(stored.spec).version
-    except EntryError:
-        return None
--- a/tools/mutants/customers.py
+++ b/tools/mutants/customers.py
@@ -215,6 +215,14 @@
         feature=_FEATURE,
         scenario='Keys stay out of the log and the pages of a process',
     ),
+    Mutant(
+        mechanism='a manifest is parsed once',
+        file='src/balsamrail/platform/parsed_manifests.py',
+        old='if known is spec:',
+        new='if False:',
+        feature=_FEATURE,
+        scenario='A change of the manifest is parsed once',
+    ),
     Mutant(
         mechanism='the fault of a manifest has no values',
         file=_MANIFEST_READER,
