--- a/features/customers.feature
+++ b/features/customers.feature
@@ -227,6 +227,13 @@
     When it sends a customer's request through the peer
     Then the far peer serves it
 
+  Scenario: Two hosts serve a customer together
+    Guards against requests that a peer refuses, or serves without a name, since their key is gone.
+
+    Given two hosts with customers, one of which has lost its paths to targets
+    When it gets requests with a known key, without a key, and with a long header beside a known key
+    Then the other one serves the former under the customer's name, and the one without a key is rejected
+
   Scenario Outline: A host gets a request from another host
     Guards against callers that name themselves a customer by way of another host.
 
--- a/features/steps/customers_proxy_steps.py
+++ b/features/steps/customers_proxy_steps.py
@@ -1,5 +1,7 @@
 """Steps of customers.feature about requests between hosts, and about fingerprints."""
 
+from unittest import mock
+
 from behave import given, then, when
 from customer_parts import (
     ACME,
@@ -17,6 +19,8 @@
 )
 from customers_steps import KEYS, plan_of, run_host
 from delivery_parts import DeliveryHarness
+from entry_fleet import HOST_NAME, EntryFleet
+from entry_steps import _play
 from forwarding_parts import RawUpstream
 from hypothesis import given as for_all
 from hypothesis import strategies
@@ -27,6 +31,7 @@
 from balsamrail.delivery.request_fingerprint import RequestFingerprint
 from balsamrail.errors import NoTargetError
 from balsamrail.exchange.fingerprint import digest_of
+from balsamrail.placement.path_monitor import PathMonitor
 from balsamrail.platform.manifest_reader import read_manifest
 from balsamrail.platform.proxy_protocol import ProxyProtocol, decode_handover
 from balsamrail.proxying.handover import Handover
@@ -114,6 +119,61 @@
         check_named(peer)
 
 
+@given('two hosts with customers, one of which has lost its paths to targets')
+def step_two_hosts(context):
+    context.fleet = EntryFleet(attiki=2, makedonia=0)
+
+
+@when(
+    'it gets requests with a known key, without a key, and with a long header beside a known key'
+)
+def step_both_serve(context):
+    limits = {'maxHeaderBytes': 400, 'maxBodyBytes': 1, 'headerTimeoutS': 3, 'idleTimeoutS': 9}
+    name = 'a customer with a name that is longer than its key'
+    spec = manifest_spec(
+        customer(name, ACME_KEY),
+        {'entryKind': 'limits', 'metadata': {'name': 'l'}, 'spec': limits},
+        version=4,
+    )
+
+    async def play(fleet):
+        fleet.store.put('config', 'main', spec)
+        hosts = fleet.hosts.values()
+        await fleet.until(lambda: all(host.catalog.manifest.version == 4 for host in hosts))
+        paths = fleet.hosts['attiki-0'].delivery.target_registry.paths
+        address = fleet.addresses['attiki-0'][0]
+        key = {'Authorization': f'Bearer {ACME_KEY}'}
+        context.answers = []
+        with mock.patch.object(PathMonitor, 'is_lost', lambda self: self is paths):
+            # The last one has 390 of the 400 bytes.
+            for fields in (key, {}, {**key, 'X-Long': 'x' * 227}):
+                headers = {'Host': HOST_NAME, 'X-Request-Id': 'r-1', **fields}
+                answer = await fleet.get(address, '/read/1', headers=headers)
+                context.answers.append(answer.code)
+        context.heads = [head for one in fleet.targets for head in one.upstream.heads]
+        context.names = [
+            received(one.upstream, number)['x-tenant']
+            for one in fleet.targets
+            for number, head in enumerate(one.upstream.heads)
+            if '/read/1 ' in head
+        ]
+        context.name = name
+        metrics = fleet.hosts['attiki-1'].callers.environment.metrics
+        context.handed_over = metrics.counter('requests_of_other_hosts')
+
+    _play(context, play)
+
+
+@then(
+    "the other one serves the former under the customer's name, and the one without a key is rejected"
+)
+def step_served_together(context):
+    assert context.answers == [200, 401, 200], context.answers
+    assert context.names == [context.name] * 2, context.names
+    assert context.handed_over == 2, context.handed_over
+    assert ACME_KEY not in ''.join(context.heads), context.heads
+
+
 @when("any customer's name is sent between hosts")
 def step_any_name(context):
     context.checked = 0
--- a/tools/mutants/customers.py
+++ b/tools/mutants/customers.py
@@ -247,6 +247,22 @@
         feature=_FEATURE,
         scenario='A request is sent through another host',
     ),
+    Mutant(
+        mechanism='the name that a host adds does not count as a header of the caller',
+        file='src/balsamrail/platform/caller_exchange.py',
+        old='frozenset((CUSTOMER, HANDOVER))',
+        new='frozenset((HANDOVER,))',
+        feature=_FEATURE,
+        scenario='Two hosts serve a customer together',
+    ),
+    Mutant(
+        mechanism='a peer accepts requests whose key was removed',
+        file='src/balsamrail/proxying/request_proxy.py',
+        old='            customer=request.customer_name,\n',
+        new='',
+        feature=_FEATURE,
+        scenario='Two hosts serve a customer together',
+    ),
     Mutant(
         mechanism='names of customers are percent-encoded in the handover',
         file=_PROXY_PROTOCOL,
