--- a/features/steps/delivery_crash_steps.py
+++ b/features/steps/delivery_crash_steps.py
@@ -1,19 +1,21 @@
 """Steps of delivery.feature for the identity of requests that crash their targets."""
 
 import asyncio
+import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import given, then, when
 from delivery_parts import DeliveryHarness, crash_on, send_deadly_repeatedly
 from placement_parts import make_entry, make_manifest, make_route
 from platform_helpers import free_address, run_real
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from balsamrail.catalog.weighted_service import WeightedService
-from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.request_fingerprint import RequestFingerprint
 from balsamrail.errors import RequestError
 from balsamrail.messages import CrashReport
+from balsamrail.platform.caller_codec import decode_request
 
 SERVICES = ('lepu', 'mora', 'tavi')
 TARGETS_PER_SERVICE = 5
@@ -176,8 +178,12 @@
             'body': b'body',
             **changes,
         }
-        headers = HTTPHeaders(headers or {})
-        return RequestFingerprint(request=EntryRequest(headers=headers, **fields)).value
+        request = decode_request(
+            RequestStartLine(fields['method'], fields['path'], 'HTTP/1.1'),
+            HTTPHeaders(headers or {}),
+            stream=SimpleNamespace(consumed_at=time.monotonic, is_from_peer=False),
+        )
+        return RequestFingerprint(request=replace(request, **fields)).value
 
     same = [
         {'request_id': 'r-2'},
@@ -190,8 +196,8 @@
         {'method': 'PUT'},
         {'path': '/write/1?x=1'},
         {'body': b'other'},
-        {'credentials': 'Bearer a'},
-        {'credentials': 'Bearer b'},
+        {'headers': {'Authorization': 'Bearer a'}},
+        {'headers': {'Authorization': 'Bearer b'}},
     ]
     assert {digest(**changes) for changes in same} == {digest()}
     assert len({digest(), *(digest(**changes) for changes in others)}) == len(others) + 1
--- a/tools/mutants/currency.py
+++ b/tools/mutants/currency.py
@@ -230,8 +230,8 @@
     Mutant(
         mechanism='what cannot be passed on to other hosts is not read',
         file='src/balsamrail/platform/store_codec.py',
-        old='spec=spec if _is_portable(spec) else None,',
-        new='spec=spec,',
+        old="spec=portable_spec(payload.get('spec')),",
+        new="spec=payload.get('spec'),",
         feature='features/odd_entries.feature',
         scenario='A field that nobody reads',
     ),
