--- a/features/customers.feature
+++ b/features/customers.feature
@@ -50,6 +50,12 @@
     When a request with that key arrives
     Then it is served as the first one, and the log names both
 
+  Scenario: A change of the manifest is parsed once
+    Guards against hosts that serve nobody while they parse thousands of customers several times.
+
+    Given a host whose manifest changes, and then becomes unreadable
+    Then each of the manifests has been parsed once, and the last readable one is in force
+
   Scenario: A manifest that cannot be read is reported without its values
     Guards against API keys in the log line about a faulty manifest.
 
@@ -221,6 +227,13 @@
     When it sends a customer's request through the peer
     Then the far peer serves it
 
+  Scenario: Two hosts serve a customer together
+    Guards against requests that a peer refuses, or serves without a name, since their key is gone.
+
+    Given two hosts with customers, one of which has lost its paths to targets
+    When it gets requests with a known key, without a key, and with a long header beside a known key
+    Then the other one serves the former under the customer's name, and the one without a key is rejected
+
   Scenario Outline: A host gets a request from another host
     Guards against callers that name themselves a customer by way of another host.
 
--- a/tools/mutants/customers.py
+++ b/tools/mutants/customers.py
@@ -215,6 +215,14 @@
         feature=_FEATURE,
         scenario='Keys stay out of the log and the pages of a process',
     ),
+    Mutant(
+        mechanism='a manifest is parsed once',
+        file='src/balsamrail/platform/parsed_manifests.py',
+        old='if known is spec:',
+        new='if False:',
+        feature=_FEATURE,
+        scenario='A change of the manifest is parsed once',
+    ),
     Mutant(
         mechanism='the fault of a manifest has no values',
         file=_MANIFEST_READER,
@@ -239,6 +247,22 @@
         feature=_FEATURE,
         scenario='A request is sent through another host',
     ),
+    Mutant(
+        mechanism='the name that a host adds does not count as a header of the caller',
+        file='src/balsamrail/platform/caller_exchange.py',
+        old='frozenset((CUSTOMER, HANDOVER))',
+        new='frozenset((HANDOVER,))',
+        feature=_FEATURE,
+        scenario='Two hosts serve a customer together',
+    ),
+    Mutant(
+        mechanism='a peer accepts requests whose key was removed',
+        file='src/balsamrail/proxying/request_proxy.py',
+        old='            customer=request.customer_name,\n',
+        new='',
+        feature=_FEATURE,
+        scenario='Two hosts serve a customer together',
+    ),
     Mutant(
         mechanism='names of customers are percent-encoded in the handover',
         file=_PROXY_PROTOCOL,
