--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -4,6 +4,8 @@
 from balsamrail.messages.claim_request import ClaimRequest
 from balsamrail.messages.codec import FrameReader, encode_message
 from balsamrail.messages.crash_report import CrashReport
+from balsamrail.messages.manifest_age_answer import ManifestAgeAnswer
+from balsamrail.messages.manifest_age_request import ManifestAgeRequest
 from balsamrail.messages.member_updates_codec import pack_updates, unpack_updates
 from balsamrail.messages.membership import (
     Heartbeat,
@@ -39,6 +41,8 @@
     'Heartbeat',
     'HeartbeatAck',
     'Hello',
+    'ManifestAgeAnswer',
+    'ManifestAgeRequest',
     'MemberDigest',
     'MemberUpdate',
     'MemberUpdates',
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -6,6 +6,8 @@
 from balsamrail.messages.feed_status import FeedStatus
 from balsamrail.messages.feed_subscribe import FeedSubscribe
 from balsamrail.messages.feed_update import FeedUpdate
+from balsamrail.messages.manifest_age_answer import ManifestAgeAnswer
+from balsamrail.messages.manifest_age_request import ManifestAgeRequest
 from balsamrail.messages.membership import (
     Heartbeat,
     HeartbeatAck,
@@ -58,6 +60,8 @@
     | FeedStatus
     | MemberUpdates
     | TargetLimitReport
+    | ManifestAgeRequest
+    | ManifestAgeAnswer
 )
 
 # The index in this tuple is the tag on the wire: append only, never reorder.
@@ -89,4 +93,6 @@
     FeedStatus,
     MemberUpdates,
     TargetLimitReport,
+    ManifestAgeRequest,
+    ManifestAgeAnswer,
 )
