Refuse API keys while the manifest is not known to be the newest

Cause: a host that is cut off would accept a withdrawn key without end. Change: ManifestLease keeps the time up to which nothing newer than the manifest had been written, from consistent reads and from answers of peers, each counted from before it was sent; one watcher of each region reads once a second, the other hosts ask their sources. Look-ups leave out a host without a lease; log, metrics and dump show it. Off without bounds.revoke_s.

--- a/src/balsamrail/catalog/feed.py
+++ b/src/balsamrail/catalog/feed.py
@@ -1,6 +1,7 @@
 """Keeps the objects of one kind in sync with the store."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from balsamrail.catalog.object_source import ObjectSource
@@ -34,6 +35,8 @@
 
     :param view: the view to which listings and events are applied.
     :param contact: tracks whether the store is reachable, so that no calls are made during outages.
+    :param on_listed: called after a listing has been applied, with the time before the call was sent
+        (:meth:`balsamrail.clock.Clock.boottime`) and the revision of the listing.
     """
 
     __slots__ = (
@@ -42,6 +45,7 @@
         '_is_confirmation_due',
         '_is_current',
         '_is_relist_due',
+        '_on_listed',
         '_revision',
         '_source',
         '_view',
@@ -55,11 +59,13 @@
         source: ObjectSource,
         view: ObjectView,
         contact: StoreMonitor,
+        on_listed: Callable[[float, Revision], None] | None = None,
     ) -> None:
         self._environment = environment
         self._source = source
         self._view = view
         self._contact = contact
+        self._on_listed = on_listed
         contact.subscribe(self.relist)
         contact.subscribe_to_gaps(view.kind, self.confirm)
         self._revision = Revision()
@@ -188,6 +194,7 @@
 
     async def _list(self) -> None:
         self._is_relist_due = False
+        sent_at = self._environment.clock.boottime()
         try:
             listing = await self._source.list_objects(self.kind)
         except StoreError:
@@ -198,6 +205,8 @@
         self._is_confirmation_due = False
         self._contact.note_answer(self.kind, revision=listing.revision)
         self._view.apply_listing(listing)
+        if self._on_listed is not None:
+            self._on_listed(sent_at, listing.revision)
 
 
 def _is_cancelling() -> bool:
--- a/src/balsamrail/entry/entry_gauges.py
+++ b/src/balsamrail/entry/entry_gauges.py
@@ -6,6 +6,7 @@
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.clock import Clock
 from balsamrail.delivery.dispatcher import Dispatcher
+from balsamrail.fleet.manifest_lease import ManifestLease
 from balsamrail.fleet.store_watch import StoreWatch
 from balsamrail.gauge import Gauge
 from balsamrail.membership import Members
@@ -30,7 +31,15 @@
 class EntryGauges:
     """Computes gauges from the current state of the components."""
 
-    __slots__ = ('_catalog', '_clock', '_dispatcher', '_members', '_target_registry', '_watch')
+    __slots__ = (
+        '_catalog',
+        '_clock',
+        '_dispatcher',
+        '_manifest_lease',
+        '_members',
+        '_target_registry',
+        '_watch',
+    )
 
     def __init__(
         self,
@@ -41,6 +50,7 @@
         dispatcher: Dispatcher,
         members: Members,
         watch: StoreWatch,
+        manifest_lease: ManifestLease,
     ) -> None:
         self._clock = clock
         self._catalog = catalog
@@ -48,15 +58,14 @@
         self._dispatcher = dispatcher
         self._members = members
         self._watch = watch
+        self._manifest_lease = manifest_lease
 
     def read(self) -> Iterator[Gauge]:
         """Yield all gauges."""
         manifest = self._catalog.manifest
         yield Gauge(name='manifest_version', value=manifest.version if manifest else 0)
         yield Gauge(name='evacuated_zones', value=len(self._catalog.evacuated_zones))
-        yield Gauge(name='store_heard', value=self._watch.receives_changes())
-        yield Gauge(name='store_hops', value=self._watch.hops())
-        yield Gauge(name='store_up_seconds', value=self._watch.store_up_for_s())
+        yield from self._store()
         yield Gauge(name='members', label='state', value_by_label=self._members_by_state())
         yield from self._targets()
         yield Gauge(
@@ -65,6 +74,13 @@
             value_by_label=self._dispatcher.remaining_retries(),
         )
 
+    def _store(self) -> Iterator[Gauge]:
+        yield Gauge(name='store_heard', value=self._watch.receives_changes())
+        yield Gauge(name='store_hops', value=self._watch.hops())
+        yield Gauge(name='store_up_seconds', value=self._watch.store_up_for_s())
+        if self._manifest_lease.is_required():
+            yield Gauge(name='manifest_age_s', value=self._manifest_lease.reported_age_s())
+
     def _members_by_state(self) -> Counter[str]:
         return Counter(
             member.state for member in (self._members.local_member(), *self._members.known())
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -37,8 +37,12 @@
         self.store_components = StoreComponents(environment=environment)
         self.catalog = self.store_components.catalog
         self.members = self.store_components.members
+        self.manifest_lease = self.store_components.manifest_lease
         self.directory = Directory(
-            environment=environment, catalog=self.catalog, members=self.members
+            environment=environment,
+            catalog=self.catalog,
+            members=self.members,
+            manifest_lease=self.manifest_lease,
         )
         self.delivery = DeliveryComponents(
             environment=environment,
@@ -61,6 +65,7 @@
             dispatcher=self.delivery.dispatcher,
             members=self.members,
             watch=self.store_components.watch,
+            manifest_lease=self.manifest_lease,
         )
         self.callers = CallerServer(environment=environment, handler=self.delivery.dispatcher)
         self._listeners = Listeners(
@@ -144,6 +149,7 @@
             'crash_archive': self.crash_archive,
             'watch': self.store_components.watch,
             'hub': self.store_components.hub,
+            'manifest_lease': self.store_components.manifest_renewal,
             'members': self.members,
             'losses': self.store_components.loss_record,
             'metrics': self._environment.metrics,
@@ -159,6 +165,7 @@
             'crash_archive': self.crash_archive,
             'watch': self.store_components.watch,
             'hub': self.store_components.hub,
+            'manifest_lease': self.store_components.manifest_renewal,
             'reviver': self.delivery.health_checker,
             'silence': self.delivery.liveness_checker,
             'paths': self.delivery.path_watcher,
--- a/src/balsamrail/fleet/directory.py
+++ b/src/balsamrail/fleet/directory.py
@@ -20,6 +20,13 @@
         """Return the members that are believed to be serving requests."""
 
 
+class ManifestLeaseStatus(Protocol):
+    """Reports whether this host accepts API keys."""
+
+    def is_confirmed(self) -> bool:
+        """Return whether the manifest of this host is known to be recent enough."""
+
+
 class Directory:
     """Selects hosts near a caller.
 
@@ -31,7 +38,8 @@
 
     Hosts that announced that they reach few targets are left out as long as at least half of the
     zone's hosts remain, or else of the region's: the remaining ones have to carry the callers of
-    those. If all hosts that would be returned are suspected to be lost, those that would be returned
+    those. This host leaves itself out while it refuses keys for lack of a confirmed manifest, if its region
+    has other hosts. If all hosts that would be returned are suspected to be lost, those that would be returned
     without them are returned as well.
     """
 
@@ -39,16 +47,23 @@
         '_catalog',
         '_cross_region_counts',
         '_environment',
+        '_manifest_lease',
         '_members',
         'is_leaving',
     )
 
     def __init__(
-        self, *, environment: Environment, catalog: Catalog, members: MemberSource
+        self,
+        *,
+        environment: Environment,
+        catalog: Catalog,
+        members: MemberSource,
+        manifest_lease: ManifestLeaseStatus | None = None,
     ) -> None:
         self._environment = environment
         self._catalog = catalog
         self._members = members
+        self._manifest_lease = manifest_lease
         # Consecutive look-ups answered with hosts of other regions, by the caller's region.
         self._cross_region_counts: Counter[str] = Counter()
         self.is_leaving = False
@@ -73,12 +88,7 @@
         }
 
     def _hosts_for(self, *, name: str, region: str, zone: str = '') -> list[Member]:
-        own = self._environment.settings.host
-        members = [
-            member
-            for member in self._members.advertised()
-            if member.host != own or not self.is_leaving
-        ]
+        members = self._usable_members()
         nearest = self._nearest(members, name=name, region=region, zone=zone)
         if all(member.state == 'suspect' for member in nearest):
             # They may be lost, and the caller needs a host that runs.
@@ -87,6 +97,18 @@
             nearest = [*running, *nearest]
         return nearest[:_MAX_LISTED_HOSTS]
 
+    def _usable_members(self) -> list[Member]:
+        own = self._environment.settings.host
+        members = self._members.advertised()
+        others = [member for member in members if member.host != own]
+        if self.is_leaving:
+            return others
+        has_neighbours = bool(_in_regions(others, {self._environment.settings.region}))
+        return others if has_neighbours and self._refuses_keys() else members
+
+    def _refuses_keys(self) -> bool:
+        return self._manifest_lease is not None and not self._manifest_lease.is_confirmed()
+
     def _nearest(
         self, members: list[Member], *, name: str, region: str, zone: str
     ) -> list[Member]:
--- a/src/balsamrail/fleet/feed_follower.py
+++ b/src/balsamrail/fleet/feed_follower.py
@@ -151,6 +151,16 @@
         )
         return 1 + min(healthy_hops, default=_MAX_HOPS)
 
+    def sources(self, *, only_healthy: bool = False) -> list[str]:
+        """Return the followed hosts.
+
+        :param only_healthy: leave out those that are not healthy, unless none is.
+        """
+        healthy = [
+            host for host, source in self._sources_by_host.items() if self._is_healthy(source)
+        ]
+        return healthy if healthy and only_healthy else list(self._sources_by_host)
+
     def store_up_for_s(self) -> float:
         """Return for how long the store has been reachable for the sources, in seconds."""
         return max(
--- a/src/balsamrail/fleet/store_watch.py
+++ b/src/balsamrail/fleet/store_watch.py
@@ -9,6 +9,7 @@
 from balsamrail.environment import Environment
 from balsamrail.fleet.currency_log import CurrencyLog
 from balsamrail.fleet.feed_follower import FeedFollower
+from balsamrail.fleet.reader_role import ReaderRole
 from balsamrail.fleet.watch_assignment import (
     WatchAssignment,
     assign_watch,
@@ -65,6 +66,7 @@
     """
 
     __slots__ = (
+        '_assignment',
         '_contact',
         '_currency_log',
         '_environment',
@@ -97,6 +99,7 @@
         self._follower = follower
         self._tasks: list[asyncio.Task[None]] = []
         self._is_standby = False
+        self._assignment = WatchAssignment(is_watcher=False, sources=())
         # Whether this host has to list the store itself: it has missed updates, or it has restarted
         # and found no host that serves.
         self._must_list = False
@@ -118,6 +121,24 @@
         """Return whether this host receives every change, from the store or from other hosts."""
         return self.is_current() or self._follower.is_current()
 
+    def is_watching(self) -> bool:
+        """Return whether this host watches the store."""
+        return bool(self._tasks)
+
+    def may_reach_store(self) -> bool:
+        """Return whether the store may answer this host, also if it has not been tried."""
+        return not self._tasks or (self._contact.is_up() and not self._contact.is_overdue())
+
+    def reader_role(self) -> ReaderRole:
+        """Return the part of this host in reading the store for its region."""
+        if not self.is_current():
+            return ReaderRole.follower
+        return self._assignment.reader_role(self._follower.state_of)
+
+    def sources(self, *, only_healthy: bool = False) -> list[str]:
+        """Return the followed hosts, see :meth:`FeedFollower.sources`."""
+        return self._follower.sources(only_healthy=only_healthy)
+
     def hops(self) -> int:
         """Return the number of hosts between this one and the store.
 
@@ -180,6 +201,7 @@
         members = self._members.alive()
         own = self._members.local_member()
         assignment = assign_watch(members, own=own, state_of=self._follower.state_of)
+        self._assignment = assignment
         now = self._environment.clock.monotonic()
         self._local_sources = self._with_kept_sources(assignment.sources)
         if self.is_current() or self._follower.has_current_source(self._local_sources):
--- a/src/balsamrail/fleet/watch_assignment.py
+++ b/src/balsamrail/fleet/watch_assignment.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from balsamrail.fleet.reader_role import ReaderRole
 from balsamrail.fleet.relays import Relays, shuffled_for
 from balsamrail.membership import Member
 from balsamrail.placement.rendezvous_hashing import hash_text
@@ -40,11 +41,21 @@
     Watchers follow each other, since the store may refuse some hosts and serve others.
 
     :param is_standby: whether other hosts watch the store unless they fail.
+    :param earlier_watchers: the watchers that precede this one in the ranking.
     """
 
     is_watcher: bool
     sources: tuple[str, ...]
     is_standby: bool = True
+    earlier_watchers: tuple[str, ...] = ()
+
+    def reader_role(self, state_of: Callable[[str], WatcherState]) -> ReaderRole:
+        """Return the part in reading the store of a host that receives all changes directly."""
+        if not self.is_watcher:
+            return ReaderRole.follower
+        if any(state_of(host) is WatcherState.sound for host in self.earlier_watchers):
+            return ReaderRole.reserve
+        return ReaderRole.first
 
 
 def assign_watch(
@@ -69,14 +80,22 @@
     local = [member for member in members if member.region == own.region]
     if len(local) <= _MAX_SMALL_REGION_HOSTS:
         sources = tuple(member.host for member in local if member.host != own.host)
-        return WatchAssignment(is_watcher=True, sources=sources, is_standby=False)
+        earlier = _before(own.host, [member.host for member in _ranked(local)])
+        return WatchAssignment(
+            is_watcher=True, sources=sources, is_standby=False, earlier_watchers=earlier
+        )
     ranked = _ranked(local)
     order = [member.host for member in ranked]
     watchers = _take_usable(order, state_of, unusable=_UNUSABLE_WATCHER_STATES)
     if own.host in watchers:
         sources = tuple(host for host in watchers if host != own.host)
         is_standby = own.host not in order[:_WATCHERS_PER_REGION]
-        return WatchAssignment(is_watcher=True, sources=sources, is_standby=is_standby)
+        return WatchAssignment(
+            is_watcher=True,
+            sources=sources,
+            is_standby=is_standby,
+            earlier_watchers=_before(own.host, watchers),
+        )
     followers = [member for member in ranked if member.host not in watchers]
     relays = Relays(ranked=followers)
     if len(followers) <= _MAX_DIRECT_FOLLOWERS or own.host in relays.hosts():
@@ -151,6 +170,11 @@
     return tuple(order)
 
 
+def _before(host: str, order: Sequence[str]) -> tuple[str, ...]:
+    """Return the hosts that precede ``host``, none if it is not in the order."""
+    return tuple(order[: order.index(host)]) if host in order else ()
+
+
 def _ranked(members: list[Member]) -> list[Member]:
     """Rank hosts, placing a host of a second availability zone second if there is one."""
     ranked = sorted(members, key=lambda member: hash_text(f'watch/{member.host}'))
