Scenarios and mutants of the manifest's lease

Cause: the lease has to hold for any delay and fault. Change: manifest_lease.feature with property scenarios on random delays, cuts, freezes, suspensions, restarts and returns of the store, single faults, and processes whose store fails; FleetHost gets hooks for further parts.

--- a/features/steps/feed_region.py
+++ b/features/steps/feed_region.py
@@ -93,19 +93,26 @@
         environment = platform_helpers.make_environment(
             host=name,
             is_first_start=is_first,
-            bounds=Bounds(config_apply_s=self.fleet.config_apply_s),
+            bounds=self.fleet.bounds,
             log=self.log,
         )
         network = HostNetwork(self.fleet, name)
+        self.prepare(environment)
         contact = StoreMonitor(environment=environment, source=self.access, kind='evacuations')
         self.follower = FeedFollower(environment=environment, network=network, views=[self.view])
+        self.feed = Feed(
+            environment=environment,
+            source=self.access,
+            view=self.view,
+            contact=contact,
+            on_listed=self.note_listed,
+        )
+        self.members = FakeMembers(self.fleet, self.member, complete_at=complete_at)
         self.watch = StoreWatch(
             environment=environment,
-            members=FakeMembers(self.fleet, self.member, complete_at=complete_at),
+            members=self.members,
             contact=contact,
-            feeds=[
-                Feed(environment=environment, source=self.access, view=self.view, contact=contact)
-            ],
+            feeds=[self.feed],
             follower=self.follower,
         )
         self.hub = FeedHub(
@@ -114,8 +121,19 @@
         self.tasks = [
             asyncio.create_task(self.watch.run()),
             asyncio.create_task(self.hub.run()),
+            *self.start_more(environment, network),
         ]
 
+    def prepare(self, environment):
+        """Prepare a host of a derived kind, before its parts are made."""
+
+    def note_listed(self, sent_at, revision):
+        """Note that the host has listed the objects."""
+
+    def start_more(self, environment, network):
+        """Start the further parts of a host of a derived kind; return their tasks."""
+        return ()
+
     def kill(self):
         self.died_at = asyncio.get_running_loop().time()
         for task in self.tasks:
@@ -171,7 +189,7 @@
         loop = asyncio.get_running_loop()
         # A stream delivers its messages in order; timers due at the same time do not keep an order.
         earliest = self.fleet.arrival_by_pair.get((self.host, host), 0) + _MIN_SPACING_S
-        arrival = max(loop.time() + _LATENCY_S, earliest)
+        arrival = max(loop.time() + self.fleet.latency_s(), earliest)
         self.fleet.arrival_by_pair[self.host, host] = arrival
         loop.call_at(arrival, self.fleet.deliver, self.host, host, message)
         return True
@@ -183,8 +201,10 @@
 class FeedFleet:
     """Simulated hosts by name; ``sizes`` maps each region to its number of hosts."""
 
-    def __init__(self, sizes, *, config_apply_s=2):
-        self.config_apply_s = config_apply_s
+    host_kind = FleetHost
+
+    def __init__(self, sizes, **bounds):
+        self.bounds = Bounds(**bounds)
         self.sizes = sizes
         self.source = FakeSource()
         self.receivers = {}
@@ -199,7 +219,10 @@
                 member = platform_helpers.make_member(
                     name, region=region, availability_zone=f'{region}-{"abc"[number % 3]}'
                 )
-                self.hosts[name] = FleetHost(self, member)
+                self.hosts[name] = self.host_kind(self, member)
+
+    def latency_s(self):
+        return _LATENCY_S
 
     def deliver(self, sender, receiver, message):
         if self.cut_off & {sender, receiver} or frozenset((sender, receiver)) in self.cut_links:
@@ -220,7 +243,7 @@
         """Replace a host by one that knows nothing, and the other hosts only after a time."""
         old = self.hosts[name]
         old.kill()
-        host = FleetHost(self, old.member)
+        host = self.host_kind(self, old.member)
         host.access = old.access
         self.hosts[name] = host
         host.start(is_first=False, discovers_after_s=discovers_after_s)
--- a/features/steps/target_standing_steps.py
+++ b/features/steps/target_standing_steps.py
@@ -580,6 +580,7 @@
         dispatcher=SimpleNamespace(remaining_retries=dict),
         members=SimpleNamespace(local_member=lambda: SimpleNamespace(state='alive'), known=list),
         watch=SimpleNamespace(receives_changes=int, hops=int, store_up_for_s=int),
+        manifest_lease=SimpleNamespace(is_required=bool),
     )
     context.page = Metrics().page(gauges.read())
 
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -8,6 +8,7 @@
 from tools.mutants.host import HOST
 from tools.mutants.keys import KEYS
 from tools.mutants.liveness import LIVENESS
+from tools.mutants.manifest_lease import MANIFEST_LEASE
 from tools.mutants.membership import MEMBERSHIP
 from tools.mutants.pipelining import PIPELINING
 from tools.mutants.proxying import PROXYING
@@ -28,4 +29,5 @@
     *ENDLESS_BYTES,
     *PIPELINING,
     *PROXYING,
+    *MANIFEST_LEASE,
 )
