Docs of the manifest's lease; an outage is tested between any two reads

Cause: callers are owed service for 3 s after a loss of the store, which the scenario did not check.

--- a/features/manifest_lease.feature
+++ b/features/manifest_lease.feature
@@ -63,18 +63,18 @@
 
     Given a fleet of 5, 4 hosts that keep the manifest confirmed
     When a host is cut off from the store and all hosts for 8 s
-    Then it refuses keys from 2 s to 4 s after that, and no other host does
+    Then it refuses keys from 2.3 s to 4 s after that, and no other host does
     And it accepts keys again within 1.5 s after the cut
     And its log has one expiry and one renewal, which are also counted
 
   Scenario: An outage of the store
-    Guards against hosts that confirm each other's manifests without the store.
+    Guards against hosts that confirm each other's manifests without the store, and that refuse too early.
 
     Given a fleet of 24, 24 hosts that keep the manifest confirmed
-    When the store is down for 10 s
-    Then all hosts refuse keys from 4 s after that on
-    And all hosts accept keys again within 2.5 s after the outage
-    And the hosts have made at most 60 reads during the outage
+    When the store goes down for 10 s at any moment between two reads
+    Then all hosts refuse keys from 2.9 s to 4 s after that on
+    And all hosts accept keys again within 1 s after the outage
+    And the hosts have made at most 8 reads during the outage
 
   Scenario Outline: Watchers die
     Guards against followers that lose their lease while hosts with a path to the store remain.
--- a/features/steps/manifest_lease_fault_steps.py
+++ b/features/steps/manifest_lease_fault_steps.py
@@ -26,6 +26,7 @@
 from balsamrail.settings.bounds import Bounds
 
 NEVER = math.inf
+OUTAGE_PHASES_S = (0, 0.25, 0.5, 0.75)
 
 
 class Refusals:
@@ -93,39 +94,49 @@
         assert context.counter(name) == 1
 
 
-@when('the store is down for {outage_s:d} s')
+@when('the store goes down for {outage_s:d} s at any moment between two reads')
 def step_outage(context, outage_s):
-    async def script(fleet):
-        context.refusals = Refusals()
-        context.outage_s = outage_s
-        reads = sum(host.reads() for host in fleet.hosts.values())
-        watching = asyncio.create_task(context.refusals.watch(fleet, outage_s + 6))
-        fleet.source.is_up = False
-        await asyncio.sleep(outage_s)
-        context.reads = sum(host.reads() for host in fleet.hosts.values()) - reads
-        fleet.source.is_up = True
-        context.hosts = set(fleet.hosts)
-        await watching
+    context.outage_s = outage_s
+    context.runs = []
 
-    play(context, script)
+    def make_script(phase_s):
+        async def script(fleet):
+            await asyncio.sleep(phase_s)
+            refusals = Refusals()
+            reads = sum(host.reads() for host in fleet.hosts.values())
+            watching = asyncio.create_task(refusals.watch(fleet, outage_s + 6))
+            fleet.source.is_up = False
+            await asyncio.sleep(outage_s)
+            reads = sum(host.reads() for host in fleet.hosts.values()) - reads
+            fleet.source.is_up = True
+            await watching
+            assert set(refusals.began_at) == set(fleet.hosts)
+            context.runs.append((refusals, reads))
 
+        return script
+
+    for phase_s in OUTAGE_PHASES_S:
+        play(context, make_script(phase_s))
 
-@then('all hosts refuse keys from {limit_s:g} s after that on')
-def step_all_refuse(context, limit_s):
-    assert set(context.refusals.began_at) == context.hosts
-    assert max(context.refusals.began_at.values()) <= limit_s + 0.05, context.refusals.began_at
-    assert min(context.refusals.ended_at.values()) >= context.outage_s, context.refusals.ended_at
+
+@then('all hosts refuse keys from {low_s:g} s to {high_s:g} s after that on')
+def step_all_refuse(context, low_s, high_s):
+    for refusals, _ in context.runs:
+        began = refusals.began_at.values()
+        assert low_s <= min(began) and max(began) <= high_s, sorted(began)
+        assert min(refusals.ended_at.values()) >= context.outage_s, refusals.ended_at
 
 
 @then('all hosts accept keys again within {limit_s:g} s after the outage')
 def step_all_accept(context, limit_s):
-    last = max(context.refusals.ended_at.values())
-    assert last <= context.outage_s + limit_s, last
+    for refusals, _ in context.runs:
+        last = max(refusals.ended_at.values())
+        assert last <= context.outage_s + limit_s, last
 
 
 @then('the hosts have made at most {limit:d} reads during the outage')
 def step_few_reads(context, limit):
-    assert context.reads <= limit, context.reads
+    assert all(reads <= limit for _, reads in context.runs), [reads for _, reads in context.runs]
 
 
 @when('the relays of a host restart one after the other and it does not reach the store')
