Lease: read less often while a slow store is renewing the evidence of others

Cause: with answers after 1.2 s the evidence of all followers is older than the age from which they read, so 61 hosts read 11 times a second. Change: a host whose evidence was renewed within 1.3 s waits up to an age of 3.2 s.

--- a/features/manifest_lease.feature
+++ b/features/manifest_lease.feature
@@ -119,6 +119,14 @@
       | watches        | its feed      |
       | does not watch | the host      |
 
+  Scenario: A slow store
+    Guards against reads of all hosts that add to the load of a store which answers late.
+
+    Given a fleet of 20, 20, 21 hosts that keep the manifest confirmed
+    When each answer of the store takes 1.2 s for 20 s
+    Then no host refuses keys
+    And the hosts have made at most 100 reads in that time
+
   Scenario: Watchers whose reads fail
     Guards against followers that rely on watchers which receive changes but have no evidence.
 
--- a/features/steps/manifest_lease_steps.py
+++ b/features/steps/manifest_lease_steps.py
@@ -265,6 +265,23 @@
     play(context, script)
 
 
+@when('each answer of the store takes {delay_s:g} s for {seconds:d} s')
+def step_slow(context, delay_s, seconds):
+    async def script(fleet):
+        reads = sum(host.reads() for host in fleet.hosts.values())
+        for host in fleet.hosts.values():
+            host.access.answer_delay_s = delay_s
+        _, context.refused = await fleet.watch_ages(seconds)
+        context.slow_reads = sum(host.reads() for host in fleet.hosts.values()) - reads
+
+    play(context, script)
+
+
+@then('the hosts have made at most {limit:d} reads in that time')
+def step_slow_reads(context, limit):
+    assert context.slow_reads <= limit, context.slow_reads
+
+
 @when('all hosts lose each other and the fleet runs for {seconds:d} s')
 def step_alone(context, seconds):
     async def script(fleet):
--- a/src/balsamrail/fleet/manifest_renewal.py
+++ b/src/balsamrail/fleet/manifest_renewal.py
@@ -147,6 +147,7 @@
     def _ask_and_read(self, schedule: RenewalSchedule, now: float) -> float:
         until = self._lease.confirmed_until
         role = self._watch.reader_role()
+        schedule.note_evidence(now=now, confirmed_until=until)
         if schedule.question_due_at(confirmed_until=until, role=role) <= now:
             self._ask(schedule, now)
         is_read_possible = self._view.is_listed and self._watch.may_reach_store()
@@ -168,7 +169,6 @@
             if schedule.may_need_strangers(now=now, confirmed_until=until):
                 asked = [*sources, *self._stranger(sources)]
         else:
-            schedule.note_evidence()
             self._asked_count += 1
             asked = [sources[self._asked_count % len(sources)]] if sources else ()
         schedule.note_question(now=now, is_to_all=is_to_all)
--- a/src/balsamrail/fleet/renewal_schedule.py
+++ b/src/balsamrail/fleet/renewal_schedule.py
@@ -21,6 +21,9 @@
 # The ages from which on other hosts than the first watcher read.
 _RESERVE_READ_AGE = 0.36
 _FOLLOWER_READ_AGE = 0.48
+# Evidence that has been renewed within this time makes them wait, but not beyond the second age.
+_MAX_ADVANCE_INTERVAL = 0.26
+_MAX_READ_AGE = 0.64
 # Hosts that lose their sources together read at different moments.
 _READ_SPREAD = 0.08
 # A host without any evidence counts as this old when it gets its first manifest: its peers get some time
@@ -42,6 +45,7 @@
     """
 
     __slots__ = (
+        '_advanced_at',
         '_asked_all_at',
         '_asked_at',
         '_failure_count',
@@ -49,6 +53,7 @@
         '_fruitless_rounds',
         '_random_fraction',
         '_read_at',
+        '_seen_until',
         '_spread_s',
         '_spread_until',
         'revoke_s',
@@ -63,6 +68,8 @@
         self._asked_all_at = -math.inf
         # Rounds of questions to all sources since the last evidence.
         self._fruitless_rounds = 0
+        self._seen_until = -math.inf
+        self._advanced_at = -math.inf
         self._read_at = -math.inf
         self._failure_count = 0
         self._first_manifest_at = math.inf
@@ -108,9 +115,12 @@
             self._asked_all_at = now
             self._fruitless_rounds += 1
 
-    def note_evidence(self) -> None:
-        """Note that the lease is valid."""
-        self._fruitless_rounds = 0
+    def note_evidence(self, *, now: float, confirmed_until: float) -> None:
+        """Note the evidence at this time, which is called often."""
+        if confirmed_until > self._seen_until:
+            self._seen_until = confirmed_until
+            self._advanced_at = now
+            self._fruitless_rounds = 0
 
     def read_due_at(self, *, confirmed_until: float, role: ReaderRole) -> float:
         """Return the time of the next read, infinite while there is no manifest."""
@@ -126,11 +136,11 @@
                 # After a listing it has evidence without a read.
                 return max(earliest, confirmed_until + _READ_INTERVAL * self.revoke_s)
             case ReaderRole.reserve:
-                return max(earliest, known_until + _RESERVE_READ_AGE * self.revoke_s)
+                return max(earliest, self._stalled_at(known_until, _RESERVE_READ_AGE))
         if known_until != self._spread_until:
             self._spread_until = known_until
             self._spread_s = self._random_fraction() * _READ_SPREAD * self.revoke_s
-        return max(earliest, known_until + _FOLLOWER_READ_AGE * self.revoke_s + self._spread_s)
+        return max(earliest, self._stalled_at(known_until, _FOLLOWER_READ_AGE) + self._spread_s)
 
     def note_read(self, *, now: float) -> None:
         """Note that a read has been sent."""
@@ -140,5 +150,19 @@
         """Note whether the store has answered a read."""
         self._failure_count = 0 if is_answered else self._failure_count + 1
 
+    def _stalled_at(self, known_until: float, age: float) -> float:
+        """Return when evidence of an age counts as stalled.
+
+        If the store is slow, evidence is old and yet renewed all the time, and further reads would only
+        add to the store's load.
+        """
+        return min(
+            max(
+                known_until + age * self.revoke_s,
+                self._advanced_at + _MAX_ADVANCE_INTERVAL * self.revoke_s,
+            ),
+            known_until + _MAX_READ_AGE * self.revoke_s,
+        )
+
     def _old_at(self, confirmed_until: float) -> float:
         return confirmed_until + _OLD_AGE * self.revoke_s
--- a/tools/mutants/manifest_lease.py
+++ b/tools/mutants/manifest_lease.py
@@ -174,6 +174,14 @@
         feature=_FEATURE,
         scenario='A read whose changes the store has discarded',
     ),
+    Mutant(
+        mechanism='hosts do not read while their evidence is renewed by others',
+        file=_SCHEDULE,
+        old='_MAX_ADVANCE_INTERVAL = 0.26',
+        new='_MAX_ADVANCE_INTERVAL = 0',
+        feature=_FEATURE,
+        scenario='A slow store',
+    ),
     Mutant(
         mechanism='hosts read little during an outage',
         file='src/balsamrail/fleet/store_watch.py',
