Refuse API keys while the lease of the manifest has expired

Cause: the planner asked an object that is always confirmed. Change: the lease of part 2 is the freshness that part 1 asks.

--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -49,6 +49,7 @@
             catalog=self.catalog,
             members=self.members,
             network=self.store_components.network,
+            freshness=self.manifest_lease,
         )
         self.crash_archive = CrashArchive(
             environment=environment,
