--- a/src/balsamrail/catalog/manifest.py
+++ b/src/balsamrail/catalog/manifest.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from balsamrail.catalog.caller_limits import CallerLimits
+from balsamrail.catalog.customer import Customer
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.catalog.service_spec import ServiceSpec
 
@@ -20,6 +21,7 @@
     routes: tuple[ManifestRoute, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits
+    customers: tuple[Customer, ...] = ()
     _routes_by_host: dict[str, dict[str, ManifestRoute]] = field(
         init=False, repr=False, default_factory=dict
     )
--- a/src/balsamrail/membership/gone_verifier.py
+++ b/src/balsamrail/membership/gone_verifier.py
@@ -73,6 +73,11 @@
             return is_older and self._has_grace_elapsed(entry.incarnation_since)
         return self._is_gone(entry)
 
+    def has_stopped(self, host: str) -> bool:
+        """Return whether the newest incarnation of ``host`` announced that it has stopped."""
+        entry = self._table.get(host)
+        return entry is not None and entry.member.state == 'gone' and entry.is_self_reported
+
     def _is_gone(self, entry: MemberEntry) -> bool:
         if entry.member.state != 'gone' or not self._has_grace_elapsed(entry.state_since):
             return False
--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -14,6 +14,8 @@
     MemberUpdates,
 )
 from balsamrail.messages.message import MESSAGE_KINDS, Message
+from balsamrail.messages.quota_ask import QuotaAsk
+from balsamrail.messages.quota_reply import QuotaReply
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
 from balsamrail.messages.record_patch import RecordPatch
@@ -43,6 +45,8 @@
     'MemberUpdate',
     'MemberUpdates',
     'Message',
+    'QuotaAsk',
+    'QuotaReply',
     'RecordAnnounce',
     'RecordFull',
     'RecordPatch',
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -14,6 +14,8 @@
     MemberUpdate,
     MemberUpdates,
 )
+from balsamrail.messages.quota_ask import QuotaAsk
+from balsamrail.messages.quota_reply import QuotaReply
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
 from balsamrail.messages.record_patch import RecordPatch
@@ -58,6 +60,8 @@
     | FeedStatus
     | MemberUpdates
     | TargetLimitReport
+    | QuotaAsk
+    | QuotaReply
 )
 
 # The index in this tuple is the tag on the wire: append only, never reorder.
@@ -89,4 +93,6 @@
     FeedStatus,
     MemberUpdates,
     TargetLimitReport,
+    QuotaAsk,
+    QuotaReply,
 )
