Entry: take a permission for each request of a customer with a quota

The dispatcher asks before it runs a request without handover and returns the permission if it ends as not run. The settings of the in-process fleet of the tests may replace the bounds.

--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -137,6 +137,8 @@
         self.settings = settings
         self.targets = []
         self.members = MemberTable()
+        # Requests that belong to no customer need none.
+        self.customer_limits = None
 
     async def start(self, *, first_target_refuses=False):
         for behaviour in self.behaviours:
@@ -207,6 +209,7 @@
             budgets=RetryBudgets(bounds=self.bounds, fleet_size=lambda: 1),
             admission=ProxyAdmission(paths=target_registry.paths),
             proxy=self._make_proxy(),
+            customer_limits=self.customer_limits,
         )
         return self
 
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -149,11 +149,10 @@
             lookup_address=lookup,
             peer_address=peer,
             operator_address=operator,
-            bounds=Bounds(retry_slack=100),
             limits=Limits(heartbeat_s=0.5, suspect_after_s=1.5, gone_after_s=0.5),
             store=StoreSettings(address=self.store.address, timeout_s=1),
             seeds=[addresses[3] for addresses in list(self.addresses.values())[:3]],
-            **self.settings,
+            **{'bounds': Bounds(retry_slack=100), **self.settings},
         )
         started_ms, random_part = environment.incarnation[:12], environment.incarnation[12:]
         environment.incarnation = f'{int(started_ms, 16) - set_back_ms:012x}{random_part}'
--- a/src/balsamrail/delivery/delivery_plan.py
+++ b/src/balsamrail/delivery/delivery_plan.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from balsamrail.catalog.customer import Customer
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.delivery.placement_key import PlacementKey
 from balsamrail.placement.retry_budget import RetryBudget
@@ -18,3 +19,4 @@
     route: ManifestRoute
     placement_key: PlacementKey
     budget: RetryBudget
+    customer: Customer | None = None
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -6,6 +6,7 @@
 
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.delivery.crash_detector import CrashDetector
+from balsamrail.delivery.customer_limits import CustomerLimits
 from balsamrail.delivery.delivery_plan import DeliveryPlan
 from balsamrail.delivery.delivery_planner import DeliveryPlanner
 from balsamrail.delivery.entry_request import EntryRequest
@@ -14,24 +15,29 @@
 from balsamrail.delivery.shutdown_deadline import ShutdownDeadline
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.environment import Environment
+from balsamrail.errors import NotRunError
 from balsamrail.placement.exchange_sizes import ExchangeSizes
 from balsamrail.placement.retry_budgets import RetryBudgets
 from balsamrail.placement.target_selector import TargetSelector
 from balsamrail.proxying.proxy_admission import ProxyAdmission
 from balsamrail.proxying.request_proxy import RequestProxy
 
+__all__ = ('CustomerLimits', 'Dispatcher')
+
 
 class Dispatcher:
     """Runs complete requests of callers and returns complete responses.
 
     :param admission: limits the requests that other hosts send to this one.
     :param proxy: sends requests through other hosts.
+    :param customer_limits: limits the requests of customers.
     """
 
     __slots__ = (
         '_admission',
         '_budgets',
         '_crash_detector',
+        '_customer_limits',
         '_detached_runs',
         '_environment',
         '_exchange',
@@ -53,7 +59,9 @@
         crashes: CrashDetector,
         admission: ProxyAdmission,
         proxy: RequestProxy,
+        customer_limits: CustomerLimits,
     ) -> None:
+        self._customer_limits = customer_limits
         self._admission = admission
         self._proxy = proxy
         self._environment = environment
@@ -103,13 +111,23 @@
 
     async def _run(self, plan: DeliveryPlan, request: EntryRequest) -> HttpResponse:
         if request.handover is None:
-            plan.budget.note_request(now=self._environment.clock.monotonic())
-            return await self._execute(plan, request)
+            return await self._run_within_quota(plan, request)
         # The host that received the request from its caller has counted it.
         with self._admission.admitted():
             self._environment.metrics.count('requests_of_other_hosts')
             return await self._execute(plan, request)
 
+    async def _run_within_quota(self, plan: DeliveryPlan, request: EntryRequest) -> HttpResponse:
+        customer = plan.customer
+        grant = None if customer is None else await self._customer_limits.acquire(customer)
+        plan.budget.note_request(now=self._environment.clock.monotonic())
+        try:
+            return await self._execute(plan, request)
+        except NotRunError:
+            if grant is not None:
+                grant.release_unused()
+            raise
+
     async def _execute(self, plan: DeliveryPlan, request: EntryRequest) -> HttpResponse:
         run = RequestExecutor(
             environment=self._environment,
--- a/src/balsamrail/entry/delivery_components.py
+++ b/src/balsamrail/entry/delivery_components.py
@@ -4,7 +4,7 @@
 
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.delivery.crash_detector import CrashDetector
-from balsamrail.delivery.dispatcher import Dispatcher
+from balsamrail.delivery.dispatcher import CustomerLimits, Dispatcher
 from balsamrail.delivery.health_checker import HealthChecker
 from balsamrail.delivery.http_connection_pool import HttpConnectionPool
 from balsamrail.delivery.limit_reports import LimitReports
@@ -31,6 +31,7 @@
 class DeliveryComponents:
     """Creates the dispatcher and its dependencies.
 
+    :param customer_limits: limits the requests of customers.
     :param members: provides the hosts that share the fleet-wide retry limits, and those through which
         requests go while this host does not reach the targets.
     """
@@ -55,6 +56,7 @@
         catalog: Catalog,
         members: Members,
         network: PeerNetwork,
+        customer_limits: CustomerLimits,
     ) -> None:
         settings = environment.settings
         codec = TargetProtocol()
@@ -115,6 +117,7 @@
                 codec=codec,
                 notice_handler=notice_handler,
             ),
+            customer_limits=customer_limits,
         )
 
     def close_stale_connections(self) -> None:
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -4,6 +4,7 @@
 import signal
 from typing import Any
 
+from balsamrail.catalog.customer import Customer
 from balsamrail.delivery.crash_detector import CRASH_LIMIT
 from balsamrail.entry.delivery_components import DeliveryComponents
 from balsamrail.entry.entry_gauges import EntryGauges
@@ -20,6 +21,7 @@
 from balsamrail.platform.lookup_server import lookup_pages
 from balsamrail.process.operator_pages import operator_pages
 from balsamrail.process.supervisor import Supervisor
+from balsamrail.quotas import MemberQuotaFleet, QuotaLimiter
 
 _LOOKUP_TTL_S = 1.0
 _SWEEP_INTERVAL_S = 1.0
@@ -40,11 +42,18 @@
         self.directory = Directory(
             environment=environment, catalog=self.catalog, members=self.members
         )
+        self.quotas = QuotaLimiter(
+            environment=environment,
+            network=self.store_components.network,
+            fleet=MemberQuotaFleet(environment=environment, members=self.members),
+            customers=self._customers,
+        )
         self.delivery = DeliveryComponents(
             environment=environment,
             catalog=self.catalog,
             members=self.members,
             network=self.store_components.network,
+            customer_limits=self.quotas,
         )
         self.crash_archive = CrashArchive(
             environment=environment,
@@ -133,7 +142,8 @@
         """Return counters, latencies and gauges in the text format for metrics collectors."""
         in_flight = Gauge(name='requests_in_flight', value=self.callers.in_flight)
         is_ready = Gauge(name='ready', value=self._is_ready())
-        return self._environment.metrics.page([in_flight, is_ready, *self._gauges.read()])
+        limited = Gauge(name='quota_customers_limited', value=self.quotas.limited_count())
+        return self._environment.metrics.page([in_flight, is_ready, limited, *self._gauges.read()])
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all components as plain data."""
@@ -141,6 +151,7 @@
             'catalog': self.catalog,
             'directory': self.directory,
             'delivery': self.delivery,
+            'quotas': self.quotas,
             'crash_archive': self.crash_archive,
             'watch': self.store_components.watch,
             'hub': self.store_components.hub,
@@ -162,12 +173,17 @@
             'reviver': self.delivery.health_checker,
             'silence': self.delivery.liveness_checker,
             'paths': self.delivery.path_watcher,
+            'quotas': self.quotas,
             'settings_file': self.settings_file,
         }
         for name, part in parts.items():
             self._supervisor.start(name, part.run)
         self._supervisor.start('sweep', self._sweep_periodically)
 
+    def _customers(self) -> tuple[Customer, ...]:
+        manifest = self.catalog.manifest
+        return manifest.customers if manifest else ()
+
     def _is_ready(self) -> bool:
         return self.catalog.is_ready() and not self._stopping.is_set()
 
