--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -11,6 +11,7 @@
 from tools.mutants.membership import MEMBERSHIP
 from tools.mutants.pipelining import PIPELINING
 from tools.mutants.proxying import PROXYING
+from tools.mutants.quotas import QUOTAS
 from tools.mutants.steering import STEERING
 from tools.mutants.target_standing import TARGET_STANDING
 
@@ -28,4 +29,5 @@
     *ENDLESS_BYTES,
     *PIPELINING,
     *PROXYING,
+    *QUOTAS,
 )
