--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -33,6 +33,7 @@
 from balsamrail.proxying.proxy_exchange import ProxyExchange
 from balsamrail.proxying.proxy_host_selector import ProxyHostSelector
 from balsamrail.proxying.request_proxy import RequestProxy
+from balsamrail.quotas.quota_grant import QuotaGrant
 from balsamrail.settings.bounds import Bounds
 
 
@@ -115,6 +116,13 @@
         self.listeners.append(changed)
 
 
+class UnlimitedCustomers:
+    """Lets each request of a customer run."""
+
+    async def acquire(self, customer):
+        return QuotaGrant()
+
+
 class DeliveryHarness:
     """The dispatcher of one host; each of ``behaviours`` handles the requests of one target."""
 
@@ -139,6 +147,7 @@
         self.freshness = ALWAYS_CONFIRMED
         self.targets = []
         self.members = MemberTable()
+        self.customer_limits = UnlimitedCustomers()
 
     async def start(self, *, first_target_refuses=False):
         for behaviour in self.behaviours:
@@ -210,6 +219,7 @@
             admission=ProxyAdmission(paths=target_registry.paths),
             proxy=self._make_proxy(),
             freshness=self.freshness,
+            customer_limits=self.customer_limits,
         )
         return self
 
--- a/src/balsamrail/entry/delivery_components.py
+++ b/src/balsamrail/entry/delivery_components.py
@@ -4,6 +4,7 @@
 
 from balsamrail.catalog.catalog import Catalog
 from balsamrail.delivery.crash_detector import CrashDetector
+from balsamrail.delivery.customer_limits import CustomerLimits
 from balsamrail.delivery.dispatcher import Dispatcher
 from balsamrail.delivery.health_checker import HealthChecker
 from balsamrail.delivery.http_connection_pool import HttpConnectionPool
@@ -23,12 +24,12 @@
 from balsamrail.placement.target_registry import TargetRegistry
 from balsamrail.placement.target_selector import TargetSelector
 from balsamrail.platform.target_protocol import TargetProtocol
-from balsamrail.proxying.proxy_admission import ProxyAdmission
 
 
 class DeliveryComponents:
     """Creates the dispatcher and its dependencies.
 
+    :param customer_limits: limits the requests of customers.
     :param members: provides the hosts that share the fleet-wide retry limits, and those through which
         requests go while this host does not reach the targets.
     :param freshness: tells whether API keys of the manifest in force can be relied on.
@@ -55,6 +56,7 @@
         members: Members,
         network: PeerNetwork,
         freshness: ManifestFreshness = ALWAYS_CONFIRMED,
+        customer_limits: CustomerLimits,
     ) -> None:
         settings = environment.settings
         codec = TargetProtocol()
@@ -110,9 +112,10 @@
             budgets=RetryBudgets(
                 bounds=settings.bounds, fleet_size=lambda: len(members.known()) + 1
             ),
-            admission=ProxyAdmission(paths=self.target_registry.paths),
+            admission=proxying.admission,
             proxy=proxying.proxy,
             freshness=freshness,
+            customer_limits=customer_limits,
         )
 
     def close_stale_connections(self) -> None:
--- a/src/balsamrail/messages/__init__.py
+++ b/src/balsamrail/messages/__init__.py
@@ -16,6 +16,7 @@
     MemberUpdates,
 )
 from balsamrail.messages.message import MESSAGE_KINDS, Message
+from balsamrail.messages.quota import QuotaAsk, QuotaReply
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
 from balsamrail.messages.record_patch import RecordPatch
@@ -47,6 +48,8 @@
     'MemberUpdate',
     'MemberUpdates',
     'Message',
+    'QuotaAsk',
+    'QuotaReply',
     'RecordAnnounce',
     'RecordFull',
     'RecordPatch',
--- a/src/balsamrail/messages/message.py
+++ b/src/balsamrail/messages/message.py
@@ -16,6 +16,7 @@
     MemberUpdate,
     MemberUpdates,
 )
+from balsamrail.messages.quota import QuotaAsk, QuotaReply
 from balsamrail.messages.record_announce import RecordAnnounce
 from balsamrail.messages.record_full import RecordFull
 from balsamrail.messages.record_patch import RecordPatch
@@ -62,6 +63,8 @@
     | TargetLimitReport
     | ManifestAgeRequest
     | ManifestAgeAnswer
+    | QuotaAsk
+    | QuotaReply
 )
 
 # The index in this tuple is the tag on the wire: append only, never reorder.
@@ -95,4 +98,6 @@
     TargetLimitReport,
     ManifestAgeRequest,
     ManifestAgeAnswer,
+    QuotaAsk,
+    QuotaReply,
 )
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -13,6 +13,7 @@
 from tools.mutants.membership import MEMBERSHIP
 from tools.mutants.pipelining import PIPELINING
 from tools.mutants.proxying import PROXYING
+from tools.mutants.quotas import QUOTAS
 from tools.mutants.steering import STEERING
 from tools.mutants.target_standing import TARGET_STANDING
 
@@ -32,4 +33,5 @@
     *PIPELINING,
     *PROXYING,
     *MANIFEST_LEASE,
+    *QUOTAS,
 )
