--- a/features/customers.feature
+++ b/features/customers.feature
@@ -62,6 +62,12 @@
     When any manifest with a key in an odd place is read
     Then the error, if there is one, does not contain the key
 
+  Scenario: A malformed update of a peer is reported without its values
+    Guards against API keys in the log line about a message of another host.
+
+    When a host gets a manifest with a key in malformed updates of a peer
+    Then each error is that of a peer and does not contain the key
+
   Scenario Outline: Requests are accepted by their keys
     Guards against service without a key, and against a 401 that a newer manifest would not give.
 
@@ -220,6 +226,13 @@
     When it sends a customer's request through the peer
     Then the peer gets the name in both headers and not the key
 
+  Scenario: A request stays in the customer's home region on its way through another host
+    Guards against bodies that another region receives.
+
+    Given a host without paths to targets, with a peer in its region and one in the customer's home region
+    When it sends a customer's request through a peer
+    Then only the peer in the home region gets it
+
   Scenario: A peer that does not know the customer is not the last one asked
     Guards against requests that fail since one host has an older manifest.
 
--- a/features/steps/customers_manifest_steps.py
+++ b/features/steps/customers_manifest_steps.py
@@ -3,6 +3,7 @@
 import json
 from unittest import mock
 
+import msgpack
 from behave import given, then, when
 from customer_parts import (
     ACME,
@@ -18,7 +19,10 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 
-from balsamrail.errors import EntryError
+from balsamrail.catalog.revision import Revision
+from balsamrail.catalog.stored_objects import StoreObject
+from balsamrail.errors import EntryError, PeerError
+from balsamrail.fleet.object_codec import pack_objects, unpack_objects
 from balsamrail.platform.manifest_reader import read_manifest
 
 SECRET = 'k-secret-5511'
@@ -190,6 +194,37 @@
     assert SECRET not in line, line
 
 
+@when('a host gets a manifest with a key in malformed updates of a peer')
+def step_malformed_updates(context):
+    # Too short to be compressed.
+    stored = StoreObject(
+        name='main', revision=Revision(era=1, number=2), spec=customer('a', SECRET)
+    )
+    (packed,) = pack_objects([stored])
+    assert SECRET.encode() in packed
+    secret = SECRET.encode()
+    context.errors = []
+    for part in (
+        packed + b'x',
+        packed[:-3],
+        packed.replace(secret, b'\xff' + secret[1:]),
+        packed.replace(b'main', b'\xff' + secret[:3]),
+        msgpack.packb([SECRET]),
+        msgpack.packb(SECRET),
+    ):
+        try:
+            unpack_objects([part])
+        except PeerError as error:
+            context.errors.append(error)
+
+
+@then('each error is that of a peer and does not contain the key')
+def step_update_errors(context):
+    assert len(context.errors) == 6, context.errors
+    for error in context.errors:
+        assert SECRET[1:] not in str(error) + repr(error), error
+
+
 PLACES = strategies.recursive(
     strategies.sampled_from([SECRET, f'{SECRET}\ud800', 1, None, True, 0.5]),
     lambda inner: strategies.one_of(
--- a/features/steps/customers_proxy_steps.py
+++ b/features/steps/customers_proxy_steps.py
@@ -96,6 +96,40 @@
     run_real(play())
 
 
+@given(
+    "a host without paths to targets, with a peer in its region and one in the customer's home region"
+)
+def step_home_peer(context):
+    context.proxying = ProxyHarness(serve, serve)
+
+
+@when("it sends a customer's request through a peer")
+def step_through_home(context):
+    async def play():
+        delivery = await context.proxying.start()
+        delivery.members['far'] = make_member(
+            'far',
+            availability_zone='makedonia-a',
+            region='makedonia',
+            peer_address=delivery.members['far'].peer_address,
+        )
+        delivery.catalog.offer_manifest(
+            manifest(customer('acme', ACME_KEY, allowedRegions=['makedonia']))
+        )
+        context.outcome = await outcome_of(delivery, make_request(**KEYS['a known key']))
+        for peer in context.proxying.peers:
+            peer.stop()
+        delivery.stop()
+
+    run_real(play())
+
+
+@then('only the peer in the home region gets it')
+def step_home_only(context):
+    assert context.outcome.status == 200, context.outcome
+    assert [len(peer.heads) for peer in context.proxying.peers] == [0, 1]
+
+
 def check_named(peer):
     (head,) = peer.heads
     fields = received(peer)
