--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -96,7 +96,8 @@
 
     Given 61 hosts that serve 73 customers
     When messages are delayed by up to 0.25 s under usual load
-    Then at most 1 in 1000 requests is refused
+    Then each host sends at most 34 messages a second
+    And at most 1 in 1000 requests is refused
     And no window has more requests than the quotas allow
 
   Scenario: Hosts freeze and wake
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -203,7 +203,9 @@
     async def script(found):
         await found.run(WARM_UP_S)
         found.network.extra_delay_s = 0.25
+        before = found.network.sent
         await found.run(9)
+        context.sent_per_s = (found.network.sent - before) / 9 / len(found.zone_by_host)
 
     play(context, script)
 
@@ -369,6 +371,11 @@
     assert max(delays) - min(delays) >= 1, (min(delays), max(delays))
 
 
+@then('each host sends at most {count:d} messages a second')
+def step_few_messages(context, count):
+    assert context.sent_per_s <= count, context.sent_per_s
+
+
 @then('no message has been sent')
 def step_no_message(context):
     assert context.play.network.sent == 0, context.play.network.sent
