--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -198,6 +198,18 @@
     play(context, script)
 
 
+@when('messages are delayed by up to 0.25 s under usual load')
+def step_slow(context):
+    async def script(found):
+        await found.run(WARM_UP_S)
+        found.network.extra_delay_s = 0.25
+        before = found.network.sent
+        await found.run(9)
+        context.sent_per_s = (found.network.sent - before) / 9 / len(found.zone_by_host)
+
+    play(context, script)
+
+
 @when('all coordinators and some hosts freeze for 0.7 s, again and again, while customer 0 is hot')
 def step_freeze(context):
     async def script(found):
@@ -359,6 +371,11 @@
     assert max(delays) - min(delays) >= 1, (min(delays), max(delays))
 
 
+@then('each host sends at most {count:d} messages a second')
+def step_few_messages(context, count):
+    assert context.sent_per_s <= count, context.sent_per_s
+
+
 @then('no message has been sent')
 def step_no_message(context):
     assert context.play.network.sent == 0, context.play.network.sent
