--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -30,7 +30,13 @@
 
 
 class HostProcess:
-    """A host in a process of its own, with the stand-in store and one target."""
+    """A host in a process of its own, with the stand-in store and one target.
+
+    :param settings: settings besides those that the host determines.
+    """
+
+    def __init__(self, **settings):
+        self.settings = settings
 
     async def __aenter__(self):
         self.store = PlatformStore()
@@ -42,7 +48,9 @@
             region_by_availability_zone=REGION_BY_ZONE,
             store={'address': self.store.address},
             bounds={'stop_grace_s': 6},
+            **self.settings,
         )
+        self.addresses = settings
         self.address = settings['caller_address']
         self.folder = tempfile.TemporaryDirectory()
         path = Path(self.folder.name) / 'settings.json'
