Readiness, look-up and operator pages never keep the body of a request

Cause: Tornado's adapter collects a body of up to 100 MB for each connection. A request that has a body is now answered when its header has arrived (413, or 405 and 404 as before), and its connection closed.

--- a/src/balsamrail/process/page_server.py
+++ b/src/balsamrail/process/page_server.py
@@ -3,15 +3,20 @@
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPServerConnectionDelegate,
+    HTTPServerRequest,
+)
 
 from balsamrail.process.page import Page
+from balsamrail.process.page_exchange import PageExchange
 
 _NOT_FOUND = Page(body='', media_type='text/plain', status=HTTPStatus.NOT_FOUND)
 _METHOD_NOT_ALLOWED = Page(body='', media_type='text/plain', status=HTTPStatus.METHOD_NOT_ALLOWED)
 
 
-class PageServer:
+class PageServer(HTTPServerConnectionDelegate):
     """Answers the requests of a :class:`tornado.httpserver.HTTPServer`.
 
     It does not use ``tornado.web``, whose import alone takes a tenth of the start-up time of a
@@ -29,17 +34,9 @@
     ) -> None:
         self._page_makers_by_path = page_makers_by_path
 
-    def __call__(self, request: HTTPServerRequest) -> None:
-        """Answer a request with the page of its path."""
-        page = self._make_page(request)
-        body = page.body.encode()
-        headers = HTTPHeaders({'Content-Type': page.media_type, 'Content-Length': str(len(body))})
-        connection = request.connection
-        assert connection is not None
-        connection.write_headers(
-            ResponseStartLine('HTTP/1.1', page.status, page.status.phrase), headers, body
-        )
-        connection.finish()
+    def start_request(self, server_conn: object, request_conn: HTTPConnection) -> PageExchange:
+        """Return the delegate that receives and answers one request."""
+        return PageExchange(connection=request_conn, make_page=self._make_page)
 
     def _make_page(self, request: HTTPServerRequest) -> Page:
         make_page = self._page_makers_by_path.get(request.path or '')
