Bound the memory of the requests that callers have a host keep

Cause: each connection could make a host keep a body of up to the limit, without a limit on all of them. All headers, bodies and bytes read ahead now count under one limit, and above it the incomplete requests with the largest product of bytes and age are refused with 503 caller_memory. A request with a body but without a route is rejected when its header has arrived, and a body has to arrive at 500 bytes/s. A rejected caller gets its response before the connection is closed, also while it sends. A Content-Length of thousands of digits is answered 413 instead of ending the connection.

--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -23,6 +23,9 @@
         self.ended = []
         self.cancelled = []
 
+    def check_headers(self, request):
+        pass
+
     def idempotent_timeout_s(self, request):
         return 2 if request.method == 'GET' and '/idempotent/' in request.path else None
 
--- a/src/balsamrail/delivery/delivery_planner.py
+++ b/src/balsamrail/delivery/delivery_planner.py
@@ -28,19 +28,16 @@
 
         :raises RequestError: if the manifest has not been received or has no route for the request.
         """
-        manifest = self._catalog.manifest
-        if manifest is None:
-            raise NotReadyError(
-                detail='the host has not received the manifest yet',
-                retry_after_s=_NOT_READY_RETRY_AFTER_S,
-            )
-        route = manifest.route_for(host=request.host, path=request.path)
-        if route is None:
-            raise UnknownRouteError(
-                detail=f'manifest version {manifest.version} has no route for the host name and path'
-            )
+        manifest, route = self._find_route(request)
         return self._plan(manifest, route, self._part_picker.pick(route), request)
 
+    def check_route(self, request: EntryRequest) -> None:
+        """Check that there is a route for a request whose body has not been received.
+
+        :raises RequestError: if the manifest has not been received or has no route for the request.
+        """
+        self._find_route(request)
+
     def route_of(self, request: EntryRequest) -> ManifestRoute | None:
         """Return the route of a request, ``None`` if no route is known for it."""
         manifest = self._catalog.manifest
@@ -66,6 +63,20 @@
             service = self._part_picker.pick(route)
         return self._plan(manifest, route, service, request)
 
+    def _find_route(self, request: EntryRequest) -> tuple[Manifest, ManifestRoute]:
+        manifest = self._catalog.manifest
+        if manifest is None:
+            raise NotReadyError(
+                detail='the host has not received the manifest yet',
+                retry_after_s=_NOT_READY_RETRY_AFTER_S,
+            )
+        route = manifest.route_for(host=request.host, path=request.path)
+        if route is None:
+            raise UnknownRouteError(
+                detail=f'manifest version {manifest.version} has no route for the host name and path'
+            )
+        return manifest, route
+
     def _plan(
         self, manifest: Manifest, route: ManifestRoute, service: str, request: EntryRequest
     ) -> DeliveryPlan:
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -77,7 +77,14 @@
         """
         plan = self._planner.plan(request)
         run = self._run(plan, request)
-        return await (run if plan.route.is_idempotent else self._run_detached(run))
+        return await (run if plan.route.is_idempotent else self._run_detached(run, request))
+
+    def check_headers(self, request: EntryRequest) -> None:
+        """Reject a request that would be rejected whatever its body is.
+
+        :raises RequestError: if the manifest has not been received or has no route for the request.
+        """
+        self._planner.check_route(request)
 
     def idempotent_timeout_s(self, request: EntryRequest) -> float | None:
         """Return how long a request may run, ``None`` if it is not known to be idempotent."""
@@ -125,10 +132,17 @@
         )
         return await run.run()
 
-    async def _run_detached(self, run: Coroutine[Any, Any, HttpResponse]) -> HttpResponse:
+    async def _run_detached(
+        self, run: Coroutine[Any, Any, HttpResponse], request: EntryRequest
+    ) -> HttpResponse:
         # A non-idempotent request continues after its caller disconnects: cancelling it would
         # leave its outcome unknown, and the caller may rely on it being executed.
         task = asyncio.create_task(run)
         self._detached_runs.add(task)
         task.add_done_callback(self._detached_runs.discard)
+        usage = request.usage
+        if usage is not None:
+            # The run keeps the body after the caller has left.
+            usage.retain()
+            task.add_done_callback(lambda _: usage.release())
         return await asyncio.shield(task)
--- a/src/balsamrail/delivery/entry_request.py
+++ b/src/balsamrail/delivery/entry_request.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from balsamrail.exchange.large_body import RequestBody
+from balsamrail.exchange.request_usage import RequestUsage
 from balsamrail.proxying.handover import Handover
 
 
@@ -20,6 +21,7 @@
         request may have waited behind another one of the connection since.
     :param caller_timeout_s: seconds that the caller waits after ``arrived_at``, ``None`` if it did not
         state a timeout.
+    :param usage: accounting of its memory, which whoever keeps the request longer has to retain.
     :param handover: set if another host received the request from the caller.
     """
 
@@ -33,3 +35,4 @@
     caller_timeout_s: float | None
     body: RequestBody = b''
     handover: Handover | None = None
+    usage: RequestUsage | None = None
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -188,4 +188,6 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self.delivery.close_stale_connections()
+            self._environment.caller_memory.refuse_slow()
+            self._environment.caller_refusals.log_due()
             self._on_members_change()
--- a/src/balsamrail/environment.py
+++ b/src/balsamrail/environment.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 from balsamrail.clock import Clock
+from balsamrail.exchange.caller_refusals import CallerRefusals
+from balsamrail.exchange.request_memory_limiter import RequestMemoryLimiter
 from balsamrail.exchange.response_memory_limiter import ResponseMemoryLimiter
 from balsamrail.logs import Log
 from balsamrail.metrics import Metrics
@@ -17,7 +19,8 @@
 class Environment:
     """Passed explicitly to each component of a host, in place of module-level state.
 
-    ``answer_memory`` has the limit of the settings with which the process started.
+    ``answer_memory`` and ``caller_memory`` have the limits of the settings with which the process
+    started. ``caller_refusals`` counts the callers that are cut off at a limit.
 
     Must be created inside a running event loop::
 
@@ -30,12 +33,22 @@
     metrics: Metrics = field(default_factory=Metrics)
     incarnation: str
     answer_memory: ResponseMemoryLimiter = field(init=False)
+    caller_memory: RequestMemoryLimiter = field(init=False)
+    caller_refusals: CallerRefusals = field(init=False)
 
     def __post_init__(self) -> None:
-        """Derive the limit on buffered responses from the memory of the process."""
+        """Derive the limits on responses and requests from the memory of the process."""
         self.answer_memory = ResponseMemoryLimiter(
             memory_mb=self.settings.memory_mb, metrics=self.metrics
         )
+        self.caller_refusals = CallerRefusals(clock=self.clock, log=self.log, metrics=self.metrics)
+        self.caller_memory = RequestMemoryLimiter(
+            clock=self.clock,
+            refusals=self.caller_refusals,
+            memory_mb=self.settings.memory_mb,
+            limit_mb=self.settings.limits.caller_memory_mb,
+            min_bytes_per_s=self.settings.limits.min_body_bytes_per_s,
+        )
 
     @classmethod
     def create(cls, *, settings: Settings, log: Log | None = None) -> 'Environment':
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -17,6 +17,8 @@
 # Bytes behind the request in progress that are read before its response is sent. The rest stays
 # with the operating system, which slows down the caller.
 _READ_AHEAD_BYTES = 65_536
+# Fewer unprocessed bytes, as most requests have, are not accounted for.
+_MIN_COUNTED_BYTES = 4_096
 
 
 class CallerStream(IOStream):
@@ -41,6 +43,7 @@
         self.responses = ResponseQueue()
         self._close_listeners: list[Callable[[], None]] = []
         self._received_bytes = 0
+        self._counted_bytes = 0
         # Pairs of the number of bytes received in total and the time.
         self._arrivals: deque[tuple[int, float]] = deque()
         super().__init__(*args, **kwargs)
@@ -92,6 +95,20 @@
         for on_close in self._close_listeners:
             self.io_loop.add_callback(on_close)
         self._close_listeners = []
+        self._count_unprocessed(0)
+
+    def is_handling(self) -> bool:
+        """Return whether a complete request of the connection is being handled."""
+        return bool(self._close_listeners)
+
+    def may_be_cut_off(self) -> bool:
+        """Return whether closing the connection ends no request that may have been passed on."""
+        return not self.is_handling() and not self.is_from_peer
+
+    def cut_off(self) -> None:
+        """Close the connection once the event loop has handled the current event."""
+        self._counted_bytes = 0
+        self.io_loop.add_callback(self.close)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket and record the time."""
@@ -99,6 +116,7 @@
         if count:
             self._received_bytes += count
             self._arrivals.append((self._received_bytes, self._environment.clock.monotonic()))
+            self._count_unprocessed(self._read_buffer_size + count)
         return count
 
     def _handle_events(self, fd: Any, events: int) -> None:
@@ -107,10 +125,19 @@
 
     def _maybe_add_error_listener(self) -> None:
         super()._maybe_add_error_listener()
+        self._count_unprocessed(self._read_buffer_size)
         self._read_ahead()
 
+    def _count_unprocessed(self, count: int) -> None:
+        counted = count if count > _MIN_COUNTED_BYTES and not self.closed() else 0
+        if counted != self._counted_bytes:
+            self._counted_bytes = counted
+            self._environment.caller_memory.set_buffered(self, counted)
+
     def _read_ahead(self) -> None:
         """Keep reading while a request is in progress, even if bytes are left in the buffer."""
         is_in_progress = bool(self._close_listeners) or self._close_callback is not None
+        if self._read_buffer_size and not self._environment.caller_memory.has_room():
+            return
         if is_in_progress and not self.closed() and self._read_buffer_size < _READ_AHEAD_BYTES:
             self._add_io_state(IOLoop.READ)
--- a/src/balsamrail/exchange/hop_headers.py
+++ b/src/balsamrail/exchange/hop_headers.py
@@ -16,6 +16,8 @@
         'upgrade',
     ),
 )
+# The header fields by which a body is read.
+_FRAMING = frozenset(('Content-Length', 'Transfer-Encoding'))
 
 
 def connection_options(headers: HTTPHeaders) -> frozenset[str]:
@@ -35,3 +37,10 @@
         if name.lower() not in excluded:
             forwarded.add(name, value)
     return forwarded
+
+
+def keep_framing(headers: HTTPHeaders) -> None:
+    """Remove all fields but those by which the body is read; others may take hundreds of kB."""
+    for name in tuple(headers):
+        if name not in _FRAMING:
+            del headers[name]
--- a/src/balsamrail/platform/caller_exchange.py
+++ b/src/balsamrail/platform/caller_exchange.py
@@ -10,17 +10,21 @@
 from balsamrail.delivery.entry_request import EntryRequest
 from balsamrail.delivery.http_message import HttpResponse
 from balsamrail.errors import (
-    BadRequestError,
-    HeadersTooLargeError,
     OutcomeUnknownError,
     RequestError,
     TooLargeError,
 )
 from balsamrail.exchange.body_collector import BodyCollector
 from balsamrail.exchange.caller_stream import CallerStream
-from balsamrail.exchange.hop_headers import connection_options, end_to_end_headers
+from balsamrail.exchange.hop_headers import (
+    connection_options,
+    end_to_end_headers,
+    keep_framing,
+)
+from balsamrail.exchange.request_usage import RequestUsage
 from balsamrail.exchange.response_queue import ResponseTurn
 from balsamrail.platform.caller_codec import decode_request, problem_answer
+from balsamrail.platform.header_check import HeaderSize, check_header
 from balsamrail.platform.headers import HANDOVER
 from balsamrail.platform.proxy_protocol import encode_outcome
 
@@ -29,9 +33,8 @@
 
 _CONTENT_LENGTH = frozenset(('content-length',))
 _BODYLESS_STATUSES = frozenset((204, 304))
-# Bytes of a header line besides its name and value: the colon and the line break. The space after
-# the colon is optional, and is not counted: a header of exactly the limit without spaces is legal.
-_HEADER_LINE_OVERHEAD_BYTES = 3
+# How long the caller of a rejected request has to read the response.
+_REJECTION_TIMEOUT_S = 5
 # Requests run concurrently only if they end within this fraction of the idle timeout, which starts
 # when the next request could be sent.
 _MAX_IDLE_FRACTION = 0.5
@@ -57,6 +60,8 @@
         self._request: EntryRequest | None = None
         self._body = BodyCollector()
         self._is_answered = False
+        self._is_rejected = False
+        self._usage: RequestUsage | None = None
         self._is_concurrent = False
         self._turn: ResponseTurn | None = None
         self._task: asyncio.Task[None] | None = None
@@ -69,13 +74,17 @@
         """Decode the headers; return when the request may be received and handled."""
         assert isinstance(start_line, httputil.RequestStartLine)
         self._server.in_flight += 1
-        self._request = decode_request(start_line, headers, stream=self._stream)
+        request = decode_request(start_line, headers, stream=self._stream)
+        self._request = request
         self._server.last_request_at = self._server.environment.clock.monotonic()
-        self._is_concurrent = self._may_run_concurrently(start_line, self._request)
+        self._is_concurrent = self._may_run_concurrently(start_line, request)
+        self._check_header(request)
+        if self._is_answered:
+            return None
         if self._stream.responses.has_room(is_concurrent=self._is_concurrent):
-            self._begin(start_line, self._request)
+            self._begin()
             return None
-        return self._begin_later(start_line, self._request)
+        return self._begin_later()
 
     def data_received(self, chunk: bytes) -> None:
         """Append a chunk of the body."""
@@ -84,12 +93,16 @@
         self._body.append(chunk)
         if self._body.size > self._server.limits.body_bytes:
             self._reject(TooLargeError(detail='the body exceeds the size limit'))
+        elif self._usage is not None:
+            self._server.environment.caller_memory.add_body(self._usage, len(chunk))
 
     def finish(self) -> None:
         """Start handling the complete request."""
         request = self._request
         if self._is_answered or request is None:
             return
+        if self._usage is not None:
+            self._server.environment.caller_memory.complete(self._usage)
         if self._stream.closed() or self._stream.is_finished:
             # The caller has left, or sends the request again on another connection.
             self._server.environment.metrics.count('requests_behind_close')
@@ -107,28 +120,33 @@
         if self._task is None:
             self._end()
 
-    def _begin(self, start_line: httputil.RequestStartLine, request: EntryRequest) -> None:
-        """Take the request's turn, and check the size limits given in its first lines."""
+    def _check_header(self, request: EntryRequest) -> None:
+        """Account for the header, and reject the request if its body need not be read."""
+        server = self._server
+        size = HeaderSize.of(request)
+        memory = server.environment.caller_memory
+        request.usage = memory.open(header_bytes=size.held_bytes, refuse=self._reject)
+        self._usage = request.usage
+        memory.hold(self._usage)
+        if self._is_answered:
+            return
+        try:
+            check_header(
+                request, size, limits=server.limits, check_route=server.handler.check_headers
+            )
+        except RequestError as error:
+            self._reject(error)
+
+    def _begin(self) -> None:
+        """Take the request's turn; its body is read from now on."""
         self._turn = self._stream.responses.join(is_concurrent=self._is_concurrent)
-        limits = self._server.limits
-        size = len(start_line.path) + sum(
-            len(name) + len(value) + _HEADER_LINE_OVERHEAD_BYTES
-            for name, value in request.headers.get_all()
-            if name != HANDOVER or request.handover is None
-        )
-        length = request.headers.get('Content-Length', '0')
-        if size > limits.header_bytes:
-            self._reject(HeadersTooLargeError(detail='the headers exceed the size limit'))
-        elif not length.isascii() or not length.isdigit():
-            self._reject(BadRequestError(detail='Content-Length is not a number'))
-        elif int(length) > limits.body_bytes:
-            self._reject(TooLargeError(detail='the body exceeds the size limit'))
+        if self._usage is not None:
+            self._usage.body_since = self._server.environment.clock.monotonic()
 
-    async def _begin_later(
-        self, start_line: httputil.RequestStartLine, request: EntryRequest
-    ) -> None:
+    async def _begin_later(self) -> None:
         await self._stream.responses.wait_for_room(is_concurrent=self._is_concurrent)
-        self._begin(start_line, request)
+        if not self._is_answered:
+            self._begin()
 
     def _may_run_concurrently(
         self, start_line: httputil.RequestStartLine, request: EntryRequest
@@ -144,6 +162,8 @@
         """Give way to the next response of the connection."""
         self._server.in_flight -= 1
         self._stream.remove_close_listener(self._on_caller_disconnect)
+        if self._usage is not None:
+            self._usage.release()
         if self._turn is not None:
             self._turn.end()
 
@@ -190,15 +210,27 @@
         return problem_answer(error, request_id=request.request_id)
 
     def _reject(self, error: RequestError) -> None:
-        # The rest of the body is not read, so the connection cannot be reused.
+        # The rest of the body is not kept, so the connection cannot be reused.
+        assert self._request is not None
         self._is_answered = True
+        self._is_rejected = True
         self._body = BodyCollector()
+        if self._usage is not None:
+            self._server.environment.caller_memory.discard(self._usage)
+        if self._turn is None:
+            self._turn = self._stream.responses.join(is_concurrent=self._is_concurrent)
         self._server.environment.metrics.count(f'problems_{error.code}')
-        answer = problem_answer(error, request_id='')
+        answer = problem_answer(error, request_id=self._request.request_id)
+        if self._request.handover is not None:
+            answer.headers[HANDOVER] = encode_outcome(self._request.handover, error=error)
         answer.keep_alive = False
-        self._task = asyncio.create_task(self._write_rejection(answer))
+        keep_framing(self._request.headers)
+        self._task = asyncio.create_task(self._write_rejection(self._turn, answer))
 
-    async def _write_rejection(self, answer: HttpResponse) -> None:
+    async def _write_rejection(self, turn: ResponseTurn, answer: HttpResponse) -> None:
+        await turn.wait()
+        # The caller may read nothing while it sends.
+        self._stream.io_loop.call_later(_REJECTION_TIMEOUT_S, self._stream.close)
         try:
             await self._write(answer)
         except StreamClosedError:
@@ -228,7 +260,9 @@
             answer.body = body = b''
             # Before the end of the response, since Tornado reads the next request right after it.
             self._stream.is_finished = is_last
-            if self._is_concurrent:
+            if self._is_concurrent or self._is_rejected:
+                # Tornado would close the connection of a request that it has not read, and a caller
+                # that still sends would lose the response to a reset.
                 self._stream.set_nodelay(True)
             else:
                 self._connection.finish()
--- a/src/balsamrail/platform/caller_server.py
+++ b/src/balsamrail/platform/caller_server.py
@@ -15,6 +15,12 @@
 class RequestHandler(Protocol):
     """Handles complete requests."""
 
+    def check_headers(self, request: EntryRequest) -> None:
+        """Reject a request whose body has not been received, if that need not be received.
+
+        :raises RequestError: if the request is rejected.
+        """
+
     async def handle(self, request: EntryRequest) -> HttpResponse:
         """Return the complete answer to a request.
 
