Bound the number of callers' connections and the unread bytes of each

Cause: a host accepted connections until it had no descriptors left. Of the descriptors without the 200 reserved for files, a half is now for the callers' address and an eighth for the pages; above that the connection that has been idle or incomplete longest is closed, never one whose request may have been passed on. The receive buffer of a connection is 16 to 64 KiB, so that those of all connections take about an eighth of the memory.

--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -133,7 +133,18 @@
         """Return counters, latencies and gauges in the text format for metrics collectors."""
         in_flight = Gauge(name='requests_in_flight', value=self.callers.in_flight)
         is_ready = Gauge(name='ready', value=self._is_ready())
-        return self._environment.metrics.page([in_flight, is_ready, *self._gauges.read()])
+        memory = self._environment.caller_memory
+        callers = (
+            Gauge(name='caller_memory_bytes', value=memory.used_bytes),
+            Gauge(
+                name='caller_connections',
+                label='address',
+                value_by_label=self._listeners.open_connections(),
+            ),
+        )
+        return self._environment.metrics.page(
+            [in_flight, is_ready, *callers, *self._gauges.read()]
+        )
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all components as plain data."""
--- a/src/balsamrail/entry/listeners.py
+++ b/src/balsamrail/entry/listeners.py
@@ -1,14 +1,18 @@
 """Listening sockets of an entry host."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from balsamrail.catalog.caller_limits import CallerLimits
 from balsamrail.entry.caller_http_server import CallerHttpServer
+from balsamrail.entry.page_http_server import PageHttpServer
 from balsamrail.environment import Environment
+from balsamrail.exchange.connection_limiter import ConnectionLimiter
+from balsamrail.exchange.descriptor_limits import DescriptorLimits
 from balsamrail.membership import PeerServer
 from balsamrail.membership.stream import Stream
 from balsamrail.platform.caller_server import CallerServer
@@ -21,6 +25,9 @@
 _MAX_HEADER_BYTES = 65_536
 # A caller that takes longer to send a body is no longer waiting for the response.
 _BODY_TIMEOUT_S = 60
+# Requests for pages consist of a line and a few fields.
+_MAX_PAGE_HEADER_BYTES = 8_192
+_PAGE_IDLE_TIMEOUT_S = 15
 
 
 class Listeners:
@@ -31,7 +38,16 @@
     :param accept_peer: serves the peer streams that other hosts open.
     """
 
-    __slots__ = ('_callers', '_environment', '_lookups', '_operators', '_peers', '_servers')
+    __slots__ = (
+        '_callers',
+        '_environment',
+        '_limits',
+        '_lookups',
+        '_operators',
+        '_page_connections',
+        '_peers',
+        '_servers',
+    )
 
     def __init__(
         self,
@@ -51,6 +67,12 @@
             body_timeout=_BODY_TIMEOUT_S,
             max_header_size=_MAX_HEADER_BYTES,
         )
+        self._limits = DescriptorLimits.of(environment.settings)
+        self._page_connections = ConnectionLimiter(
+            limit=self._limits.pages,
+            refusals=environment.caller_refusals,
+            is_handling=lambda _: False,
+        )
         self._lookups = lookups
         self._operators = operators
         self._peers = PeerServer(
@@ -69,8 +91,8 @@
         self._listen(self._callers, settings.caller_address)
         for address in {settings.lookup_address, settings.readiness_address}:
             if address is not None:
-                self._listen(HTTPServer(self._lookups), address)
-        self._listen(HTTPServer(self._operators), settings.operator_address)
+                self._listen(self._page_server(self._lookups), address)
+        self._listen(self._page_server(self._operators), settings.operator_address)
         self._listen(self._peers, settings.peer_address)
 
     def set_idle_timeout(self, idle_s: float) -> None:
@@ -82,7 +104,27 @@
         for server in self._servers:
             server.stop()
 
+    def open_connections(self) -> dict[str, int]:
+        """Return the number of callers' connections by what they are for."""
+        return {'callers': len(self._callers.connections), 'pages': len(self._page_connections)}
+
+    def _page_server(self, pages: PageServer) -> PageHttpServer:
+        delegate: Any = pages
+        return PageHttpServer(
+            delegate,
+            connections=self._page_connections,
+            idle_connection_timeout=_PAGE_IDLE_TIMEOUT_S,
+            max_header_size=_MAX_PAGE_HEADER_BYTES,
+        )
+
     def _listen(self, server: TCPServer, address: str) -> None:
         ip_address, port = split_address(address)
-        server.listen(port, address=ip_address, backlog=_BACKLOG)
+        listeners = bind_sockets(port, address=ip_address, backlog=_BACKLOG)
+        if server is not self._peers:
+            # Accepted connections have the buffer of their listener. Otherwise it grows to several
+            # MB for a caller that sends faster than its requests are handled.
+            size = self._limits.receive_buffer_bytes
+            for listener in listeners:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        server.add_sockets(listeners)
         self._servers.append(server)
