Tests: scenarios for each decision about callers' memory and connections

Each guards one decision that the crowds do not show alone: which request is refused, that a complete one never is, that the run of a caller that has left is still counted, that a connection with a request in progress is kept, that a rejected caller gets its response while it sends, and the volume of the log.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -73,3 +73,69 @@
       | a body of 64 MiB in chunks             |
       | 16 KiB of two-byte header fields       |
       | a body of 60000 bytes in 1-byte chunks |
+
+  Scenario: Memory accounting of requests in any order
+    Guards against accounting that drifts, and against the refusal of a request that may have run.
+
+    When requests are opened, received, completed and released in any order
+    Then the counted bytes are those of the open requests, and only incomplete ones are refused
+    And the limit is exceeded only by complete requests
+
+  Scenario: A small request arrives while bodies that have stopped take all the memory
+    Guards against the refusal of an ordinary request, which would free nothing.
+
+    When small requests arrive after bodies that stopped short of their end have filled the memory
+    Then only bodies are refused
+
+  Scenario: Bodies that arrive slowly
+    Guards against connections that are kept for a caller that sends a byte now and then.
+
+    When bodies arrive at 50 and 5000 bytes per second, and one waits behind another request
+    Then only the slow one is refused, as 408, within 12 s
+
+  Scenario: The log of callers that are cut off
+    Guards against a log that grows with the number of misbehaving callers.
+
+    When 1000 callers are cut off within a second and one 15 s later
+    Then there are 2 log lines, which account for all of them
+
+  Scenario: A body received in small pieces by a host
+    Guards against memory use of many times the length of the body.
+
+    When the body of a request arrives in 200000 pieces of 2 bytes
+    Then that body takes less than 1 MB of memory and is complete
+
+  Scenario: Two bodies of which the memory has room for one
+    Guards against a refusal that does not say whether the request has run, or is not sent.
+
+    Given a process of a host with 1 MB for the requests of callers
+    When a caller stops short of the end of 900000 bytes, and another one sends as many
+    Then the first is refused as not run with caller_memory, and the second is answered
+    And the host counts and logs one caller that was cut off
+
+  Scenario: The body of a request whose caller has left
+    Guards against memory that is no longer counted although the run still needs it.
+
+    Given a process of a host with 1 MB for the requests of callers
+    When the caller of a non-idempotent request with 300000 bytes leaves while it runs
+    Then its bytes are counted until the run has ended
+
+  Scenario: Many idle connections beside a request in progress
+    Guards against closing the connection of a request that may have run.
+
+    Given a process of a host with 4 connections for callers
+    When 20 idle connections are opened while a request runs
+    Then that request is answered, and all but 4 connections are closed
+
+  Scenario: Many connections whose callers do not read their responses
+    Guards against new callers that are turned away because of callers that read nothing.
+
+    When 4 connections with unread responses and a new one exceed a limit of 4
+    Then the oldest one is closed and the new one is not
+
+  Scenario: A rejected caller that still sends
+    Guards against a response that is lost because the connection is reset under the caller.
+
+    Given a process of a host with 4 connections for callers
+    When a caller sends a body to a path without a route and reads only after that
+    Then it gets the response 404
