--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -139,3 +139,10 @@
     Given a process of a host with 4 connections for callers
     When a caller sends a body to a path without a route and reads only after that
     Then it gets the response 404
+
+  Scenario: A request of another host for which there is no memory
+    Guards against a refusal that the other host takes for a run with an unknown outcome.
+
+    Given a process of a host with 1 MB for the requests of callers
+    When another host sends it a request with 2000000 bytes
+    Then that host is told that the request has not run, with the request's id
--- a/features/steps/caller_limits_steps.py
+++ b/features/steps/caller_limits_steps.py
@@ -18,6 +18,7 @@
 from balsamrail.exchange.body_collector import BodyCollector
 from balsamrail.exchange.connection_limiter import ConnectionLimiter
 from balsamrail.exchange.large_body import pieces_of
+from balsamrail.platform.headers import HANDOVER
 from balsamrail.settings import Limits
 
 MEMORY_MB = 8
@@ -379,3 +380,22 @@
 @then('it gets the response 404')
 def step_404(context):
     assert context.response.startswith(b'HTTP/1.1 404'), context.response
+
+
+@when('another host sends it a request with {size:d} bytes')
+def step_handover(context, size):
+    async def script(host):
+        handover = f'{HANDOVER}: origin=attiki-9 attempts=2 tried='
+        head = head_of('POST', '/write/0', f'Content-Length: {size}\r\n{handover}')
+        host.address = host.addresses['peer_address']
+        reader, _ = await host.open(head, bytes(size))
+        context.response = (await reader.readuntil(b'\r\n\r\n')).decode()
+
+    context.play(script)
+
+
+@then("that host is told that the request has not run, with the request's id")
+def step_told(context):
+    assert context.response.startswith('HTTP/1.1 503'), context.response
+    assert f'{HANDOVER}: outcome=not_run code=caller_memory sent=\r\n' in context.response
+    assert 'X-Request-Id: c\r\n' in context.response, context.response
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -95,7 +95,8 @@
         for on_close in self._close_listeners:
             self.io_loop.add_callback(on_close)
         self._close_listeners = []
-        self._count_unprocessed(0)
+        if self._counted_bytes:
+            self._count_unprocessed(0)
 
     def is_handling(self) -> bool:
         """Return whether a complete request of the connection is being handled."""
@@ -116,7 +117,8 @@
         if count:
             self._received_bytes += count
             self._arrivals.append((self._received_bytes, self._environment.clock.monotonic()))
-            self._count_unprocessed(self._read_buffer_size + count)
+            if self._counted_bytes or self._read_buffer_size + count > _MIN_COUNTED_BYTES:
+                self._count_unprocessed(self._read_buffer_size + count)
         return count
 
     def _handle_events(self, fd: Any, events: int) -> None:
@@ -125,7 +127,8 @@
 
     def _maybe_add_error_listener(self) -> None:
         super()._maybe_add_error_listener()
-        self._count_unprocessed(self._read_buffer_size)
+        if self._counted_bytes:
+            self._count_unprocessed(self._read_buffer_size)
         self._read_ahead()
 
     def _count_unprocessed(self, count: int) -> None:
--- a/src/balsamrail/platform/header_check.py
+++ b/src/balsamrail/platform/header_check.py
@@ -15,7 +15,7 @@
 _FIELD_MEMORY_BYTES = 400
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
+@dataclass(slots=True, kw_only=True)
 class HeaderSize:
     """The size of a header as sent, and in the memory of the host."""
 
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -9,6 +9,7 @@
 from tools.mutants.keys import KEYS
 from tools.mutants.liveness import LIVENESS
 from tools.mutants.membership import MEMBERSHIP
+from tools.mutants.misbehaving_callers import MISBEHAVING_CALLERS
 from tools.mutants.pipelining import PIPELINING
 from tools.mutants.proxying import PROXYING
 from tools.mutants.steering import STEERING
@@ -26,6 +27,7 @@
     *ENTRY,
     *CURRENCY,
     *ENDLESS_BYTES,
+    *MISBEHAVING_CALLERS,
     *PIPELINING,
     *PROXYING,
 )
