Count what the reception of a body takes, and forget the times of processed bytes

Cause: in a trial with 1000 callers (bodies of 990,000 bytes one byte short, a host of 152 MB and 1535 descriptors) the process reached 155 to 185 MB. Tornado delivers bytes one iteration after it reads them, keeps the last part of a body until the next one, and collects chunks in a buffer of its own; none of this was counted. The times at which bytes arrived were kept for each segment of a body, about 130 bytes each.

Undelivered bytes are now counted until their delivery, a body being received counts 32 KiB more (64 KiB in chunks), parts are read by 16 KiB, and callers' connections are at most 3 for each MB.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -146,3 +146,16 @@
     Given a process of a host with 1 MB for the requests of callers
     When another host sends it a request with 2000000 bytes
     Then that host is told that the request has not run, with the request's id
+
+  Scenario: A body that arrives byte by byte
+    Guards against notes of the times of arrival that take a hundred times the memory of the body.
+
+    When the body of a request arrives in 500 segments of a byte
+    Then the host keeps the time of at most 2 of them
+
+  Scenario: Headers without end beside an ordinary request
+    Guards against memory for headers that are not counted since they are not complete.
+
+    Given a process of a host with 1 MB for the requests of callers
+    When 40 callers send 60000 bytes of a header that does not end
+    Then the host keeps at most 1 MB of them, and an ordinary request is answered
--- a/features/steps/caller_limits_steps.py
+++ b/features/steps/caller_limits_steps.py
@@ -4,12 +4,14 @@
 import contextlib
 import json
 import random
+import socket
 import tracemalloc
 
 from behave import given, then, when
 from caller_crowd import head_of
 from entry_stop_steps import HostProcess
 from misbehaving_callers_steps import PLATFORM_LIMITS
+from pipelining_steps import Connection
 from platform_helpers import RecordedLog, make_environment, run_real
 from tornado.httpclient import AsyncHTTPClient
 from virtual_time import run_virtual
@@ -29,12 +31,14 @@
 class Request:
     """A request whose memory is counted."""
 
-    def __init__(self, memory, *, header_bytes):
+    def __init__(self, memory, *, header_bytes, reception_bytes=0):
         self.errors = []
         self.is_complete = False
         self.was_complete = False
         self.memory = memory
-        self.usage = memory.open(header_bytes=header_bytes, refuse=self._refuse)
+        self.usage = memory.open(
+            header_bytes=header_bytes, reception_bytes=reception_bytes, refuse=self._refuse
+        )
         memory.hold(self.usage)
 
     def _refuse(self, error):
@@ -63,7 +67,11 @@
         for _ in range(3_000):
             match chance.choice(('open', 'body', 'body', 'body', 'complete', 'end', 'pass')):
                 case 'open':
-                    requests.append(Request(memory, header_bytes=chance.randrange(5_000)))
+                    requests.append(
+                        Request(
+                            memory, header_bytes=chance.randrange(5_000), reception_bytes=32_768
+                        )
+                    )
                 case 'body' if requests:
                     each = chance.choice(requests)
                     if not each.is_complete:
@@ -399,3 +407,52 @@
     assert context.response.startswith('HTTP/1.1 503'), context.response
     assert f'{HANDOVER}: outcome=not_run code=caller_memory sent=\r\n' in context.response
     assert 'X-Request-Id: c\r\n' in context.response, context.response
+
+
+@when('the body of a request arrives in {count:d} segments of a byte')
+def step_segments(context, count):
+    async def main():
+        async with Connection() as connection:
+            connection.write(head_of('POST', '/0', f'Content-Length: {count + 1}'))
+            connection.writer.get_extra_info('socket').setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+            )
+            await asyncio.sleep(0.05)
+            (stream,) = connection.streams
+            for _ in range(count):
+                connection.write(b'x')
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.05)
+            context.received = stream._received_bytes
+            context.noted = len(stream._arrivals)
+
+    context.segments = count
+    run_real(main())
+
+
+@then('the host keeps the time of at most {count:d} of them')
+def step_noted(context, count):
+    assert context.received > context.segments, context.received
+    assert context.noted <= count, context.noted
+
+
+@when('{count:d} callers send {size:d} bytes of a header that does not end')
+def step_endless_headers(context, count, size):
+    async def script(host):
+        head = head_of('GET', '/read/0')[:-2] + b'X-Filler: ' + b'x' * size
+        for _ in range(count):
+            with contextlib.suppress(ConnectionError):
+                await host.open(head)
+        await asyncio.sleep(0.3)
+        context.code = (await host.send('ordinary', takes_s=0)).code
+        context.metrics = await host.metrics()
+
+    context.play(script)
+
+
+@then('the host keeps at most 1 MB of them, and an ordinary request is answered')
+def step_endless_headers_bounded(context):
+    assert context.code == 200, context.code
+    kept = context.metrics['balsamrail_caller_memory_bytes']
+    assert 100_000 < kept <= MB, kept
+    assert context.metrics['balsamrail_callers_cut_off_memory_total'] > 10
--- a/src/balsamrail/entry/listeners.py
+++ b/src/balsamrail/entry/listeners.py
@@ -23,6 +23,8 @@
 # Headers above this size close the connection; headers between the configured limit and this size
 # get an error response.
 _MAX_HEADER_BYTES = 65_536
+# Tornado keeps one such part of a body beside those that the host keeps, for each connection.
+_CHUNK_BYTES = 16_384
 # A caller that takes longer to send a body is no longer waiting for the response.
 _BODY_TIMEOUT_S = 60
 # Requests for pages consist of a line and a few fields.
@@ -66,6 +68,7 @@
             idle_connection_timeout=CallerLimits().idle_timeout_s,
             body_timeout=_BODY_TIMEOUT_S,
             max_header_size=_MAX_HEADER_BYTES,
+            chunk_size=_CHUNK_BYTES,
         )
         self._limits = DescriptorLimits.of(environment.settings)
         self._page_connections = ConnectionLimiter(
@@ -115,6 +118,7 @@
             connections=self._page_connections,
             idle_connection_timeout=_PAGE_IDLE_TIMEOUT_S,
             max_header_size=_MAX_PAGE_HEADER_BYTES,
+            chunk_size=_CHUNK_BYTES,
         )
 
     def _listen(self, server: TCPServer, address: str) -> None:
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -17,7 +17,7 @@
 # Bytes behind the request in progress that are read before its response is sent. The rest stays
 # with the operating system, which slows down the caller.
 _READ_AHEAD_BYTES = 65_536
-# Fewer unprocessed bytes, as most requests have, are not accounted for.
+# Fewer undelivered bytes, as most requests have, are not accounted for.
 _MIN_COUNTED_BYTES = 4_096
 
 
@@ -43,6 +43,8 @@
         self.responses = ResponseQueue()
         self._close_listeners: list[Callable[[], None]] = []
         self._received_bytes = 0
+        # Bytes that have been received and not been delivered, and how many of them are counted.
+        self._undelivered_bytes = 0
         self._counted_bytes = 0
         # Pairs of the number of bytes received in total and the time.
         self._arrivals: deque[tuple[int, float]] = deque()
@@ -60,9 +62,7 @@
 
     def consumed_at(self) -> float:
         """Return when the last byte that was processed arrived, in seconds of the event loop."""
-        consumed_bytes = self._received_bytes - self._read_buffer_size
-        while len(self._arrivals) > 1 and self._arrivals[0][0] < consumed_bytes:
-            self._arrivals.popleft()
+        self._forget_arrivals()
         return self._arrivals[0][1]
 
     def finish(self) -> None:
@@ -95,8 +95,17 @@
         for on_close in self._close_listeners:
             self.io_loop.add_callback(on_close)
         self._close_listeners = []
-        if self._counted_bytes:
-            self._count_unprocessed(0)
+        self._count_undelivered(0)
+
+    def note_delivered(self) -> None:
+        """Note that all bytes that have left the buffer have been delivered.
+
+        Tornado delivers bytes in a later iteration of the event loop than the one that reads them,
+        so that there are some of each connection at the same time.
+        """
+        if not self.closed():
+            self._count_undelivered(self._read_buffer_size)
+            self._forget_arrivals()
 
     def is_handling(self) -> bool:
         """Return whether a complete request of the connection is being handled."""
@@ -117,8 +126,7 @@
         if count:
             self._received_bytes += count
             self._arrivals.append((self._received_bytes, self._environment.clock.monotonic()))
-            if self._counted_bytes or self._read_buffer_size + count > _MIN_COUNTED_BYTES:
-                self._count_unprocessed(self._read_buffer_size + count)
+            self._count_undelivered(self._undelivered_bytes + count)
         return count
 
     def _handle_events(self, fd: Any, events: int) -> None:
@@ -127,12 +135,17 @@
 
     def _maybe_add_error_listener(self) -> None:
         super()._maybe_add_error_listener()
-        if self._counted_bytes:
-            self._count_unprocessed(self._read_buffer_size)
         self._read_ahead()
 
-    def _count_unprocessed(self, count: int) -> None:
-        counted = count if count > _MIN_COUNTED_BYTES and not self.closed() else 0
+    def _forget_arrivals(self) -> None:
+        """Forget when processed bytes arrived, except the last: a body may arrive byte by byte."""
+        consumed_bytes = self._received_bytes - self._read_buffer_size
+        while len(self._arrivals) > 1 and self._arrivals[0][0] < consumed_bytes:
+            self._arrivals.popleft()
+
+    def _count_undelivered(self, count: int) -> None:
+        self._undelivered_bytes = count
+        counted = count if count > _MIN_COUNTED_BYTES else 0
         if counted != self._counted_bytes:
             self._counted_bytes = counted
             self._environment.caller_memory.set_buffered(self, counted)
--- a/src/balsamrail/exchange/descriptor_limits.py
+++ b/src/balsamrail/exchange/descriptor_limits.py
@@ -10,6 +10,9 @@
 _SMALLEST_PART = 4
 _CALLERS_PART = 2
 _PAGES_PART = 8
+# A connection whose body arrives in chunks takes up to 80 kB besides the body, so that these may
+# take a quarter of the memory.
+_CALLERS_PER_MB = 3
 _BYTES_IN_MB = 1_000_000
 # The part of the memory that received and unread bytes may take, which are few unless callers send
 # more than the host reads.
@@ -38,7 +41,8 @@
         """Return the limits of the settings, derived from the descriptors where they name none."""
         total = settings.max_descriptors
         free = max(total - _RESERVED, total // _SMALLEST_PART)
-        callers = settings.limits.caller_connections or free // _CALLERS_PART
+        derived = min(free // _CALLERS_PART, settings.memory_mb * _CALLERS_PER_MB)
+        callers = settings.limits.caller_connections or derived
         unread_bytes = settings.memory_mb * _BYTES_IN_MB // _UNREAD_PART
         return cls(
             callers=callers,
--- a/src/balsamrail/exchange/request_memory_limiter.py
+++ b/src/balsamrail/exchange/request_memory_limiter.py
@@ -78,14 +78,18 @@
         self.limit_bytes = (limit_mb or _derived_limit_mb(memory_mb)) * _BYTES_IN_MB
         self.used_bytes = 0
 
-    def open(self, *, header_bytes: int, refuse: RefuseCallback) -> RequestUsage:
+    def open(
+        self, *, header_bytes: int, refuse: RefuseCallback, reception_bytes: int = 0
+    ) -> RequestUsage:
         """Return the accounting of a request whose header has arrived.
 
+        :param reception_bytes: what the reception of its body takes besides the body.
         :param refuse: refuses the request, also in :meth:`hold` and :meth:`add_body`.
         """
         return RequestUsage(
             opened_at=self._clock.monotonic(),
             header_bytes=header_bytes,
+            reception_bytes=reception_bytes,
             refuse=refuse,
             close=self._close,
         )
@@ -94,7 +98,7 @@
         """Start to count a request, which is refused if there is no memory for it."""
         self._open.add(usage)
         self._incomplete.add(usage)
-        self._add(usage.header_bytes)
+        self._add(usage.held_bytes)
 
     def add_body(self, usage: RequestUsage, count: int) -> None:
         """Add received bytes of a body, unless the request has been refused."""
@@ -105,6 +109,9 @@
     def complete(self, usage: RequestUsage) -> None:
         """Note that a request is complete, and may be passed on from now on."""
         self._incomplete.discard(usage)
+        if usage in self._open:
+            self.used_bytes -= usage.reception_bytes
+            usage.reception_bytes = 0
 
     def discard(self, usage: RequestUsage) -> None:
         """End the accounting of a request that is rejected, whoever owns it."""
--- a/src/balsamrail/exchange/request_usage.py
+++ b/src/balsamrail/exchange/request_usage.py
@@ -12,6 +12,7 @@
     """Counts the bytes that a host keeps of one request, until its last owner releases them.
 
     ``body_since`` is the event loop time from which its body is read, ``None`` before.
+    ``reception_bytes`` is what the reception of its body takes besides, 0 once it is complete.
 
     :param opened_at: event loop time in seconds at which the header arrived.
     :param refuse: refuses the request; called at most once, and only before it is complete.
@@ -25,6 +26,7 @@
         'body_since',
         'header_bytes',
         'opened_at',
+        'reception_bytes',
         'refuse',
     )
 
@@ -33,6 +35,7 @@
         *,
         opened_at: float,
         header_bytes: int,
+        reception_bytes: int,
         refuse: RefuseCallback,
         close: Callable[['RequestUsage'], None],
     ) -> None:
@@ -42,12 +45,13 @@
         self.body_since: float | None = None
         self.header_bytes = header_bytes
         self.opened_at = opened_at
+        self.reception_bytes = reception_bytes
         self.refuse = refuse
 
     @property
     def held_bytes(self) -> int:
         """The bytes that the host keeps."""
-        return self.header_bytes + self.body_bytes
+        return self.header_bytes + self.body_bytes + self.reception_bytes
 
     def retain(self) -> None:
         """Add an owner that may keep the request longer than the others."""
--- a/src/balsamrail/platform/caller_exchange.py
+++ b/src/balsamrail/platform/caller_exchange.py
@@ -75,6 +75,7 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self._server.in_flight += 1
         request = decode_request(start_line, headers, stream=self._stream)
+        self._stream.note_delivered()
         self._request = request
         self._server.last_request_at = self._server.environment.clock.monotonic()
         self._is_concurrent = self._may_run_concurrently(start_line, request)
@@ -88,6 +89,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Append a chunk of the body."""
+        self._stream.note_delivered()
         if self._is_answered:
             return
         self._body.append(chunk)
@@ -125,7 +127,11 @@
         server = self._server
         size = HeaderSize.of(request)
         memory = server.environment.caller_memory
-        request.usage = memory.open(header_bytes=size.held_bytes, refuse=self._reject)
+        request.usage = memory.open(
+            header_bytes=size.held_bytes,
+            reception_bytes=size.reception_bytes,
+            refuse=self._reject,
+        )
         self._usage = request.usage
         memory.hold(self._usage)
         if self._is_answered:
--- a/src/balsamrail/platform/header_check.py
+++ b/src/balsamrail/platform/header_check.py
@@ -13,14 +13,22 @@
 _LINE_OVERHEAD_BYTES = 3
 # A field is a few objects besides its text.
 _FIELD_MEMORY_BYTES = 400
+# What a body that is being received takes besides its bytes: the connection and its tasks, the last
+# part, which Tornado keeps, and the unfinished piece. Chunks are collected in one more buffer.
+_BODY_MEMORY_BYTES = 32_768
+_CHUNKED_MEMORY_BYTES = 65_536
 
 
 @dataclass(slots=True, kw_only=True)
 class HeaderSize:
-    """The size of a header as sent, and in the memory of the host."""
+    """The size of a header as sent, and in the memory of the host.
+
+    :param reception_bytes: what the reception of the body takes besides the body.
+    """
 
     sent_bytes: int
     held_bytes: int
+    reception_bytes: int
 
     @classmethod
     def of(cls, request: EntryRequest) -> 'HeaderSize':
@@ -31,7 +39,14 @@
             if name != HANDOVER or request.handover is None
         ]
         sent_bytes = len(request.path) + sum(sizes)
-        return cls(sent_bytes=sent_bytes, held_bytes=sent_bytes + len(sizes) * _FIELD_MEMORY_BYTES)
+        reception_bytes = _BODY_MEMORY_BYTES if _has_length(request) else 0
+        if _is_chunked(request):
+            reception_bytes = _CHUNKED_MEMORY_BYTES
+        return cls(
+            sent_bytes=sent_bytes,
+            held_bytes=sent_bytes + len(sizes) * _FIELD_MEMORY_BYTES,
+            reception_bytes=reception_bytes,
+        )
 
 
 def check_header(
@@ -55,5 +70,13 @@
     # Python converts no number of thousands of digits.
     if len(digits) > len(str(limits.body_bytes)) or int(length) > limits.body_bytes:
         raise TooLargeError(detail='the body exceeds the size limit')
-    if digits or 'Transfer-Encoding' in request.headers:
+    if _has_length(request) or _is_chunked(request):
         check_route(request)
+
+
+def _has_length(request: EntryRequest) -> bool:
+    return bool(request.headers.get('Content-Length', '').strip('0'))
+
+
+def _is_chunked(request: EntryRequest) -> bool:
+    return 'Transfer-Encoding' in request.headers
--- a/tools/mutants/misbehaving_callers.py
+++ b/tools/mutants/misbehaving_callers.py
@@ -35,8 +35,8 @@
     Mutant(
         mechanism='a complete request is not refused',
         file=_LIMITER,
-        old='        self._incomplete.discard(usage)\n\n    def discard',
-        new='        return\n\n    def discard',
+        old='        self._incomplete.discard(usage)\n        if usage in self._open:\n',
+        new='        if usage in self._open:\n',
         feature=_FEATURE,
         scenario='Memory accounting of requests in any order',
     ),
@@ -151,4 +151,20 @@
         feature=_FEATURE,
         scenario='Callers send bodies with a length over the limit to the readiness address',
     ),
+    Mutant(
+        mechanism='the times of arrival of processed bytes are forgotten',
+        file='src/balsamrail/exchange/caller_stream.py',
+        old='            self._count_undelivered(self._read_buffer_size)\n            self._forget_arrivals()\n',
+        new='            self._count_undelivered(self._read_buffer_size)\n',
+        feature=_FEATURE,
+        scenario='A body that arrives byte by byte',
+    ),
+    Mutant(
+        mechanism='bytes that are not delivered yet are counted',
+        file='src/balsamrail/exchange/caller_stream.py',
+        old='            self._environment.caller_memory.set_buffered(self, counted)\n',
+        new='            pass\n',
+        feature=_FEATURE,
+        scenario='Headers without end',
+    ),
 )
