Close connections with large incomplete headers first, and count rejected requests until they end

Cause: above the limit an ordinary request could be refused although connections with 60 kB of an incomplete header were the reason, and the buffers of rejected requests, whose rest is read for a second, were not counted. Both now count, and are closed before a smaller request is refused. Counting a rejected request refuses no other one, since each refusal would cause the next while complete requests fill the memory.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -87,6 +87,12 @@
     When small requests arrive after bodies that stopped short of their end have filled the memory
     Then only bodies are refused
 
+  Scenario: A small request arrives while incomplete headers take all the memory
+    Guards against the refusal of an ordinary request because of headers that never end.
+
+    When small requests arrive after incomplete headers have filled the memory
+    Then only connections with incomplete headers are closed
+
   Scenario: Bodies that arrive slowly
     Guards against connections that are kept for a caller that sends a byte now and then.
 
@@ -159,3 +165,10 @@
     Given a process of a host with 1 MB for the requests of callers
     When 40 callers send 60000 bytes of a header that does not end
     Then the host keeps at most 1 MB of them, and an ordinary request is answered
+
+  Scenario: Complete requests fill the memory while bodies arrive
+    Guards against refusals that cause each other, since a rejected request still takes memory.
+
+    Given a process of a host with 1 MB for the requests of callers
+    When complete requests leave room for 6 incomplete ones, and a seventh arrives
+    Then at most 2 requests are refused
--- a/features/steps/caller_limits_steps.py
+++ b/features/steps/caller_limits_steps.py
@@ -128,6 +128,38 @@
     assert any(each.errors for each in context.large)
 
 
+class Connecting:
+    """A connection whose header is incomplete."""
+
+    def __init__(self):
+        self.is_cut_off = False
+
+    def may_be_cut_off(self):
+        return not self.is_cut_off
+
+    def cut_off(self):
+        self.is_cut_off = True
+
+
+@when('small requests arrive after incomplete headers have filled the memory')
+def step_incomplete_headers(context):
+    async def main():
+        memory = environment_of().caller_memory
+        context.connections = [Connecting() for _ in range(20)]
+        for each in context.connections:
+            memory.set_buffered(each, 50_000)
+        assert memory.used_bytes == memory.limit_bytes
+        context.small = [Request(memory, header_bytes=4_000) for _ in range(50)]
+
+    run_virtual(main())
+
+
+@then('only connections with incomplete headers are closed')
+def step_headers_closed(context):
+    assert not any(each.errors for each in context.small)
+    assert 3 < sum(each.is_cut_off for each in context.connections) < 8
+
+
 @when(
     'bodies arrive at {slow:d} and {fast:d} bytes per second, and one waits behind another request'
 )
@@ -456,3 +488,23 @@
     kept = context.metrics['balsamrail_caller_memory_bytes']
     assert 100_000 < kept <= MB, kept
     assert context.metrics['balsamrail_callers_cut_off_memory_total'] > 10
+
+
+@when('complete requests leave room for {count:d} incomplete ones, and a seventh arrives')
+def step_full(context, count):
+    async def script(host):
+        head = head_of('POST', '/write/3', 'Content-Length: 760000')
+        await host.open(head, bytes(760_000))
+        await host.until_run('/write/3')
+        for _ in range(count + 1):
+            await host.open(head_of('POST', '/write/0', 'Content-Length: 900'), bytes(899))
+        await asyncio.sleep(0.5)
+        context.metrics = await host.metrics()
+
+    context.play(script)
+
+
+@then('at most {count:d} requests are refused')
+def step_few_refused(context, count):
+    refused = context.metrics.get('balsamrail_callers_cut_off_memory_total', 0)
+    assert 1 <= refused <= count, context.metrics
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -46,6 +46,8 @@
         # Bytes that have been received and not been delivered, and how many of them are counted.
         self._undelivered_bytes = 0
         self._counted_bytes = 0
+        self._is_cut_off = False
+        self._reserved_bytes = 0
         # Pairs of the number of bytes received in total and the time.
         self._arrivals: deque[tuple[int, float]] = deque()
         super().__init__(*args, **kwargs)
@@ -95,6 +97,7 @@
         for on_close in self._close_listeners:
             self.io_loop.add_callback(on_close)
         self._close_listeners = []
+        self._reserved_bytes = 0
         self._count_undelivered(0)
 
     def note_delivered(self) -> None:
@@ -107,16 +110,28 @@
             self._count_undelivered(self._read_buffer_size)
             self._forget_arrivals()
 
+    def reserve(self, count: int) -> None:
+        """Count bytes that the rest of a rejected request takes until the connection closes.
+
+        This refuses no other request: while the memory is full of complete ones, each refusal would
+        cause the next.
+        """
+        if not self.closed() and not self._is_cut_off:
+            self._reserved_bytes = count
+            self._counted_bytes = max(count, self._counted_bytes)
+            self._environment.caller_memory.note_buffered(self, self._counted_bytes)
+
     def is_handling(self) -> bool:
         """Return whether a complete request of the connection is being handled."""
         return bool(self._close_listeners)
 
     def may_be_cut_off(self) -> bool:
-        """Return whether closing the connection ends no request that may have been passed on."""
-        return not self.is_handling() and not self.is_from_peer
+        """Return whether the connection has no request whose header is complete."""
+        return self.responses.latest is None and not self.is_from_peer
 
     def cut_off(self) -> None:
         """Close the connection once the event loop has handled the current event."""
+        self._is_cut_off = True
         self._counted_bytes = 0
         self.io_loop.add_callback(self.close)
 
@@ -145,7 +160,8 @@
 
     def _count_undelivered(self, count: int) -> None:
         self._undelivered_bytes = count
-        counted = count if count > _MIN_COUNTED_BYTES else 0
+        undelivered = count if count > _MIN_COUNTED_BYTES else 0
+        counted = 0 if self._is_cut_off else max(self._reserved_bytes, undelivered)
         if counted != self._counted_bytes:
             self._counted_bytes = counted
             self._environment.caller_memory.set_buffered(self, counted)
--- a/src/balsamrail/exchange/request_memory_limiter.py
+++ b/src/balsamrail/exchange/request_memory_limiter.py
@@ -24,7 +24,7 @@
     """A connection with unprocessed bytes."""
 
     def may_be_cut_off(self) -> bool:
-        """Return whether no request of the connection is being handled."""
+        """Return whether the connection has no request whose header is complete."""
 
     def cut_off(self) -> None:
         """Close the connection soon."""
@@ -35,8 +35,8 @@
 
     Above the limit the incomplete requests with the largest product of bytes and age are refused.
     That chooses callers that stop short of the end of large bodies, and never a small request that
-    has just begun, which would free nothing. Complete requests are not refused, since they may
-    have been passed on::
+    has just begun, which would free nothing. A connection with more bytes of an incomplete header
+    is closed before. Complete requests are not refused, since they may have been passed on::
 
         usage = memory.open(header_bytes=400, refuse=reject)
         memory.hold(usage)
@@ -118,11 +118,17 @@
         self._close(usage)
 
     def set_buffered(self, owner: BufferOwner, count: int) -> None:
-        """Set the number of unprocessed bytes of a connection."""
-        added = count - self._buffered.pop(owner, 0)
+        """Set the number of unprocessed bytes of a connection; refuse requests if it makes too many."""
+        has_grown = count > self._buffered.get(owner, 0)
+        self.note_buffered(owner, count)
+        if has_grown:
+            self._add(0)
+
+    def note_buffered(self, owner: BufferOwner, count: int) -> None:
+        """Set the number of unprocessed bytes of a connection without refusing any request."""
+        self.used_bytes += count - self._buffered.pop(owner, 0)
         if count:
             self._buffered[owner] = count
-        self._add(added)
 
     def has_room(self) -> bool:
         """Return whether bytes may be read before they are needed."""
@@ -140,7 +146,7 @@
 
     def _add(self, count: int) -> None:
         self.used_bytes += count
-        if self.used_bytes > self.limit_bytes and count > 0:
+        if self.used_bytes > self.limit_bytes:
             self._make_room()
 
     def _make_room(self) -> None:
@@ -149,28 +155,39 @@
         def byte_seconds(usage: RequestUsage) -> float:
             return usage.held_bytes * (now - usage.opened_at + _MIN_AGE_S)
 
-        while self._incomplete and self.used_bytes > self.limit_bytes:
-            largest = max(self._incomplete, key=byte_seconds)
-            self._refusals.note('memory')
-            self._close(largest)
-            largest.refuse(
-                CallerMemoryError(
-                    detail='the requests of callers take all the memory that there is for them',
-                    retry_after_s=_RETRY_AFTER_S,
-                )
+        while self.used_bytes > self.limit_bytes:
+            largest = max(self._incomplete, key=byte_seconds, default=None)
+            owner = self._largest_buffer()
+            if owner is not None and self._is_larger(owner, largest):
+                self._cut_off(owner)
+            elif largest is not None:
+                self._refuse(largest)
+            else:
+                # The rest are complete requests.
+                break
+
+    def _largest_buffer(self) -> BufferOwner | None:
+        """Return the connection with the most bytes of an incomplete header."""
+        owners = (owner for owner in self._buffered if owner.may_be_cut_off())
+        return max(owners, key=self._buffered.__getitem__, default=None)
+
+    def _is_larger(self, owner: BufferOwner, usage: RequestUsage | None) -> bool:
+        return usage is None or self._buffered[owner] > usage.held_bytes
+
+    def _cut_off(self, owner: BufferOwner) -> None:
+        self._refusals.note('memory')
+        self.used_bytes -= self._buffered.pop(owner)
+        owner.cut_off()
+
+    def _refuse(self, usage: RequestUsage) -> None:
+        self._refusals.note('memory')
+        self._close(usage)
+        usage.refuse(
+            CallerMemoryError(
+                detail='the requests of callers take all the memory that there is for them',
+                retry_after_s=_RETRY_AFTER_S,
             )
-        if self.used_bytes > self.limit_bytes:
-            self._close_buffers()
-
-    def _close_buffers(self) -> None:
-        """Close the connections with the most unprocessed bytes of incomplete headers."""
-        owners = sorted(self._buffered, key=lambda owner: self._buffered[owner])
-        while owners and self.used_bytes > self.limit_bytes:
-            owner = owners.pop()
-            if owner.may_be_cut_off():
-                self._refusals.note('memory')
-                self.used_bytes -= self._buffered.pop(owner)
-                owner.cut_off()
+        )
 
     def _close(self, usage: RequestUsage) -> None:
         if usage in self._open:
--- a/src/balsamrail/platform/caller_exchange.py
+++ b/src/balsamrail/platform/caller_exchange.py
@@ -234,6 +234,8 @@
         self._task = asyncio.create_task(self._write_rejection(self._turn, answer))
 
     async def _write_rejection(self, turn: ResponseTurn, answer: HttpResponse) -> None:
+        if self._usage is not None:
+            self._stream.reserve(self._usage.reception_bytes)
         await turn.wait()
         # The caller may read nothing while it sends.
         self._stream.io_loop.call_later(_REJECTION_TIMEOUT_S, self._stream.close)
--- a/tools/mutants/misbehaving_callers.py
+++ b/tools/mutants/misbehaving_callers.py
@@ -11,8 +11,8 @@
     Mutant(
         mechanism='the memory of incomplete requests is bounded',
         file=_LIMITER,
-        old='if self.used_bytes > self.limit_bytes and count > 0:',
-        new='if False:',
+        old='        if self.used_bytes > self.limit_bytes:\n',
+        new='        if False:\n',
         feature=_FEATURE,
         scenario='Callers send bodies one byte short to a path with a route',
     ),
@@ -32,6 +32,14 @@
         feature=_FEATURE,
         scenario='A small request arrives while bodies that have stopped take all the memory',
     ),
+    Mutant(
+        mechanism='larger incomplete headers are cut off before a small request',
+        file=_LIMITER,
+        old='if owner is not None and self._is_larger(owner, largest):',
+        new='if owner is not None and largest is None:',
+        feature=_FEATURE,
+        scenario='A small request arrives while incomplete headers take all the memory',
+    ),
     Mutant(
         mechanism='a complete request is not refused',
         file=_LIMITER,
