--- a/src/balsamrail/delivery/delivery_planner.py
+++ b/src/balsamrail/delivery/delivery_planner.py
@@ -46,17 +46,7 @@
         :raises RequestError: if the manifest has not been received or has no route for the request, if
             the request is not accepted without a customer, or if no region may process it.
         """
-        manifest = self._catalog.manifest
-        if manifest is None:
-            raise NotReadyError(
-                detail='the host has not received the manifest yet',
-                retry_after_s=_NOT_READY_RETRY_AFTER_S,
-            )
-        route = manifest.route_for(host=request.host, path=request.path)
-        if route is None:
-            raise UnknownRouteError(
-                detail=f'manifest version {manifest.version} has no route for the host name and path'
-            )
+        manifest, route = self._find_route(request)
         customer = self._identifier.identify(request, route, manifest=manifest)
         _name_customer(request, customer, manifest)
         if manifest.effective_route(route, customer).allowed_regions == NO_REGIONS:
@@ -66,6 +56,15 @@
             )
         return self._plan(manifest, route, self._part_picker.pick(route), request, customer)
 
+    def check_route(self, request: EntryRequest) -> None:
+        """Check the route and the customer of a request whose body has not been received.
+
+        :raises RequestError: if the manifest has not been received or has no route for the request, or if
+            the request is not accepted without a customer.
+        """
+        manifest, route = self._find_route(request)
+        self._identifier.identify(request, route, manifest=manifest)
+
     def route_of(self, request: EntryRequest) -> ManifestRoute | None:
         """Return the route of a request, ``None`` if no route is known for it."""
         manifest = self._catalog.manifest
@@ -93,6 +92,20 @@
             service = self._part_picker.pick(route)
         return self._plan(manifest, route, service, request, customer)
 
+    def _find_route(self, request: EntryRequest) -> tuple[Manifest, ManifestRoute]:
+        manifest = self._catalog.manifest
+        if manifest is None:
+            raise NotReadyError(
+                detail='the host has not received the manifest yet',
+                retry_after_s=_NOT_READY_RETRY_AFTER_S,
+            )
+        route = manifest.route_for(host=request.host, path=request.path)
+        if route is None:
+            raise UnknownRouteError(
+                detail=f'manifest version {manifest.version} has no route for the host name and path'
+            )
+        return manifest, route
+
     def _plan(
         self,
         manifest: Manifest,
--- a/src/balsamrail/delivery/entry_request.py
+++ b/src/balsamrail/delivery/entry_request.py
@@ -4,6 +4,8 @@
 
 from tornado.httputil import HTTPHeaders
 
+from balsamrail.exchange.large_body import RequestBody
+from balsamrail.exchange.request_usage import RequestUsage
 from balsamrail.proxying.handover import Handover
 
 
@@ -21,6 +23,7 @@
         request may have waited behind another one of the connection since.
     :param caller_timeout_s: seconds that the caller waits after ``arrived_at``, ``None`` if it did not
         state a timeout.
+    :param usage: accounting of its memory, which whoever keeps the request longer has to retain.
     :param handover: set if another host received the request from the caller.
     :param customer_name: the customer that was identified, ``None`` if there is none.
     :param hides_credentials: whether ``credentials`` are removed before the request is sent on, and
@@ -36,9 +39,10 @@
     object_key: str | None
     arrived_at: float
     caller_timeout_s: float | None
-    body: bytes = b''
+    body: RequestBody = b''
     handover: Handover | None = None
     credentials: str = field(default='', repr=False)
     api_key: str = field(default='', repr=False)
     customer_name: str | None = None
     hides_credentials: bool = False
+    usage: RequestUsage | None = None
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -148,8 +148,19 @@
         """Return counters, latencies and gauges in the text format for metrics collectors."""
         in_flight = Gauge(name='requests_in_flight', value=self.callers.in_flight)
         is_ready = Gauge(name='ready', value=self._is_ready())
-        limited = Gauge(name='quota_customers_limited', value=self.quotas.limited_count())
-        return self._environment.metrics.page([in_flight, is_ready, limited, *self._gauges.read()])
+        memory = self._environment.caller_memory
+        callers = (
+            Gauge(name='quota_customers_limited', value=self.quotas.limited_count()),
+            Gauge(name='caller_memory_bytes', value=memory.used_bytes),
+            Gauge(
+                name='caller_connections',
+                label='address',
+                value_by_label=self._listeners.open_connections(),
+            ),
+        )
+        return self._environment.metrics.page(
+            [in_flight, is_ready, *callers, *self._gauges.read()]
+        )
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all components as plain data."""
@@ -212,4 +223,6 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self.delivery.close_stale_connections()
+            self._environment.caller_memory.refuse_slow()
+            self._environment.caller_refusals.log_due()
             self._on_members_change()
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -17,6 +17,8 @@
 # Bytes behind the request in progress that are read before its response is sent. The rest stays
 # with the operating system, which slows down the caller.
 _READ_AHEAD_BYTES = 65_536
+# Fewer undelivered bytes, as most requests have, are not accounted for.
+_MIN_COUNTED_BYTES = 4_096
 
 
 class CallerStream(IOStream):
@@ -41,6 +43,11 @@
         self.responses = ResponseQueue()
         self._close_listeners: list[Callable[[], None]] = []
         self._received_bytes = 0
+        # Bytes that have been received and not been delivered, and how many of them are counted.
+        self._undelivered_bytes = 0
+        self._counted_bytes = 0
+        self._is_cut_off = False
+        self._reserved_bytes = 0
         # Pairs of the number of bytes received in total and the time.
         self._arrivals: deque[tuple[int, float]] = deque()
         super().__init__(*args, **kwargs)
@@ -57,9 +64,7 @@
 
     def consumed_at(self) -> float:
         """Return when the last byte that was processed arrived, in seconds of the event loop."""
-        consumed_bytes = self._received_bytes - self._read_buffer_size
-        while len(self._arrivals) > 1 and self._arrivals[0][0] < consumed_bytes:
-            self._arrivals.popleft()
+        self._forget_arrivals()
         return self._arrivals[0][1]
 
     def finish(self) -> None:
@@ -92,6 +97,43 @@
         for on_close in self._close_listeners:
             self.io_loop.add_callback(on_close)
         self._close_listeners = []
+        self._reserved_bytes = 0
+        self._count_undelivered(0)
+
+    def note_delivered(self) -> None:
+        """Note that all bytes that have left the buffer have been delivered.
+
+        Tornado delivers bytes in a later iteration of the event loop than the one that reads them,
+        so that there are some of each connection at the same time.
+        """
+        if not self.closed():
+            self._count_undelivered(self._read_buffer_size)
+            self._forget_arrivals()
+
+    def reserve(self, count: int) -> None:
+        """Count bytes that the rest of a rejected request takes until the connection closes.
+
+        This refuses no other request: while the memory is full of complete ones, each refusal would
+        cause the next.
+        """
+        if not self.closed() and not self._is_cut_off:
+            self._reserved_bytes = count
+            self._counted_bytes = max(count, self._counted_bytes)
+            self._environment.caller_memory.note_buffered(self, self._counted_bytes)
+
+    def is_handling(self) -> bool:
+        """Return whether a complete request of the connection is being handled."""
+        return bool(self._close_listeners)
+
+    def may_be_cut_off(self) -> bool:
+        """Return whether the connection has no request whose header is complete."""
+        return self.responses.latest is None and not self.is_from_peer
+
+    def cut_off(self) -> None:
+        """Close the connection once the event loop has handled the current event."""
+        self._is_cut_off = True
+        self._counted_bytes = 0
+        self.io_loop.add_callback(self.close)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket and record the time."""
@@ -99,6 +141,7 @@
         if count:
             self._received_bytes += count
             self._arrivals.append((self._received_bytes, self._environment.clock.monotonic()))
+            self._count_undelivered(self._undelivered_bytes + count)
         return count
 
     def _handle_events(self, fd: Any, events: int) -> None:
@@ -109,8 +152,24 @@
         super()._maybe_add_error_listener()
         self._read_ahead()
 
+    def _forget_arrivals(self) -> None:
+        """Forget when processed bytes arrived, except the last: a body may arrive byte by byte."""
+        consumed_bytes = self._received_bytes - self._read_buffer_size
+        while len(self._arrivals) > 1 and self._arrivals[0][0] < consumed_bytes:
+            self._arrivals.popleft()
+
+    def _count_undelivered(self, count: int) -> None:
+        self._undelivered_bytes = count
+        undelivered = count if count > _MIN_COUNTED_BYTES else 0
+        counted = 0 if self._is_cut_off else max(self._reserved_bytes, undelivered)
+        if counted != self._counted_bytes:
+            self._counted_bytes = counted
+            self._environment.caller_memory.set_buffered(self, counted)
+
     def _read_ahead(self) -> None:
         """Keep reading while a request is in progress, even if bytes are left in the buffer."""
         is_in_progress = bool(self._close_listeners) or self._close_callback is not None
+        if self._read_buffer_size and not self._environment.caller_memory.has_room():
+            return
         if is_in_progress and not self.closed() and self._read_buffer_size < _READ_AHEAD_BYTES:
             self._add_io_state(IOLoop.READ)
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -11,6 +11,7 @@
 from tools.mutants.liveness import LIVENESS
 from tools.mutants.manifest_lease import MANIFEST_LEASE
 from tools.mutants.membership import MEMBERSHIP
+from tools.mutants.misbehaving_callers import MISBEHAVING_CALLERS
 from tools.mutants.pipelining import PIPELINING
 from tools.mutants.proxying import PROXYING
 from tools.mutants.quotas import QUOTAS
@@ -30,6 +31,7 @@
     *CURRENCY,
     *CUSTOMERS,
     *ENDLESS_BYTES,
+    *MISBEHAVING_CALLERS,
     *PIPELINING,
     *PROXYING,
     *MANIFEST_LEASE,
