Customers: the hosts of a scenario listen on ports that nothing else takes

Cause: one run of customers.feature at load 7 failed in one of 85 scenarios; its output was not kept, and 25 runs after it passed. Suspected, not shown: a port of the ephemeral range that was taken before a host listened. Change: the two processes use ports outside that range, as the hosts of entry.feature do.

--- a/features/steps/customers_process_steps.py
+++ b/features/steps/customers_process_steps.py
@@ -12,7 +12,7 @@
 from customer_parts import ACME, BRIO, HOST_NAME, customer, manifest_spec
 from customers_manifest_steps import FAULTY_ENTRIES, SECRET
 from delivery_parts import response_to
-from entry_fleet import Target
+from entry_fleet import FLEET_NUMBERS, Target
 from placement_parts import REGION_BY_ZONE
 from platform_helpers import process_settings, run_real
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
@@ -52,13 +52,17 @@
         self.target = KeyTarget('lepu-1', zone='attiki-a', service='lepu')
         await self.target.start(self.store)
         self.folder = tempfile.TemporaryDirectory()
+        # Ports outside the ephemeral range, which no other socket takes before the hosts listen.
+        network = f'127.{40 + os.getpid() % 200}.{next(FLEET_NUMBERS) % 256}'
         for number in (1, 2):
+            ports = enumerate(('caller', 'lookup', 'readiness', 'peer', 'operator'), start=8_000)
             self.settings.append(
                 process_settings(
                     host=f'attiki-{number}',
                     region_by_availability_zone=REGION_BY_ZONE,
                     store={'address': self.store.address},
                     seeds=[one['peer_address'] for one in self.settings],
+                    **{f'{name}_address': f'{network}.{number}:{port}' for port, name in ports},
                 )
             )
             await self._start(number, self.settings[-1])
