Quotas: count a host that stopped for one more window

Cause: when hosts announce that they stop, the parts of the others grow at once, while what the stopped ones ran is still in the window.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -184,6 +184,12 @@
     When two coordinators have a third and two thirds of the shares after one had them all
     Then each gives its part of the rate, and keeps its part of the stock
 
+  Scenario: Which hosts count in the division of quotas
+    Guards against parts of hosts that may still run requests, or have run some in the same window.
+
+    When of 6 hosts one stops, one is suspected, one is gone for the others and one is only listed
+    Then all count at first, and 6 s later all but the one that stopped
+
   Scenario: The parts of a quota never exceed it
     Guards against an error in the division, also for extreme quotas and fleets.
 
--- a/features/steps/quota_part_steps.py
+++ b/features/steps/quota_part_steps.py
@@ -8,18 +8,20 @@
 from behave import then, when
 from delivery_parts import DeliveryHarness, response_to
 from entry_fleet import HOST_NAME
-from platform_helpers import run_real
+from platform_helpers import make_environment, make_member, run_real
 from quota_play import QuotaPlay
 from virtual_time import run_virtual
 
 from balsamrail.catalog.customer import Customer
 from balsamrail.errors import NoTargetError, QuotaExceededError
 from balsamrail.messages import QuotaAsk
+from balsamrail.quotas import MemberQuotaFleet
 from balsamrail.quotas.binding import Binding
 from balsamrail.quotas.delegations import Delegations
 from balsamrail.quotas.quota_pool import QuotaPool
 from balsamrail.quotas.quota_terms import QuotaTerms
 from balsamrail.settings.bounds import Bounds
+from balsamrail.store import ListedHost
 
 _MS = 1_000
 ONE = Customer(name='one', api_keys=frozenset(), rate_per_s=100, burst=100)
@@ -137,6 +139,47 @@
     assert context.kept == [2, 4], context.kept
 
 
+class _FakeMembers:
+    """Hosts by their states; ``stopped`` have said so themselves, and one more is only listed."""
+
+    def __init__(self, state_by_host, *, stopped, listed):
+        self.states = state_by_host
+        self.stopped = stopped
+        self.listed = listed
+        self.host_list = self
+        self.gone_verifier = self
+
+    def known(self):
+        return [make_member(host, state=state) for host, state in self.states.items()]
+
+    def hosts(self):
+        return [ListedHost(host=host, address='127.0.0.1:1', state='live') for host in self.listed]
+
+    def has_stopped(self, host):
+        return host in self.stopped
+
+    def is_proven_gone(self, holder):
+        return False
+
+
+@when('of 6 hosts one stops, one is suspected, one is gone for the others and one is only listed')
+def step_which_count(context):
+    async def run():
+        states = {'a': 'gone', 'b': 'suspect', 'c': 'gone', 'd': 'alive'}
+        members = _FakeMembers(states, stopped={'a'}, listed=['a', 'c', 'd', 'e'])
+        fleet = MemberQuotaFleet(environment=make_environment(host='own'), members=members)
+        context.sizes = [fleet.size()]
+        await asyncio.sleep(6)
+        context.sizes.append(fleet.size())
+
+    run_virtual(run())
+
+
+@then('all count at first, and 6 s later all but the one that stopped')
+def step_counted(context):
+    assert context.sizes == [6, 5], context.sizes
+
+
 @when('quotas and windows of any size are divided among fleets of any size')
 def step_divide(context):
     rng = random.Random(context.seed)
--- a/tools/mutants/quotas.py
+++ b/tools/mutants/quotas.py
@@ -86,6 +86,22 @@
         feature=_FEATURE,
         scenario='The parts of a quota',
     ),
+    Mutant(
+        mechanism='hosts that stopped count for one more window',
+        file=f'{_FOLDER}/quota_fleet.py',
+        old='return now - ended_at < window_s',
+        new='return False',
+        feature=_FEATURE,
+        scenario='Which hosts count',
+    ),
+    Mutant(
+        mechanism='hosts that are gone for the others count while they may run requests',
+        file=f'{_FOLDER}/quota_fleet.py',
+        old='return has_stopped or self._members.is_proven_gone(member.holder)',
+        new='return True',
+        feature=_FEATURE,
+        scenario='Which hosts count',
+    ),
     Mutant(
         mechanism='hosts that run requests without asking share their limit',
         file=f'{_FOLDER}/quota_terms.py',
