Load play: add deployments K and L, long runs and slow moments of targets

No decision could be measured on targets that are slow for moments, on runs of very different length, or on more objects than targets cache.

--- a/standins/load_play/__init__.py
+++ b/standins/load_play/__init__.py
@@ -19,6 +19,7 @@
     ZoneModel,
 )
 from standins.load_play.sites import selokosmos, selokosmos_large, suryatap
+from standins.load_play.uneven_sites import deployment_k, deployment_l
 
 __all__ = (
     'Change',
@@ -28,6 +29,8 @@
     'Site',
     'ZoneEvacuation',
     'ZoneModel',
+    'deployment_k',
+    'deployment_l',
     'play',
     'selokosmos',
     'selokosmos_large',
--- a/standins/load_play/play.py
+++ b/standins/load_play/play.py
@@ -118,6 +118,7 @@
         f'{service.name}-{zone}-{number}': SimulatedTarget(
             target_id=f'{service.name}-{zone}-{number}',
             size=service,
+            site=site,
             event_queue=event_queue,
             random_source=random_source,
         )
--- a/standins/load_play/site.py
+++ b/standins/load_play/site.py
@@ -89,6 +89,8 @@
     """A deployment and its load.
 
     :param bursts: (start, end, factor) of the rate of all callers, with times in seconds.
+    :param long_run_fraction: fraction of the runs that take several times as long.
+    :param slow_fraction: fraction of the time in which a target is slow, for moments each.
     """
 
     name: str
@@ -100,6 +102,8 @@
     bursts: tuple[tuple[float, float, float], ...] = ()
     changes: tuple[Change, ...] = field(default=())
     evacuations: tuple[ZoneEvacuation, ...] = field(default=())
+    long_run_fraction: float = 0
+    slow_fraction: float = 0
 
     def region_by_zone(self) -> dict[str, str]:
         """Return the region of each availability zone."""
