Placement: limit the targets of an object where caches are short, and reject what would be late

With more objects than targets cache, each target beyond the first of an object pushed another object out, half of all runs were first runs, and requests waited in queues until their timeout. An object now gets a second target there only if its demand needs it, and a request only waits for a slot if it is expected to meet its objective. Everywhere, what cannot meet its deadline is rejected, and an outdated load report gives way to the mean of the reports instead of zero.

--- a/src/balsamrail/delivery/request_executor.py
+++ b/src/balsamrail/delivery/request_executor.py
@@ -163,6 +163,8 @@
             now=self._now(),
             prefers_own_zone=self._sizes.are_large(self._plan.route.name),
             passed_over=self._record.passed_over,
+            waited_s=self._now() - self._request.arrived_at,
+            left_s=self._deadline - self._now(),
         )
 
     async def _attempt(self, state: TargetState) -> HttpResponse | ExchangeError:
--- a/src/balsamrail/placement/exclusion_reason.py
+++ b/src/balsamrail/placement/exclusion_reason.py
@@ -19,6 +19,8 @@
     # The target named a request rate, and this host's share of it is exhausted.
     limited = 'limited'
     full = 'full'
+    # The target would answer the request too late.
+    late = 'late'
     # The target is no longer registered, or has restarted under the same id.
     gone = 'gone'
     # The route has since been changed to another service.
--- a/src/balsamrail/placement/fleet_hosts.py
+++ b/src/balsamrail/placement/fleet_hosts.py
@@ -15,7 +15,7 @@
         fleet.hosts_ahead('i-1', fleet.names)  # 2 if this host ranks last for the target
     """
 
-    __slots__ = ('_own_region', 'generation', 'names', 'own_host', 'region_by_host')
+    __slots__ = ('_own_region', 'generation', 'names', 'near_hosts', 'own_host', 'region_by_host')
 
     def __init__(self, *, own_host: str, own_region: str) -> None:
         self.own_host = own_host
@@ -25,6 +25,8 @@
         self.names: tuple[str, ...] = ()
         # Rises with each change of the hosts.
         self.generation = 0
+        # The number of hosts of the own region, this one included.
+        self.near_hosts = 1
 
     def replace(self, region_by_host: Mapping[str, str]) -> None:
         """Replace the set of all hosts.
@@ -37,6 +39,7 @@
         self.region_by_host = updated
         self.names = tuple(sorted(updated))
         self.generation += 1
+        self.near_hosts = sum(region == self._own_region for region in updated.values())
 
     def split_by_region(self, region: str) -> tuple[list[str], list[str]]:
         """Return the hosts that are near a region and the others.
--- a/src/balsamrail/placement/send_limits.py
+++ b/src/balsamrail/placement/send_limits.py
@@ -23,9 +23,10 @@
     :param fleet: the hosts that share the limits.
     """
 
-    __slots__ = ('_target_registry', '_warmup_limiter', 'rate_limiter')
+    __slots__ = ('_target_registry', '_warmup_limiter', 'fleet', 'rate_limiter')
 
     def __init__(self, *, fleet: FleetHosts, target_registry: TargetRegistry) -> None:
+        self.fleet = fleet
         self._target_registry = target_registry
         self._warmup_limiter = WarmupLimiter(fleet=fleet)
         self.rate_limiter = TargetRateLimiter(fleet=fleet)
--- a/src/balsamrail/placement/target_search.py
+++ b/src/balsamrail/placement/target_search.py
@@ -1,8 +1,11 @@
 """Search for a usable target for one request."""
 
+import math
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
+from balsamrail.catalog.manifest_route import ManifestRoute
+from balsamrail.placement.completion_estimate import CompletionEstimate
 from balsamrail.placement.exclusion_reason import ExclusionReason
 from balsamrail.placement.passed_over import PassedOver
 from balsamrail.placement.send_limits import SendLimits
@@ -14,17 +17,21 @@
 class TargetSearch:
     """Skips the targets that are ruled out and records the reasons.
 
-    :param priority: the priority of the request; 0 is the highest.
+    :param route: the route of the request.
     :param tried: the ids of the targets to which the request was sent before.
     :param passed_over: collects the targets that were ruled out.
+    :param waited_s: the time since the request arrived, in seconds.
+    :param left_s: the time until its deadline, in seconds.
     """
 
     target_registry: TargetRegistry
     send_limits: SendLimits
-    priority: int
+    route: ManifestRoute
     tried: Sequence[str]
     now: float
     passed_over: PassedOver = field(default_factory=PassedOver)
+    waited_s: float = 0
+    left_s: float = math.inf
 
     def usable_of(self, target_ids: Iterable[str]) -> Iterator[TargetState]:
         """Yield the targets that are available, irrespective of their load."""
@@ -33,13 +40,31 @@
             if state is None or target_id in self.tried:
                 continue
             ruled_out = self.send_limits.exclusion_reason(
-                state, priority=self.priority, now=self.now
+                state, priority=self.route.priority, now=self.now
             )
             if ruled_out is None:
                 yield state
             else:
                 self.passed_over.note(target_id, ruled_out)
 
+    def is_worthwhile(self, state: TargetState, *, is_warm: bool, is_scarce: bool) -> bool:
+        """Return whether the target is expected to answer the request soon enough.
+
+        :param is_warm: whether the target is expected to know the object.
+        :param is_scarce: whether a request that would miss its latency objective may not wait.
+        """
+        estimate = CompletionEstimate.of(state, self.route.name, is_warm=is_warm, now=self.now)
+        if estimate is None:
+            return True
+        is_worthwhile = estimate.is_worthwhile(
+            priority=self.route.priority,
+            aim_left_s=self.route.aim_s - self.waited_s if is_scarce else math.inf,
+            left_s=self.left_s,
+        )
+        if not is_worthwhile:
+            self.passed_over.note(state.entry.target_id, ExclusionReason.late)
+        return is_worthwhile
+
     def has_room(self, state: TargetState, *, bound: float) -> bool:
         """Return whether an available target has the capacity for the request.
 
--- a/src/balsamrail/placement/target_selector.py
+++ b/src/balsamrail/placement/target_selector.py
@@ -6,6 +6,7 @@
 
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.placement.exclusion_reason import ExclusionReason
+from balsamrail.placement.object_spread import ObjectSpread
 from balsamrail.placement.passed_over import PassedOver
 from balsamrail.placement.rejection import Rejection
 from balsamrail.placement.send_limits import SendLimits
@@ -50,11 +51,12 @@
     rejected at once, and known objects take precedence over unknown ones.
     """
 
-    __slots__ = ('_send_limits', '_target_registry')
+    __slots__ = ('_object_spread', '_send_limits', '_target_registry')
 
     def __init__(self, *, target_registry: TargetRegistry, send_limits: SendLimits) -> None:
         self._target_registry = target_registry
         self._send_limits = send_limits
+        self._object_spread = ObjectSpread()
 
     def select(
         self,
@@ -66,35 +68,45 @@
         now: float,
         prefers_own_zone: bool = False,
         passed_over: PassedOver | None = None,
+        waited_s: float = 0,
+        left_s: float = math.inf,
     ) -> TargetState | Rejection:
         """Return the target of a request, or its rejection.
 
         :param tried: the ids of the targets to which the request was sent before.
         :param prefers_own_zone: see :meth:`TargetOrder.candidates`.
         :param passed_over: collects the targets that were ruled out.
+        :param waited_s: the time since the request arrived, in seconds.
+        :param left_s: the time until its deadline, in seconds.
         """
         order = self._target_registry.order_of(service, allowed_regions=route.allowed_regions)
         search = TargetSearch(
             target_registry=self._target_registry,
             send_limits=self._send_limits,
-            priority=route.priority,
+            route=route,
             tried=tried,
             now=now,
             passed_over=PassedOver() if passed_over is None else passed_over,
+            waited_s=waited_s,
+            left_s=left_s,
         )
+        spread = self._spread_of(search, order, service, object_key) if route.is_sticky else None
         usable = self._usable(order, object_key, search, prefers_own_zone=prefers_own_zone)
         if not usable:
             return self._reject(order, object_key, now)
-        max_fill = max(
-            _MAX_FILL_LEAST_URGENT, _MAX_FILL - _MAX_FILL_PRIORITY_STEP * route.priority
-        )
+        if spread is not None:
+            usable = usable[:spread]
         if not route.is_sticky:
             # Without affinity, the less loaded target is preferred.
             usable.sort(key=lambda state: (state.is_bad(now=now), state.fill(now=now)))
+        max_fill = max(
+            _MAX_FILL_LEAST_URGENT, _MAX_FILL - _MAX_FILL_PRIORITY_STEP * route.priority
+        )
         for position, state in enumerate(usable):
-            if search.has_room(
-                state, bound=_MAX_FILL_OTHER_TARGETS if position and route.is_sticky else max_fill
-            ):
+            is_other = bool(position) and route.is_sticky
+            if search.is_worthwhile(
+                state, is_warm=not is_other or spread is not None, is_scarce=spread is not None
+            ) and search.has_room(state, bound=_MAX_FILL_OTHER_TARGETS if is_other else max_fill):
                 self._send_limits.record_sent(state, now=now)
                 return state
         return Rejection(reason='overloaded', retry_after_s=_MIN_RETRY_AFTER_S)
@@ -160,6 +172,30 @@
             return _NO_SHARE_RETRY_AFTER_S if math.isinf(wait_s) else wait_s
         return math.inf
 
+    def _spread_of(
+        self, search: TargetSearch, order: TargetOrder, service: str, object_key: str
+    ) -> int | None:
+        """Return over how many targets the object is spread, ``None`` if there is no need to limit
+        them because the targets cache all objects."""
+        now, route = search.now, search.route
+        if not search.tried:
+            self._object_spread.note(service, object_key, now=now)
+        targets = order.targets_per_region()
+        if not self._object_spread.is_dense(service, targets=targets, now=now):
+            return None
+        first = next(order.candidates(object_key, per_region=1), None)
+        state = None if first is None else self._target_registry.state_of(first)
+        if state is None:
+            return None
+        return self._object_spread.targets_of(
+            service,
+            object_key,
+            hosts=self._send_limits.fleet.near_hosts,
+            run_s=state.times.median_s(route.name) or route.aim_s / 2,
+            slots=state.entry.slots,
+            now=now,
+        )
+
     def _usable(
         self, order: TargetOrder, object_key: str, search: TargetSearch, *, prefers_own_zone: bool
     ) -> list[TargetState]:
--- a/src/balsamrail/placement/target_state.py
+++ b/src/balsamrail/placement/target_state.py
@@ -17,6 +17,12 @@
 
 # The weight of a load report falls linearly to zero over this time, since it gets out of date.
 _REPORT_TTL_S = 2.5
+# As a report gets out of date, the usual load replaces it, the mean of the reports. It fades too,
+# so that a target that was busy gets requests, and reports, again.
+_USUAL_LOAD_WEIGHT = 0.2
+_USUAL_LOAD_TTL_S = 10.0
+# A moment in which a target is slow lasts about as long, so an older figure tells little.
+_SLOWDOWN_TTL_S = 0.5
 # Exceeds the number of objects that a target caches.
 _MAX_KNOWN_OBJECTS = 64
 # Two concurrent requests that take this many times as long as expected show that a target is slow
@@ -70,6 +76,8 @@
     _known_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
     _other_hosts_load: float = 0
     _reported_at: float = 0
+    _reported_slowdown: float = 1.0
+    _usual_other_hosts_load: float = 0
 
     @property
     def is_down(self) -> bool:
@@ -182,14 +190,23 @@
     def note_load(self, load: ReportedLoad, *, now: float) -> None:
         """Record the load that the target reported in a response."""
         self._other_hosts_load = max(0, load.running + load.waiting - self.in_flight)
+        usual = self._usual_other_hosts_load
+        self._usual_other_hosts_load += (self._other_hosts_load - usual) * _USUAL_LOAD_WEIGHT
         self._reported_at = now
+        self._reported_slowdown = load.slowdown
 
     def load(self, *, now: float) -> float:
         """Return the estimated number of requests at the target, including those of other
         hosts."""
         age = max(0, now - self._reported_at)
-        other_hosts_load = self._other_hosts_load * max(0, 1 - age / _REPORT_TTL_S)
-        return self.in_flight + other_hosts_load
+        weight = max(0, 1 - age / _REPORT_TTL_S)
+        usual = self._usual_other_hosts_load * max(0, 1 - age / _USUAL_LOAD_TTL_S)
+        return self.in_flight + self._other_hosts_load * weight + usual * (1 - weight)
+
+    def slowdown(self, *, now: float) -> float:
+        """Return how long work takes at the target now, relative to its usual time."""
+        age = max(0, now - self._reported_at)
+        return 1 + (self._reported_slowdown - 1) * max(0, 1 - age / _SLOWDOWN_TTL_S)
 
     def inputs(self, object_key: str, *, now: float) -> ChoiceInputs:
         """Return the data on which the choice of the target for an object is based."""
@@ -225,6 +242,7 @@
         return overdue
 
     def _record_run(self, attempt: TargetAttempt, took_s: float, now: float) -> None:
+        self.times.note_any(attempt.route, took_s / attempt.queue_factor)
         if not attempt.is_known:
             self.health.note_answer(None, now=now)
             return
--- a/standins/load_play/callers.py
+++ b/standins/load_play/callers.py
@@ -102,6 +102,7 @@
             SimulatedRequest(
                 kind=kind,
                 object_key=object_key,
+                arrived_at=now,
                 deadline=now + min(kind.timeout_s, patience_s),
                 answered=answered,
             )
--- a/standins/load_play/host.py
+++ b/standins/load_play/host.py
@@ -41,6 +41,7 @@
 
     kind: RequestKind
     object_key: str
+    arrived_at: float
     deadline: float
     answered: Callable[[str, float], None]
     is_over: bool = False
@@ -152,6 +153,8 @@
             tried=request.sent,
             now=self._event_queue.now,
             prefers_own_zone=self._keeps_near and self._sizes.are_large(route.name),
+            waited_s=self._event_queue.now - request.arrived_at,
+            left_s=request.deadline - self._event_queue.now,
         )
         if isinstance(choice, Rejection):
             self._end(request, 'refused', choice.retry_after_s)
