Placement: keep the objects of urgent requests cached where caches are short

Where targets got more objects than they cache, every object pushed out another one, and requests were moved away from targets that seemed slow because they ran objects for the first time. Now as many objects as the caches hold are resident, those of urgent requests first and by a hash that all hosts share; the others run only in free slots. Slow targets keep their objects there, and a request that a full target refused is not run elsewhere. Popular objects use the target that is expected to answer first.

--- a/src/balsamrail/placement/object_spread.py
+++ b/src/balsamrail/placement/object_spread.py
@@ -1,139 +1,109 @@
 """Over how many of its targets the requests for an object are spread."""
 
-import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+from balsamrail.placement.rendezvous_hashing import hash_text, mix_hashes
+from balsamrail.placement.service_objects import ServiceObjects
 
-# Requests are counted with this time constant: longer than the gaps between the requests of a
-# popular object, and short enough to follow a burst.
-_DEMAND_WINDOW_S = 3.0
 # An object gets a further target for each such fraction of the slots of one that it needs.
 _MAX_SLOT_FRACTION = 0.6
 _MAX_TARGETS = 3
 # Targets cache at least about this many objects. With more objects for each target, every object
 # that gets a second target pushes another one out of its cache.
 _CACHED_OBJECTS = 18
-# Objects are counted over one to two generations of this length.
-_GENERATION_S = 30.0
-_MAX_OBJECTS = 4_096
-_ESTIMATE_INTERVAL_S = 1.0
-_ESTIMATE_ROUNDS = 6
-
-
-@dataclass(slots=True, kw_only=True)
-class _Demand:
-    """Requests for an object, each counted with a weight that decays."""
-
-    count: float = 0
-    counted_at: float = 0
-
-    def at(self, now: float) -> float:
-        return self.count * math.exp((self.counted_at - now) / _DEMAND_WINDOW_S)
-
-    def add(self, now: float) -> None:
-        self.count = self.at(now) + 1
-        self.counted_at = now
-
-
-@dataclass(slots=True, kw_only=True)
-class _ServiceObjects:
-    """The objects of a service that were requested at this host lately."""
-
-    current: dict[str, _Demand] = field(default_factory=dict)
-    previous: dict[str, _Demand] = field(default_factory=dict)
-    current_requests: int = 0
-    previous_requests: int = 0
-    began_at: float = 0
-    estimate: float = 0
-    estimated_at: float = -math.inf
-
-    def demand_of(self, object_key: str) -> _Demand:
-        """Return the demand of an object, which then belongs to the current generation."""
-        demand = self.current.get(object_key)
-        if demand is None:
-            demand = self.previous.get(object_key) or _Demand()
-            self.current[object_key] = demand
-        return demand
-
-    def rotate_if_due(self, now: float) -> None:
-        if now - self.began_at >= _GENERATION_S or len(self.current) >= _MAX_OBJECTS:
-            self.previous, self.current = self.current, {}
-            self.previous_requests, self.current_requests = self.current_requests, 0
-            self.began_at = now
-
-    def objects(self, now: float) -> float:
-        """Return how many objects there are, including those not requested here lately.
-
-        The fewer of the requests were for an object seen before, the more objects are unseen.
-        """
-        if now - self.estimated_at >= _ESTIMATE_INTERVAL_S:
-            self.estimated_at = now
-            requests = self.current_requests + self.previous_requests
-            seen = len(self.current.keys() | self.previous.keys())
-            self.estimate = _estimated_objects(seen, requests)
-        return self.estimate
+# The least part of their share of the caches that objects of less urgent requests keep.
+_MIN_CACHE_SHARE = 0.4
+_HASH_RANGE = 1 << 64
+# Independent of the hashes that rank targets, so that each target gets as many resident objects.
+_RESIDENCE_SALT = 0x5851F42D4C957F2D
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ObjectPlacement:
+    """How the requests for an object are placed.
+
+    :param targets: the number of targets over which they are spread.
+    :param is_dense: whether targets get more objects than they cache.
+    :param is_resident: whether the object is among those that the targets should keep in their
+        caches; always true unless targets are dense.
+    """
+
+    targets: int
+    is_dense: bool = False
+    is_resident: bool = True
 
 
 class ObjectSpread:
-    """Estimates from the requests of one host how many targets an object needs.
+    """Estimates from the requests of one host how the requests for an object are best placed.
 
     Callers reach any host of their region, so each of the region's hosts sees about the same
     part of the requests for an object::
 
-        spread.note('atlas', 'object 17', now=now)
-        spread.targets_of('atlas', 'object 17', hosts=20, run_s=0.3, slots=6, now=now)
+        spread.note('atlas', 'object 17', priority=2, now=now)
+        spread.placement_of(
+            'atlas', 'object 17', priority=2, run_s=0.3, slots=6, targets=20, hosts=9, now=now
+        )
     """
 
     __slots__ = ('_objects_by_service',)
 
     def __init__(self) -> None:
-        self._objects_by_service: dict[str, _ServiceObjects] = {}
+        self._objects_by_service: dict[str, ServiceObjects] = {}
 
-    def note(self, service: str, object_key: str, *, now: float) -> None:
+    def note(self, service: str, object_key: str, *, priority: int, now: float) -> None:
         """Count a request for an object."""
         objects = self._objects_by_service.get(service)
         if objects is None:
-            objects = self._objects_by_service[service] = _ServiceObjects(began_at=now)
-        objects.rotate_if_due(now)
-        objects.current_requests += 1
-        objects.demand_of(object_key).add(now)
+            objects = ServiceObjects(began_at=now)
+            self._objects_by_service[service] = objects
+        objects.note(object_key, priority=priority, now=now)
 
-    def targets_of(
+    def placement_of(
         self,
         service: str,
         object_key: str,
         *,
-        hosts: int,
+        priority: int,
         run_s: float,
         slots: int,
+        targets: float,
+        hosts: int,
         now: float,
-    ) -> int:
-        """Return over how many targets the requests for an object should be spread.
+    ) -> ObjectPlacement:
+        """Return how the requests for an object are placed.
 
-        :param hosts: the number of hosts among which callers spread their requests.
-        :param run_s: how long a run takes at a target that knows the object.
+        :param priority: the priority of the request; 0 is the highest.
+        :param run_s: how long a run takes at a target that knows the object, in seconds.
         :param slots: the slots of a target.
-        """
-        objects = self._objects_by_service.get(service)
-        if objects is None:
-            return 1
-        # One request says little: with many hosts it would count as many requests at once.
-        count = max(0, objects.demand_of(object_key).at(now) - 1)
-        needed_slots = count / _DEMAND_WINDOW_S * hosts * run_s
-        return min(_MAX_TARGETS, 1 + int(needed_slots / (slots * _MAX_SLOT_FRACTION)))
-
-    def is_dense(self, service: str, *, targets: float, now: float) -> bool:
-        """Return whether the targets of a service get more objects than they cache.
-
         :param targets: the number of targets for the objects of this host's region.
+        :param hosts: the number of hosts among which the region's callers spread their requests.
         """
         objects = self._objects_by_service.get(service)
-        return objects is not None and objects.objects(now) > _CACHED_OBJECTS * targets
-
-
-def _estimated_objects(seen: int, requests: int) -> float:
-    """Return the number of equally popular objects of which ``requests`` requests show ``seen``."""
-    estimate = float(seen)
-    if seen:
-        for _ in range(_ESTIMATE_ROUNDS):
-            estimate = seen / -math.expm1(-requests / estimate)
-    return estimate
+        if objects is None:
+            return ObjectPlacement(targets=1)
+        needed_slots = objects.rate_of(object_key, now=now) * hosts * run_s
+        spread = min(_MAX_TARGETS, 1 + int(needed_slots / (slots * _MAX_SLOT_FRACTION)))
+        cached = _CACHED_OBJECTS * targets
+        objects.refresh(now=now)
+        if objects.total() <= cached:
+            return ObjectPlacement(targets=spread)
+        position = mix_hashes(hash_text(object_key), _RESIDENCE_SALT) / _HASH_RANGE
+        return ObjectPlacement(
+            targets=spread,
+            is_dense=True,
+            is_resident=position < _resident_fraction(objects, cached, priority),
+        )
+
+
+def _resident_fraction(objects: ServiceObjects, cached: float, priority: int) -> float:
+    """Return which part of the objects of a priority fits into the caches, urgent ones first.
+
+    :param cached: how many objects the targets cache.
+    """
+    least = cached / objects.total() * _MIN_CACHE_SHARE
+    fraction = least
+    for count in objects.counts_up_to(priority):
+        if count:
+            fraction = max(least, min(1, cached / count))
+            cached -= fraction * count
+    return fraction
--- a/src/balsamrail/placement/target_order.py
+++ b/src/balsamrail/placement/target_order.py
@@ -31,6 +31,7 @@
         '_region_ranking',
         '_unweighted_region_ranking',
         '_zone_ranking',
+        'targets_per_region',
     )
 
     def __init__(
@@ -67,11 +68,10 @@
         )
         self._ranking_by_region = _rankings_by_locality(weights_by_region)
         self._ranking_by_zone = _rankings_by_locality(weights_by_zone)
-
-    def targets_per_region(self) -> float:
-        """Return the number of targets for the objects of one region, if each has as many."""
-        targets = sum(ranking.size() for ranking in self._ranking_by_region.values())
-        return targets / len(self._ranking_by_region)
+        # The number of targets for the objects of one region, if each region has as many.
+        self.targets_per_region = sum(map(len, weights_by_region.values())) / len(
+            weights_by_region
+        )
 
     def candidates(
         self, object_key: str, *, per_region: int, prefers_own_zone: bool = False
--- a/src/balsamrail/placement/target_search.py
+++ b/src/balsamrail/placement/target_search.py
@@ -47,6 +47,16 @@
             else:
                 self.passed_over.note(target_id, ruled_out)
 
+    def refusals(self) -> int:
+        """Return how many targets that were tried are available, but full."""
+        tried = (self.target_registry.state_of(target_id) for target_id in self.tried)
+        return sum(
+            state.fill(now=self.now) >= 1
+            and state.availability.exclusion_reason(now=self.now) is None
+            for state in tried
+            if state is not None
+        )
+
     def is_worthwhile(self, state: TargetState, *, is_warm: bool, is_scarce: bool) -> bool:
         """Return whether the target is expected to answer the request soon enough.
 
@@ -65,6 +75,14 @@
             self.passed_over.note(state.entry.target_id, ExclusionReason.late)
         return is_worthwhile
 
+    def completion_s(self, state: TargetState) -> float:
+        """Return when a target that knows the object is expected to answer, in seconds.
+
+        The result is 0 for all targets as long as no run times are known.
+        """
+        estimate = CompletionEstimate.of(state, self.route.name, is_warm=True, now=self.now)
+        return 0 if estimate is None else estimate.completion_s
+
     def has_room(self, state: TargetState, *, bound: float) -> bool:
         """Return whether an available target has the capacity for the request.
 
--- a/src/balsamrail/placement/target_selector.py
+++ b/src/balsamrail/placement/target_selector.py
@@ -6,7 +6,7 @@
 
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.placement.exclusion_reason import ExclusionReason
-from balsamrail.placement.object_spread import ObjectSpread
+from balsamrail.placement.object_spread import ObjectPlacement, ObjectSpread
 from balsamrail.placement.passed_over import PassedOver
 from balsamrail.placement.rejection import Rejection
 from balsamrail.placement.send_limits import SendLimits
@@ -29,12 +29,17 @@
 # A target that does not know the object accepts it only into a free slot, since such a run is slow
 # and would delay the objects that the target knows.
 _MAX_FILL_OTHER_TARGETS = 0.8
+# Where targets get more objects than they cache, those beyond are run only in free slots, so that
+# they do not delay the others or push them out of the caches when capacity is short.
+_MAX_FILL_OTHER_OBJECTS = 0.7
 # Slots become free within about the duration of one request.
 _MIN_RETRY_AFTER_S = 0.1
 # Other targets may register before a long refusal ends, so callers retry after at most this time.
 _MAX_RETRY_AFTER_S = 5.0
 # For a host without a share of the rate that a target takes: another host may have one.
 _NO_SHARE_RETRY_AFTER_S = 1.0
+_OVERLOADED = Rejection(reason='overloaded', retry_after_s=_MIN_RETRY_AFTER_S)
+_WITHOUT_AFFINITY = ObjectPlacement(targets=_TARGETS_PER_OBJECT)
 
 
 class TargetSelector:
@@ -90,26 +95,24 @@
             waited_s=waited_s,
             left_s=left_s,
         )
-        spread = self._spread_of(search, order, service, object_key) if route.is_sticky else None
-        usable = self._usable(order, object_key, search, prefers_own_zone=prefers_own_zone)
+        placement = self._placement_of(search, order, service, object_key)
+        if placement.is_dense and search.refusals() >= placement.targets:
+            return _OVERLOADED
+        usable = self._usable(
+            order, object_key, search, placement, prefers_own_zone=prefers_own_zone
+        )
         if not usable:
             return self._reject(order, object_key, now)
-        if spread is not None:
-            usable = usable[:spread]
-        if not route.is_sticky:
-            # Without affinity, the less loaded target is preferred.
-            usable.sort(key=lambda state: (state.is_bad(now=now), state.fill(now=now)))
-        max_fill = max(
-            _MAX_FILL_LEAST_URGENT, _MAX_FILL - _MAX_FILL_PRIORITY_STEP * route.priority
-        )
+        max_fill = _max_fill(route, placement)
         for position, state in enumerate(usable):
-            is_other = bool(position) and route.is_sticky
+            is_warm = position < placement.targets and placement.is_resident
+            bound = max_fill if position < placement.targets else _MAX_FILL_OTHER_TARGETS
             if search.is_worthwhile(
-                state, is_warm=not is_other or spread is not None, is_scarce=spread is not None
-            ) and search.has_room(state, bound=_MAX_FILL_OTHER_TARGETS if is_other else max_fill):
+                state, is_warm=is_warm, is_scarce=placement.is_dense
+            ) and search.has_room(state, bound=bound):
                 self._send_limits.record_sent(state, now=now)
                 return state
-        return Rejection(reason='overloaded', retry_after_s=_MIN_RETRY_AFTER_S)
+        return _OVERLOADED
 
     def limits_of(self, state: TargetState, *, now: float) -> frozenset[ExclusionReason]:
         """Return the rate limits that apply to a target, see :meth:`confirm`."""
@@ -172,42 +175,56 @@
             return _NO_SHARE_RETRY_AFTER_S if math.isinf(wait_s) else wait_s
         return math.inf
 
-    def _spread_of(
+    def _placement_of(
         self, search: TargetSearch, order: TargetOrder, service: str, object_key: str
-    ) -> int | None:
-        """Return over how many targets the object is spread, ``None`` if there is no need to limit
-        them because the targets cache all objects."""
+    ) -> ObjectPlacement:
+        """Return how the object is placed, and count the request for it."""
         now, route = search.now, search.route
+        if not route.is_sticky:
+            return _WITHOUT_AFFINITY
         if not search.tried:
-            self._object_spread.note(service, object_key, now=now)
-        targets = order.targets_per_region()
-        if not self._object_spread.is_dense(service, targets=targets, now=now):
-            return None
-        first = next(order.candidates(object_key, per_region=1), None)
-        state = None if first is None else self._target_registry.state_of(first)
+            self._object_spread.note(service, object_key, priority=route.priority, now=now)
+        first = next(order.candidates(object_key, per_region=_TARGETS_PER_OBJECT), '')
+        state = self._target_registry.state_of(first)
         if state is None:
-            return None
-        return self._object_spread.targets_of(
+            return ObjectPlacement(targets=1)
+        return self._object_spread.placement_of(
             service,
             object_key,
-            hosts=self._send_limits.fleet.near_hosts,
+            priority=route.priority,
             run_s=state.times.median_s(route.name) or route.aim_s / 2,
             slots=state.entry.slots,
+            targets=order.targets_per_region,
+            hosts=self._send_limits.fleet.near_hosts,
             now=now,
         )
 
     def _usable(
-        self, order: TargetOrder, object_key: str, search: TargetSearch, *, prefers_own_zone: bool
+        self,
+        order: TargetOrder,
+        object_key: str,
+        search: TargetSearch,
+        placement: ObjectPlacement,
+        *,
+        prefers_own_zone: bool,
     ) -> list[TargetState]:
+        """Return the targets that may get the request, in order of preference."""
         now = search.now
+        count = max(_TARGETS_PER_OBJECT, min(placement.targets, _TARGETS_PER_OBJECT_IF_UNHEALTHY))
         candidates = order.candidates(
-            object_key,
-            per_region=_TARGETS_PER_OBJECT + len(search.tried),
-            prefers_own_zone=prefers_own_zone,
+            object_key, per_region=count + len(search.tried), prefers_own_zone=prefers_own_zone
         )
-        usable = list(islice(search.usable_of(candidates), _TARGETS_PER_OBJECT))
+        usable = list(islice(search.usable_of(candidates), count))
         if not usable:
             return list(islice(search.usable_of(order.fallbacks(object_key)), 1))
+        if not search.route.is_sticky:
+            # Without affinity, the less loaded target is preferred.
+            return sorted(usable, key=lambda state: (state.is_bad(now=now), state.fill(now=now)))
+        if placement.is_dense:
+            # A run of another object at a target takes as long as one at a slow target, and makes
+            # the target forget an object.
+            usable = usable[: placement.targets - search.refusals()]
+            return sorted(usable, key=search.completion_s) if len(usable) > 1 else usable
         healthy = [state for state in usable if not state.is_bad(now=now)]
         if not healthy:
             further = order.candidates(
@@ -221,5 +238,15 @@
                 if not state.is_bad(now=now)
                 and search.has_room(state, bound=_MAX_FILL_OTHER_TARGETS)
             ][:1]
+        if placement.targets > 1:
+            known = sorted(healthy[: placement.targets], key=search.completion_s)
+            healthy = [*known, *healthy[placement.targets :]]
         # Slow and failing targets come last; the order is otherwise unchanged.
         return [*healthy, *(state for state in usable if state not in healthy)]
+
+
+def _max_fill(route: ManifestRoute, placement: ObjectPlacement) -> float:
+    """Return from which fill on the targets of an object are full for a request."""
+    if not placement.is_resident:
+        return _MAX_FILL_OTHER_OBJECTS
+    return max(_MAX_FILL_LEAST_URGENT, _MAX_FILL - _MAX_FILL_PRIORITY_STEP * route.priority)
