--- a/src/balsamrail/placement/service_objects.py
+++ b/src/balsamrail/placement/service_objects.py
@@ -44,22 +44,27 @@
     _previous: dict[str, _Demand] = field(default_factory=dict)
     _current_requests: int = 0
     _previous_requests: int = 0
+    _seen: list[int] = field(default_factory=lambda: [0 for _ in range(_PRIORITIES)])
     _counts: list[float] = field(default_factory=list)
     _counted_at: float = -math.inf
 
     def note(self, object_key: str, *, priority: int, now: float) -> None:
         """Count a request for an object."""
         if now - self.began_at >= _GENERATION_S or len(self._current) >= _MAX_OBJECTS:
-            self._previous, self._current = self._current, {}
-            self._previous_requests, self._current_requests = self._current_requests, 0
-            self.began_at = now
+            self._begin_generation(now)
         level = min(max(priority, 0), _PRIORITIES - 1)
         demand = self._current.get(object_key)
         if demand is None:
-            demand = self._previous.get(object_key) or _Demand(priority=level)
+            demand = self._previous.get(object_key)
+            if demand is None:
+                demand = _Demand(priority=level)
+                self._seen[level] += 1
             self._current[object_key] = demand
         self._current_requests += 1
-        demand.priority = min(demand.priority, level)
+        if level < demand.priority:
+            self._seen[demand.priority] -= 1
+            self._seen[level] += 1
+            demand.priority = level
         demand.count = demand.at(now) + 1
         demand.counted_at = now
 
@@ -82,12 +87,10 @@
         if now - self._counted_at < _ESTIMATE_INTERVAL_S:
             return
         self._counted_at = now
-        seen = [0 for _ in range(_PRIORITIES)]
-        for demand in ({**self._previous, **self._current}).values():
-            seen[demand.priority] += 1
+        seen = sum(self._seen)
         requests = self._current_requests + self._previous_requests
-        estimate = _estimated_objects(sum(seen), requests)
-        self._counts = [estimate * count / max(1, sum(seen)) for count in seen]
+        unseen_factor = _estimated_objects(seen, requests) / max(1, seen)
+        self._counts = [count * unseen_factor for count in self._seen]
 
     def total(self) -> float:
         """Return the number of objects."""
@@ -97,6 +100,14 @@
         """Return the numbers of objects of the priorities up to one, the most urgent first."""
         return self._counts[: max(0, priority) + 1]
 
+    def _begin_generation(self, now: float) -> None:
+        self.began_at = now
+        self._previous, self._current = self._current, {}
+        self._previous_requests, self._current_requests = self._current_requests, 0
+        self._seen = [0 for _ in range(_PRIORITIES)]
+        for demand in self._previous.values():
+            self._seen[demand.priority] += 1
+
 
 def _estimated_objects(seen: int, requests: int) -> float:
     """Return the number of equally popular objects of which ``requests`` requests show ``seen``."""
