Placement: one target per region for large exchanges where caches are short; mutants

Objects with large exchanges were placed in each zone, so that the targets of each zone cached them too. Their bodies cross zones there.

--- a/features/affinity.feature
+++ b/features/affinity.feature
@@ -80,6 +80,21 @@
     Then all objects of priority 0 are resident, and a fifth of the others
     And hosts that know the same objects name the same ones
 
+  Scenario: An object that is not resident runs only in a free slot
+    This guards against objects beyond the caches that push out or delay those in them when capacity is
+    short.
+
+    Given two targets of two slots each and requests for 80 objects
+    When requests for an object that is not resident arrive while its first target is busy
+    Then a third of them waits there, and the others are rejected as overloaded
+
+  Scenario: Objects with large exchanges have one target in a region where caches are short
+    This guards against objects that take the place of others in the caches of each zone.
+
+    Given two targets in different zones and requests for 8 or 80 objects with large exchanges
+    When the hosts of both zones choose targets for the objects
+    Then with 8 objects each zone uses its own target, and with 80 both use the same
+
   Scenario: Objects that are not resident are served too
     This guards against an object, or a customer with few, that is rejected as long as capacity is short.
 
--- a/features/steps/affinity_steps.py
+++ b/features/steps/affinity_steps.py
@@ -16,6 +16,8 @@
 RUN_S = 0.2
 # Each request for an object that is not resident may be one of those that are exempt.
 TRIES = 4
+# Requests at a target of two slots: none is free, and requests for resident objects may wait.
+BUSY = 2
 
 
 @given('two targets of two slots each and requests for {count:d} objects')
@@ -273,6 +275,75 @@
     assert context.resident[0] == context.resident[1], context.resident
 
 
+@when('requests for an object that is not resident arrive while its first target is busy')
+def step_other_object(context):
+    spread = context.placement.target_selector._object_spread
+    for number in range(80):
+        key = f'other {number}'
+        spread.note('lepu', key, priority=0, now=context.now)
+        spread.note('lepu', key, priority=0, now=context.now)
+        if not _placement(spread, key, targets=2 / 3, now=context.now).is_resident:
+            break
+    order = context.placement.target_registry.order_of('lepu', allowed_regions=frozenset())
+    first = context.placement.target_registry.state_of(next(order.candidates(key, per_region=2)))
+    _begin(context, first, BUSY)
+    context.choices = [_select(context, object_key=key, aim_s=5) for _ in range(30)]
+    context.first = first
+
+
+@then('a third of them waits there, and the others are rejected as {reason}')
+def step_third(context, reason):
+    sent = [choice for choice in context.choices if choice is context.first]
+    rejected = [choice for choice in context.choices if isinstance(choice, Rejection)]
+    assert len(sent) == len(context.choices) // 3, len(sent)
+    assert len(sent) + len(rejected) == len(context.choices), context.choices
+    assert {choice.reason for choice in rejected} == {reason}, rejected
+
+
+@given('two targets in different zones and requests for 8 or 80 objects with large exchanges')
+def step_zones(context):
+    context.hosts_by_count = {
+        count: [
+            Placement(
+                make_entry('a-1', availability_zone='attiki-a'),
+                make_entry('b-1', availability_zone='attiki-b'),
+                availability_zone=zone,
+                region_by_availability_zone={'attiki-a': 'attiki', 'attiki-b': 'attiki'},
+            )
+            for zone in ('attiki-a', 'attiki-b')
+        ]
+        for count in (8, 80)
+    }
+
+
+@when('the hosts of both zones choose targets for the objects')
+def step_zone_choices(context):
+    context.chosen_by_count = {}
+    for count, hosts in context.hosts_by_count.items():
+        keys = [f'object {number % count}' for number in range(count * 3)]
+        for now, placement in enumerate(hosts):
+            for key in keys:
+                _select_large(placement, key, now)
+        context.chosen_by_count[count] = [
+            [_select_large(placement, key, 10) for key in keys[:count]] for placement in hosts
+        ]
+
+
+def _select_large(placement, key, now):
+    choice = placement.target_selector.select(
+        make_route(), service='lepu', object_key=key, tried=(), now=now, prefers_own_zone=True
+    )
+    return choice.entry.target_id
+
+
+@then('with 8 objects each zone uses its own target, and with 80 both use the same')
+def step_zone_targets(context):
+    assert context.chosen_by_count[8] == [['a-1'] * 8, ['b-1'] * 8], context.chosen_by_count[8]
+    first, second = context.chosen_by_count[80]
+    assert first == second, context.chosen_by_count[80]
+    assert set(first) == {'a-1', 'b-1'}, first
+
+
 @when('an object that is not resident is requested {count:d} times')
 def step_not_resident(context, count):
     spread = ObjectSpread()
--- a/src/balsamrail/placement/target_selector.py
+++ b/src/balsamrail/placement/target_selector.py
@@ -99,7 +99,11 @@
         if placement.is_dense and search.refusals() >= placement.targets:
             return _OVERLOADED
         usable = self._usable(
-            order, object_key, search, placement, prefers_own_zone=prefers_own_zone
+            order,
+            object_key,
+            search,
+            placement,
+            prefers_own_zone=prefers_own_zone and not placement.is_dense,
         )
         if not usable:
             return self._reject(order, object_key, now)
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -1,5 +1,6 @@
 """The protective mechanisms that ``make mutants`` disables, by area."""
 
+from tools.mutants.affinity import AFFINITY
 from tools.mutants.configuration import CONFIGURATION
 from tools.mutants.currency import CURRENCY
 from tools.mutants.endless_bytes import ENDLESS_BYTES
@@ -15,6 +16,7 @@
 from tools.mutants.target_standing import TARGET_STANDING
 
 MUTANTS = (
+    *AFFINITY,
     *CONFIGURATION,
     *LIVENESS,
     *MEMBERSHIP,
