Placement: an idle target gets any request; log the slowdown and dump the number of objects

If runs became longer than requests may take, all requests were rejected as late, and no run showed that the targets were as usual again. Now only requests that would wait, or meet a slow moment, are.

--- a/features/affinity.feature
+++ b/features/affinity.feature
@@ -52,6 +52,14 @@
     When three requests wait at both targets, whose runs take 0.4 s
     Then a request with 0.5 s left is rejected, and one with 2 s left is not
 
+  Scenario: A target whose runs have become longer than requests may take gets some when it is idle
+    This guards against a service that gets no request any more after its targets were slow, since only
+    requests show that they no longer are.
+
+    Given two targets of two slots each and requests for 8 objects
+    When runs at both targets take 4 s and no request waits
+    Then a request with 1 s left is sent to the first target
+
   Scenario: A request that would miss its objective waits for no slot where caches are short
     This guards against late requests that make those behind them late too.
 
--- a/features/steps/affinity_steps.py
+++ b/features/steps/affinity_steps.py
@@ -171,6 +171,18 @@
         _begin(context, state, 3)
 
 
+@when('runs at both targets take {run_s:g} s and no request waits')
+def step_long_runs(context, run_s):
+    for state in _states(context):
+        _run(context, state.entry.target_id, took_s=run_s, count=60)
+    context.now += 60
+
+
+@then('a request with {left_s:g} s left is sent to the first target')
+def step_sent_idle(context, left_s):
+    assert _select(context, left_s=left_s) is _states(context)[0]
+
+
 @then('a request with {short:g} s left is rejected, and one with {long:g} s left is not')
 def step_deadline(context, short, long):
     assert isinstance(_select(context, left_s=short), Rejection)
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -658,6 +658,7 @@
     for pair in ('manifest=1', 'allowed_regions=attiki', 'region=attiki', 'fill=0', 'bad=false'):
         assert f' {pair} ' in f'{line.rstrip()} ', line
     assert ' report_age_s=null ' in line and ' known=false ' in line, line
+    assert ' slowdown=1' in line, line
 
 
 @then('the log shows how many routes of the manifest are restricted to which regions')
--- a/src/balsamrail/delivery/attempt_record.py
+++ b/src/balsamrail/delivery/attempt_record.py
@@ -85,4 +85,5 @@
             'report_age_s': self.choice_inputs.report_age_s,
             'known': self.choice_inputs.is_known,
             'bad': self.choice_inputs.is_bad,
+            'slowdown': round(self.choice_inputs.slowdown, 2),
         }
--- a/src/balsamrail/entry/delivery_components.py
+++ b/src/balsamrail/entry/delivery_components.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         '_clock',
+        '_target_selector',
         'crashes',
         'dispatcher',
         'fleet',
@@ -90,12 +91,13 @@
             environment=environment, members=members, selector=selector, codec=ProxyProtocol()
         )
         self.crashes = CrashRegistry(environment=environment, network=network)
+        self._target_selector = TargetSelector(
+            target_registry=self.target_registry, send_limits=send_limits
+        )
         self.dispatcher = Dispatcher(
             environment=environment,
             catalog=catalog,
-            target_selector=TargetSelector(
-                target_registry=self.target_registry, send_limits=send_limits
-            ),
+            target_selector=self._target_selector,
             exchange=TargetExchange(
                 environment=environment,
                 pool=self.pool,
@@ -131,6 +133,7 @@
         """Return the state of all components as plain data."""
         return {
             'targets': self.target_registry.dump(now=self._clock.monotonic()),
+            'objects': self._target_selector.dump(now=self._clock.monotonic()),
             'pool': self.pool.dump(),
             'proxying': self.proxy_exchange.dump(),
             'reviver': self.health_checker.dump(),
--- a/src/balsamrail/placement/choice_inputs.py
+++ b/src/balsamrail/placement/choice_inputs.py
@@ -12,6 +12,8 @@
     :param report_age_s: the age of the target's last load report, ``None`` if there was none.
     :param is_known: whether this host has recently sent the target a request for the object.
     :param is_bad: whether the target was considered slow or failing.
+    :param slowdown: how long work took at the target according to its last report, weighted by the
+        age of the report, relative to the usual time.
     """
 
     region: str
@@ -19,3 +21,4 @@
     report_age_s: float | None
     is_known: bool
     is_bad: bool
+    slowdown: float
--- a/src/balsamrail/placement/completion_estimate.py
+++ b/src/balsamrail/placement/completion_estimate.py
@@ -20,10 +20,12 @@
 
     :param wait_s: the time until a slot is free, in seconds.
     :param run_s: the time of the run in seconds.
+    :param slowdown: how long work takes at the target now, relative to its usual time.
     """
 
     wait_s: float
     run_s: float
+    slowdown: float
 
     @classmethod
     def of(
@@ -40,6 +42,7 @@
         queued = max(0, state.load(now=now) + 1 - state.entry.slots)
         mean_s = state.times.mean_s(route) or warm_s
         return cls(
+            slowdown=slowdown,
             wait_s=queued * mean_s * slowdown / state.entry.slots,
             run_s=warm_s * slowdown * (1 if is_warm else _COLD_RUN_FACTOR),
         )
@@ -53,13 +56,16 @@
         """Return whether the target should get the request.
 
         A request that cannot meet its objective delays those that can if it has to wait for a
-        slot, and one that cannot be answered in time is run for nothing.
+        slot, and one that cannot be answered in time is run for nothing. A target with a free slot
+        that is not slow gets any request: if runs have become longer than requests may take, no
+        other request would show that they are as usual again.
 
         :param priority: the priority of the request; 0 is the highest.
         :param aim_left_s: the time until the latency objective, in seconds.
         :param left_s: the time until the deadline, in seconds.
         """
-        if self.completion_s > left_s:
+        is_held_up = self.wait_s > 0 or self.slowdown > 1
+        if is_held_up and self.completion_s > left_s:
             return False
         fraction = max(
             _MIN_OBJECTIVE_FRACTION, _OBJECTIVE_FRACTION - _OBJECTIVE_PRIORITY_STEP * priority
--- a/src/balsamrail/placement/object_spread.py
+++ b/src/balsamrail/placement/object_spread.py
@@ -1,6 +1,7 @@
 """Over how many of its targets the requests for an object are spread."""
 
 from dataclasses import dataclass
+from typing import Any
 
 from balsamrail.placement.rendezvous_hashing import hash_text, mix_hashes
 from balsamrail.placement.service_objects import ServiceObjects
@@ -99,6 +100,14 @@
             is_resident=position < _resident_fraction(objects, cached, priority),
         )
 
+    def dump(self, *, now: float) -> dict[str, Any]:
+        """Return the estimated number of objects of each service as plain data."""
+        dumped = {}
+        for service, objects in self._objects_by_service.items():
+            objects.refresh(now=now)
+            dumped[service] = {'objects': round(objects.total()), 'requests': objects.requests()}
+        return dumped
+
 
 def _resident_fraction(objects: ServiceObjects, cached: float, priority: int) -> float:
     """Return which part of the objects of a priority fits into the caches, urgent ones first.
--- a/src/balsamrail/placement/target_selector.py
+++ b/src/balsamrail/placement/target_selector.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Sequence, Set
 from itertools import islice
+from typing import Any
 
 from balsamrail.catalog.manifest_route import ManifestRoute
 from balsamrail.placement.exclusion_reason import ExclusionReason
@@ -151,6 +152,10 @@
             self._send_limits.record_sent(state, now=now, counted=counted)
         return ruled_out
 
+    def dump(self, *, now: float) -> dict[str, Any]:
+        """Return what is known of the objects of each service as plain data."""
+        return self._object_spread.dump(now=now)
+
     def _reject(self, order: TargetOrder, object_key: str, now: float) -> Rejection:
         """Return the rejection of a request for which no target is available."""
         waits_s = [
--- a/src/balsamrail/placement/target_state.py
+++ b/src/balsamrail/placement/target_state.py
@@ -216,6 +216,7 @@
             report_age_s=now - self._reported_at if self._reported_at else None,
             is_known=object_key in self._known_objects,
             is_bad=self.is_bad(now=now),
+            slowdown=self.slowdown(now=now),
         )
 
     def fill(self, *, now: float) -> float:
--- a/tools/mutants/affinity.py
+++ b/tools/mutants/affinity.py
@@ -77,11 +77,19 @@
     Mutant(
         mechanism='requests that would miss their deadline are rejected',
         file=_ESTIMATE,
-        old='if self.completion_s > left_s:',
+        old='if is_held_up and self.completion_s > left_s:',
         new='if False:',
         feature=_FEATURE,
         scenario='A request that would be answered after its deadline',
     ),
+    Mutant(
+        mechanism='a target with a free slot gets any request',
+        file=_ESTIMATE,
+        old='if is_held_up and self.completion_s > left_s:',
+        new='if self.completion_s > left_s:',
+        feature=_FEATURE,
+        scenario='A target whose runs have become longer',
+    ),
     Mutant(
         mechanism='requests that would miss their objective do not wait for a slot',
         file=_ESTIMATE,
