--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -1,5 +1,6 @@
 """The protective mechanisms that ``make mutants`` disables, by area."""
 
+from tools.mutants.affinity import AFFINITY
 from tools.mutants.configuration import CONFIGURATION
 from tools.mutants.currency import CURRENCY
 from tools.mutants.customers import CUSTOMERS
@@ -19,6 +20,7 @@
 from tools.mutants.target_standing import TARGET_STANDING
 
 MUTANTS = (
+    *AFFINITY,
     *CONFIGURATION,
     *LIVENESS,
     *MEMBERSHIP,
