Lease: a bound of 0 s costs no more calls than one of 1 s

Cause: the intervals are fractions of revoke_s, which the settings allow to be 0, so that hosts would read and ask without pause. Change: the schedule uses at least 1 s; the lease itself uses the bound as it is.

--- a/features/manifest_lease.feature
+++ b/features/manifest_lease.feature
@@ -24,6 +24,13 @@
     Then no host refuses keys
     And no host has read or asked
 
+  Scenario: A bound of 0 s
+    Guards against reads and questions without pause when the settings demand what no host can know.
+
+    Given a fleet of 5, 4 hosts with a bound on withdrawals of 0 s
+    When it runs for 20 s without faults
+    Then each host refuses keys, and none has read more than 6 times a second
+
   Scenario Outline: Random delays, cuts, freezes and losses
     Guards against evidence that counts from any moment after its call or question was sent.
 
--- a/features/steps/manifest_lease_steps.py
+++ b/features/steps/manifest_lease_steps.py
@@ -32,6 +32,18 @@
     context.revoke_s = None
 
 
+@given('a fleet of {sizes} hosts with a bound on withdrawals of 0 s')
+def step_fleet_zero(context, sizes):
+    context.sizes = sizes_of(sizes)
+    context.revoke_s = 0
+
+
+@then('each host refuses keys, and none has read more than {limit:d} times a second')
+def step_zero(context, limit):
+    assert len(context.refused) == len(context.reads), context.refused
+    assert max(context.reads.values()) <= limit * 20, context.reads
+
+
 @given('fleets of {sizes} hosts with random delays and faults')
 def step_random_fleets(context, sizes):
     context.sizes = sizes_of(sizes)
--- a/src/balsamrail/fleet/manifest_renewal.py
+++ b/src/balsamrail/fleet/manifest_renewal.py
@@ -19,6 +19,8 @@
 # How often a host without the setting looks whether it has been added.
 _SETTINGS_INTERVAL_S = 1.0
 _MIN_SLEEP_S = 0.02
+# For a shorter bound hosts ask and read as for this one, so that a bound of 0 s costs no more calls.
+_MIN_BOUND_S = 1.0
 # The assignment of the host and its path to the store are looked at in this interval, a fraction of
 # revoke_s.
 _MAX_SLEEP = 0.15
@@ -132,6 +134,7 @@
         if revoke_s is None:
             self._schedule = None
             return _SETTINGS_INTERVAL_S
+        revoke_s = max(revoke_s, _MIN_BOUND_S)
         if self._schedule is None or self._schedule.revoke_s != revoke_s:
             self._schedule = RenewalSchedule(
                 revoke_s=revoke_s, random_fraction=self._chance.random
--- a/tools/mutants/manifest_lease.py
+++ b/tools/mutants/manifest_lease.py
@@ -110,6 +110,14 @@
         feature=_FEATURE,
         scenario='Nothing happens without a bound',
     ),
+    Mutant(
+        mechanism='a bound of 0 s costs no more calls than one of 1 s',
+        file=_RENEWAL,
+        old='_MIN_BOUND_S = 1.0',
+        new='_MIN_BOUND_S = 0.1',
+        feature=_FEATURE,
+        scenario='A bound of 0 s',
+    ),
     Mutant(
         mechanism='one watcher of a region reads',
         file='src/balsamrail/fleet/watch_assignment.py',
