--- a/tools/mutants/misbehaving_callers.py
+++ b/tools/mutants/misbehaving_callers.py
@@ -27,8 +27,8 @@
     Mutant(
         mechanism='the request that takes most memory for longest is refused',
         file=_LIMITER,
-        old='largest = max(self._incomplete, key=byte_seconds)',
-        new='largest = min(self._incomplete, key=byte_seconds)',
+        old='largest = max(self._incomplete, key=byte_seconds, default=None)',
+        new='largest = min(self._incomplete, key=byte_seconds, default=None)',
         feature=_FEATURE,
         scenario='A small request arrives while bodies that have stopped take all the memory',
     ),
