--- a/src/balsamrail/placement/target_selector.py
+++ b/src/balsamrail/placement/target_selector.py
@@ -49,7 +49,8 @@
     A target is faster for an object that it handled recently, and caches only a limited number of
     objects, so spilling over to further targets slows all of them down. A request is therefore
     sent to one of the preferred targets of its object or rejected. Another target is used only if
-    none of the preferred ones is available.
+    none of the preferred ones is available. Where targets get more objects than they cache, an
+    object has only as many targets as its demand needs, see :class:`ObjectSpread`.
 
     On routes without affinity, the less loaded of two targets that the request id selects is used.
 
