Add a command that explains where a request would go now

Cause: operators could only see why requests went somewhere that had been sent. Change: /explain of an entry host and the command explain make the decisions with the code that serves requests, on copies of what it counts.

--- a/src/balsamrail/cli/main.py
+++ b/src/balsamrail/cli/main.py
@@ -10,6 +10,7 @@
 from balsamrail.cli.dump_command import DumpCommand
 from balsamrail.cli.entry_command import EntryCommand
 from balsamrail.cli.exit_code import ExitCode, exit_code_of
+from balsamrail.cli.explain_command import ExplainCommand
 from balsamrail.cli.lookup_command import LookupCommand
 from balsamrail.cli.node_command import NodeCommand
 from balsamrail.cli.output import print_error
@@ -40,6 +41,7 @@
         | StatusCommand
         | LookupCommand
         | DumpCommand
+        | ExplainCommand
     ]
 
 
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -13,6 +13,7 @@
 from balsamrail.delivery.http_message import HttpResponse
 from balsamrail.delivery.manifest_freshness import ALWAYS_CONFIRMED, ManifestFreshness
 from balsamrail.delivery.request_executor import RequestExecutor
+from balsamrail.delivery.request_explainer import RequestExplainer
 from balsamrail.delivery.shutdown_deadline import ShutdownDeadline
 from balsamrail.delivery.target_exchange import TargetExchange
 from balsamrail.environment import Environment
@@ -46,6 +47,7 @@
         '_shutdown_deadline',
         '_sizes',
         '_target_selector',
+        'explainer',
     )
 
     def __init__(
@@ -74,6 +76,13 @@
         self._sizes = ExchangeSizes()
         self._shutdown_deadline = ShutdownDeadline()
         self._detached_runs: set[asyncio.Task[HttpResponse]] = set()
+        self.explainer = RequestExplainer(
+            environment=environment,
+            catalog=catalog,
+            target_registry=target_selector.target_registry,
+            target_selector=target_selector,
+            freshness=freshness,
+        )
 
     async def handle(self, request: EntryRequest) -> HttpResponse:
         """Return the complete response to a request.
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -85,7 +85,10 @@
                 look_up=self.directory.addresses, is_ready=self._is_ready, ttl_s=_LOOKUP_TTL_S
             ),
             operators=operator_pages(
-                dump=self.dump, status=self.status, metrics=self.metrics_page
+                dump=self.dump,
+                status=self.status,
+                metrics=self.metrics_page,
+                explain=self.delivery.dispatcher.explainer.explain,
             ),
             accept_peer=self.store_components.network.accept,
         )
--- a/src/balsamrail/placement/passed_over.py
+++ b/src/balsamrail/placement/passed_over.py
@@ -18,6 +18,10 @@
         """Record that a target was ruled out."""
         self._reason_by_id[target_id] = reason
 
+    def reason_of(self, target_id: str) -> ExclusionReason | None:
+        """Return why a target was ruled out, ``None`` if it was not."""
+        return self._reason_by_id.get(target_id)
+
     def fraction_of(self, reason: ExclusionReason) -> float:
         """Return the fraction of the targets that were ruled out for a reason, 0 if there are none."""
         reasons = list(self._reason_by_id.values())
--- a/src/balsamrail/placement/send_limits.py
+++ b/src/balsamrail/placement/send_limits.py
@@ -1,5 +1,6 @@
 """Limits on the rate at which a host sends requests to single targets."""
 
+import copy
 from collections.abc import Set
 
 from balsamrail.placement.exclusion_reason import ExclusionReason
@@ -23,14 +24,21 @@
     :param fleet: the hosts that share the limits.
     """
 
-    __slots__ = ('_target_registry', '_warmup_limiter', 'fleet', 'rate_limiter')
+    __slots__ = ('_is_counting', '_target_registry', '_warmup_limiter', 'fleet', 'rate_limiter')
 
     def __init__(self, *, fleet: FleetHosts, target_registry: TargetRegistry) -> None:
+        self._is_counting = True
         self.fleet = fleet
         self._target_registry = target_registry
         self._warmup_limiter = WarmupLimiter(fleet=fleet)
         self.rate_limiter = TargetRateLimiter(fleet=fleet)
 
+    def uncounted(self) -> 'SendLimits':
+        """Return the same limits, against which nothing is counted."""
+        limits = copy.copy(self)
+        limits._is_counting = False
+        return limits
+
     def applicable(self, state: TargetState, *, now: float) -> frozenset[ExclusionReason]:
         """Return the limits that apply to a target, for the parameter ``counted``."""
         reasons = set()
@@ -73,6 +81,8 @@
         self, state: TargetState, *, now: float, counted: Set[ExclusionReason] = _NOT_COUNTED
     ) -> None:
         """Count a request against the limits of its target that have not counted it yet."""
+        if not self._is_counting:
+            return
         new = self.applicable(state, now=now) - counted
         if ExclusionReason.cold in new:
             self._warmup_limiter.record_sent(state.entry.target_id, now=now)
--- a/src/balsamrail/placement/target_registry.py
+++ b/src/balsamrail/placement/target_registry.py
@@ -1,5 +1,7 @@
 """Registry of the states of all targets."""
 
+import contextlib
+import copy
 from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Any
@@ -93,6 +95,20 @@
             return ExclusionReason.confined
         return None
 
+    @contextlib.contextmanager
+    def limits_kept(self) -> Iterator[None]:
+        """Undo at the end what was noted meanwhile about the limits that targets named."""
+        kept = [
+            (state.availability, copy.copy(state.availability.limit))
+            for state in self.states_by_id.values()
+            if state.availability.limit is not None
+        ]
+        try:
+            yield
+        finally:
+            for availability, limit in kept:
+                availability.limit = limit
+
     def down_fraction(self) -> float:
         """Return the fraction of the targets that are down."""
         are_down = [state.is_down for state in self.states_by_id.values()]
--- a/src/balsamrail/placement/target_selector.py
+++ b/src/balsamrail/placement/target_selector.py
@@ -1,5 +1,6 @@
 """Selects the target of a request, or rejects the request."""
 
+import copy
 import math
 from collections.abc import Sequence, Set
 from itertools import islice
@@ -10,6 +11,7 @@
 from balsamrail.placement.object_spread import ObjectPlacement, ObjectSpread
 from balsamrail.placement.passed_over import PassedOver
 from balsamrail.placement.rejection import Rejection
+from balsamrail.placement.selection_preview import SelectionPreview
 from balsamrail.placement.send_limits import SendLimits
 from balsamrail.placement.target_availability import REFUSAL_RAMP_S
 from balsamrail.placement.target_order import TargetOrder
@@ -58,10 +60,10 @@
     rejected at once, and known objects take precedence over unknown ones.
     """
 
-    __slots__ = ('_object_spread', '_send_limits', '_target_registry')
+    __slots__ = ('_object_spread', '_send_limits', 'target_registry')
 
     def __init__(self, *, target_registry: TargetRegistry, send_limits: SendLimits) -> None:
-        self._target_registry = target_registry
+        self.target_registry = target_registry
         self._send_limits = send_limits
         self._object_spread = ObjectSpread()
 
@@ -86,9 +88,9 @@
         :param waited_s: the time since the request arrived, in seconds.
         :param left_s: the time until its deadline, in seconds.
         """
-        order = self._target_registry.order_of(service, allowed_regions=route.allowed_regions)
+        order = self.target_registry.order_of(service, allowed_regions=route.allowed_regions)
         search = TargetSearch(
-            target_registry=self._target_registry,
+            target_registry=self.target_registry,
             send_limits=self._send_limits,
             route=route,
             tried=tried,
@@ -120,6 +122,36 @@
                 return state
         return _OVERLOADED
 
+    def preview(
+        self, route: ManifestRoute, *, service: str, object_key: str, now: float
+    ) -> SelectionPreview:
+        """Return what :meth:`select` would decide now for a new request, without a trace.
+
+        Nothing is counted: neither the request, nor its object, nor its priority at targets that
+        named a limit.
+        """
+        trial = copy.copy(self)
+        trial._send_limits = self._send_limits.uncounted()
+        trial._object_spread = copy.deepcopy(self._object_spread)
+        passed_over = PassedOver()
+        with self.target_registry.limits_kept():
+            choice = trial.select(
+                route,
+                service=service,
+                object_key=object_key,
+                tried=(),
+                now=now,
+                passed_over=passed_over,
+            )
+        order = self.target_registry.order_of(service, allowed_regions=route.allowed_regions)
+        candidates = order.candidates(object_key, per_region=_TARGETS_PER_OBJECT_IF_UNHEALTHY)
+        states = map(self.target_registry.state_of, candidates)
+        return SelectionPreview(
+            choice=choice,
+            passed_over=passed_over,
+            candidates=tuple(state for state in states if state is not None),
+        )
+
     def limits_of(self, state: TargetState, *, now: float) -> frozenset[ExclusionReason]:
         """Return the rate limits that apply to a target, see :meth:`confirm`."""
         return self._send_limits.applicable(state, now=now)
@@ -139,9 +171,9 @@
         :param counted: the rate limits that applied when the target was chosen, against which the
             request has been counted already.
         """
-        if self._target_registry.state_of(state.entry.target_id) is not state:
+        if self.target_registry.state_of(state.entry.target_id) is not state:
             return ExclusionReason.gone
-        locality_exclusion = self._target_registry.locality_exclusion(
+        locality_exclusion = self.target_registry.locality_exclusion(
             state.entry, allowed_regions=route.allowed_regions
         )
         if locality_exclusion is not None:
@@ -161,7 +193,7 @@
         """Return the rejection of a request for which no target is available."""
         waits_s = [
             self._wait_s(state, now)
-            for state in map(self._target_registry.state_of, order.fallbacks(object_key))
+            for state in map(self.target_registry.state_of, order.fallbacks(object_key))
             if state is not None
         ]
         shortest_s = min(waits_s, default=math.inf)
@@ -195,7 +227,7 @@
         if not search.tried:
             self._object_spread.note(service, object_key, priority=route.priority, now=now)
         first = next(order.candidates(object_key, per_region=_TARGETS_PER_OBJECT), '')
-        state = self._target_registry.state_of(first)
+        state = self.target_registry.state_of(first)
         if state is None:
             return ObjectPlacement(targets=1)
         return self._object_spread.placement_of(
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -6,6 +6,7 @@
 from tools.mutants.customers import CUSTOMERS
 from tools.mutants.endless_bytes import ENDLESS_BYTES
 from tools.mutants.entry import ENTRY
+from tools.mutants.explain import EXPLAIN
 from tools.mutants.forwarding import FORWARDING
 from tools.mutants.host import HOST
 from tools.mutants.keys import KEYS
@@ -38,4 +39,5 @@
     *PROXYING,
     *MANIFEST_LEASE,
     *QUOTAS,
+    *EXPLAIN,
 )
