--- a/src/balsamrail/platform/caller_exchange.py
+++ b/src/balsamrail/platform/caller_exchange.py
@@ -238,12 +238,14 @@
             self._stream.reserve(self._usage.reception_bytes)
         await turn.wait()
         # The caller may read nothing while it sends.
-        self._stream.io_loop.call_later(_REJECTION_TIMEOUT_S, self._stream.close)
+        loop = asyncio.get_running_loop()
+        timeout = loop.call_later(_REJECTION_TIMEOUT_S, self._stream.close)
         try:
             await self._write(answer)
         except StreamClosedError:
             self._server.environment.metrics.count('callers_left')
         finally:
+            timeout.cancel()
             self._end()
 
     async def _write(self, answer: HttpResponse) -> None:
