Quotas: the burst is part of the rate of the tokens

Change: the rate contains the burst of each window, as far as 1.65 s of the rate are left beyond it; the bound on a window, and what is divided beyond the rate, stay as they are.

--- a/src/balsamrail/quotas/quota_terms.py
+++ b/src/balsamrail/quotas/quota_terms.py
@@ -27,6 +27,8 @@
 _MIN_SPARE = 15.0
 # The part of the rate that may be given up for that.
 _MAX_RATE_REDUCTION = 0.5
+# With less, in seconds of the rate, tokens expire on the way to hosts that are slow to answer.
+_AMPLE_SPARE_S = 1.65
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -60,7 +62,12 @@
         if local_limit < _MIN_LOCAL_LIMIT:
             local_limit = 0
         shared = limit - local_limit * fleet_size
-        rate = customer.rate_per_s * shared / limit
+        # The burst is there again in each window, so that its part of the rate is the customer's too, as far
+        # as enough is left beyond the rate.
+        rate = max(
+            customer.rate_per_s * shared / limit,
+            min(quota / window_s * shared / limit, shared / (window_s + _AMPLE_SPARE_S)),
+        )
         spare = shared - rate * window_s
         missing = max(0, max(_MIN_SPARE_S * rate, _MIN_SPARE) - spare)
         reduction = min(_MAX_RATE_REDUCTION, missing / (rate * window_s))
