Tests: give the processes of scenarios ports that no other socket gets

Each address of a host came from a socket that was bound to port 0 and closed at once, so the kernel could assign the port again before the host listened: 18 of 20,000 settings had the same port twice, beside ports that outgoing connections take. Such a host ends at its start, and the scenario waited until its 150 s were over, which is reported as an error.

Change: one module assigns ports outside the kernel's range, each once; it replaces four copies. Processes of entry are started and ended by one module (three copies before), and waiting for a host fails at once if its process has ended.

--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 
 from behave import given, then, when
-from process_helpers import end_process, fetch_json, free_ports, start_store, wait_for
+from free_ports import free_port
+from process_helpers import end_process, fetch_json, start_store, wait_for
 from product_fakes import make_settings
 
 from balsamrail.documents import encode_value
@@ -31,7 +32,7 @@
     context.folder = Path(folder.name)
     context.executable = build(context.folder / 'balsamrail')
     store = start_store(context)
-    context.ports = free_ports(3)
+    context.ports = [free_port() for _ in range(3)]
     settings = encode_value(value=make_settings())
     for name, port in zip(('caller', 'peer', 'operator'), context.ports, strict=True):
         settings[f'{name}_address'] = f'127.0.0.1:{port}'
--- a/features/steps/customers_process_steps.py
+++ b/features/steps/customers_process_steps.py
@@ -2,9 +2,6 @@
 
 import asyncio
 import contextlib
-import json
-import os
-import sys
 import tempfile
 from pathlib import Path
 
@@ -12,13 +9,13 @@
 from customer_parts import ACME, BRIO, HOST_NAME, customer, manifest_spec
 from customers_manifest_steps import FAULTY_ENTRIES, SECRET
 from delivery_parts import response_to
-from entry_fleet import FLEET_NUMBERS, Target
+from entry_fleet import Target
+from entry_process import end_processes, start_entry
 from placement_parts import REGION_BY_ZONE
 from platform_helpers import process_settings, run_real
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from standins.platform_store import PlatformStore
-from tools.build_binary import ROOT
 
 PAGES = ('/dump', '/status', '/metrics')
 LIMIT_S = 20
@@ -52,27 +49,20 @@
         self.target = KeyTarget('lepu-1', zone='attiki-a', service='lepu')
         await self.target.start(self.store)
         self.folder = tempfile.TemporaryDirectory()
-        # Ports outside the ephemeral range, which no other socket takes before the hosts listen.
-        network = f'127.{40 + os.getpid() % 200}.{next(FLEET_NUMBERS) % 256}'
         for number in (1, 2):
-            ports = enumerate(('caller', 'lookup', 'readiness', 'peer', 'operator'), start=8_000)
             self.settings.append(
                 process_settings(
                     host=f'attiki-{number}',
                     region_by_availability_zone=REGION_BY_ZONE,
                     store={'address': self.store.address},
                     seeds=[one['peer_address'] for one in self.settings],
-                    **{f'{name}_address': f'{network}.{number}:{port}' for port, name in ports},
                 )
             )
             await self._start(number, self.settings[-1])
         return self
 
     async def __aexit__(self, *_):
-        for process in self.processes:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
+        await end_processes(*self.processes)
         self.folder.cleanup()
         self.target.upstream.stop()
         await self.store.stop()
@@ -127,24 +117,14 @@
         return all(f'event={event} ' in text for text in self.outputs()[:hosts])
 
     async def _start(self, number, settings):
-        folder = Path(self.folder.name)
-        path = folder / f'{number}.json'
-        path.write_text(json.dumps(settings))
-        with (folder / f'{number}.txt').open('wb') as output:
+        with self._open_output(number) as output:
             self.processes.append(
-                await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    '-X',
-                    'dev',
-                    '-m',
-                    'balsamrail.entry',
-                    str(path),
-                    env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
-                    stdout=output,
-                    stderr=output,
-                )
+                await start_entry(settings, self.folder.name, options=('-X', 'dev'), output=output)
             )
 
+    def _open_output(self, number):
+        return Path(self.folder.name, f'{number}.txt').open('wb')
+
     async def _serves(self, settings):
         with contextlib.suppress(OSError):
             return await self.send(settings, KNOWN['acme']) == 200
--- a/features/steps/cut_links.py
+++ b/features/steps/cut_links.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-import socket
 
 from delivery_parts import simulate_power_loss
+from free_ports import free_address
 
 from balsamrail.delivery.http_connection import HttpConnection
 from balsamrail.errors import ConnectError, ExchangeError
@@ -14,9 +14,7 @@
     """What :func:`simulate_power_loss` needs of a target."""
 
     def __init__(self):
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            self.address = f'127.0.0.1:{probe.getsockname()[1]}'
+        self.address = free_address()
 
     def stop(self):
         """Do nothing; the address was never listened on."""
--- a/features/steps/delivery_crash_steps.py
+++ b/features/steps/delivery_crash_steps.py
@@ -7,8 +7,9 @@
 
 from behave import given, then, when
 from delivery_parts import DeliveryHarness, crash_on, send_deadly_repeatedly
+from free_ports import free_address
 from placement_parts import make_entry, make_manifest, make_route
-from platform_helpers import free_address, run_real
+from platform_helpers import run_real
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from balsamrail.catalog.weighted_service import WeightedService
--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -6,6 +6,7 @@
 
 import platform_helpers
 from forwarding_parts import PeerNetwork, RawUpstream, whole
+from free_ports import free_address
 from placement_parts import REGION_BY_ZONE, make_entry, make_manifest, make_route
 from tornado.httputil import HTTPHeaders
 
@@ -176,7 +177,7 @@
         target_registry = TargetRegistry(catalog=catalog, settings=environment.settings)
         addresses = [target.address for target in self.targets]
         if first_target_refuses:
-            addresses.insert(0, platform_helpers.free_address())
+            addresses.insert(0, free_address())
         for number, address in enumerate(addresses):
             fields = self.entries[number] if self.entries else {}
             catalog.put_target(make_entry(f'i-{number}', address=address, slots=8, **fields))
--- a/features/steps/entry_signal_steps.py
+++ b/features/steps/entry_signal_steps.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from behave import then, when
-from platform_helpers import free_address, process_settings
+from free_ports import free_address
+from platform_helpers import process_settings
 
 ROOT = Path(__file__).resolve().parents[2]
 PROCESS_TIMEOUT_S = 60
--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -1,22 +1,18 @@
 """Steps of entry.feature about the end of a host's process."""
 
 import asyncio
-import json
-import os
-import sys
 import tempfile
-from pathlib import Path
 
 from behave import given, then, when
 from delivery_parts import response_to
 from entry_fleet import HOST_NAME, Target, manifest
+from entry_process import check_running, end_processes, start_entry
 from placement_parts import REGION_BY_ZONE
 from platform_helpers import process_settings, run_real
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
 from standins.platform_store import PlatformStore
 
-ROOT = Path(__file__).resolve().parents[2]
 RUN_S = 40
 CLOSED = 599
 
@@ -53,25 +49,15 @@
         self.addresses = settings
         self.address = settings['caller_address']
         self.folder = tempfile.TemporaryDirectory()
-        path = Path(self.folder.name) / 'settings.json'
-        path.write_text(json.dumps(settings))
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'balsamrail.entry',
-            str(path),
-            env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        self.process = await start_entry(settings, self.folder.name)
         # Serves once it has the manifest and the target.
-        while (await self.send('ready', takes_s=0)).code != 200:  # noqa: ASYNC110
+        while (await self.send('ready', takes_s=0)).code != 200:
+            check_running(self.process)
             await asyncio.sleep(0.1)
         return self
 
     async def __aexit__(self, *_):
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
+        await end_processes(self.process)
         self.folder.cleanup()
         self.target.upstream.stop()
         await self.store.stop()
--- a/features/steps/manifest_lease_process_steps.py
+++ b/features/steps/manifest_lease_process_steps.py
@@ -3,19 +3,16 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
-import sys
 import tempfile
-from pathlib import Path
 
 from behave import given, then, when
 from entry_fleet import manifest
+from entry_process import end_processes, start_entry
 from platform_helpers import process_settings, run_real
 from tornado.httpclient import AsyncHTTPClient
 
 from standins.platform_store import PlatformStore
-from tools.build_binary import ROOT
 
 RUN_S = 60
 EXPIRIES = 'balsamrail_manifest_lease_expired_total'
@@ -38,33 +35,16 @@
         documents = [self._settings(number) for number in range(self._count)]
         seeds = [document['peer_address'] for document in documents]
         for document in documents:
-            path = self._write({**document, 'seeds': seeds})
             self.operator_addresses.append(document['operator_address'])
-            self.processes.append(
-                await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    '-m',
-                    'balsamrail.entry',
-                    str(path),
-                    env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
-                    stdout=asyncio.subprocess.DEVNULL,
-                )
-            )
+            settings = {**document, 'seeds': seeds}
+            self.processes.append(await start_entry(settings, self.folder.name))
         return self
 
     async def __aexit__(self, *_):
-        for process in self.processes:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
+        await end_processes(*self.processes)
         self.folder.cleanup()
         await self.store.stop()
 
-    def _write(self, document):
-        path = Path(self.folder.name, f'{document["host"]}.json')
-        path.write_text(json.dumps(document))
-        return path
-
     def _settings(self, number):
         zone = f'attiki-{"ab"[number % 2]}'
         return process_settings(
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,7 +7,7 @@
 import time
 
 from behave import given, then, when
-from platform_helpers import free_address
+from free_ports import free_address
 from product_fakes import FakeMembers, FakeTracker, make_environment
 from tornado.httpclient import AsyncHTTPClient
 from tornado.web import RequestHandler
--- a/features/steps/platform_helpers.py
+++ b/features/steps/platform_helpers.py
@@ -1,7 +1,8 @@
 """Helpers for steps that use the stand-ins of the platform."""
 
 import asyncio
-import socket
+
+from free_ports import free_address
 
 from balsamrail.environment import Environment
 from balsamrail.logs import Log
@@ -53,12 +54,6 @@
     return Member(host=host, **{**fields, **changes})
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 def process_settings(**changes):
     """Return the settings file of a host process on free addresses, as plain data."""
     names = ('caller', 'lookup', 'readiness', 'peer', 'operator')
--- a/features/steps/process_helpers.py
+++ b/features/steps/process_helpers.py
@@ -3,24 +3,17 @@
 import contextlib
 import http.client
 import json
-import socket
 import subprocess
 import sys
 import time
 
+from free_ports import free_port
+
 from tools.build_binary import ROOT
 
 START_TIMEOUT_S = 20
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for entry in sockets:
-            entry.bind(('127.0.0.1', 0))
-        return [entry.getsockname()[1] for entry in sockets]
-
-
 def fetch_json(port, path):
     connection = http.client.HTTPConnection('127.0.0.1', port, timeout=2)
     with contextlib.closing(connection):
@@ -46,7 +39,7 @@
 
 def start_store(context):
     """Start the store stand-in as a process that ends with the scenario, and return its port."""
-    (port,) = free_ports(1)
+    port = free_port()
     command = [sys.executable, '-m', 'standins.store', '--port', str(port)]
     process = subprocess.Popen(command, cwd=ROOT)
     context.stoppers.append(lambda: end_process(process))
--- a/features/steps/proxying_steps.py
+++ b/features/steps/proxying_steps.py
@@ -9,7 +9,8 @@
 from entry_fleet import HOST_NAME, EntryFleet
 from entry_steps import _play
 from forwarding_parts import RawUpstream
-from platform_helpers import free_address, make_member, run_real
+from free_ports import free_address
+from platform_helpers import make_member, run_real
 
 from balsamrail.errors import RequestError
 from balsamrail.proxying.handover import Handover
