Quotas: count the time in which the machine is suspended

Cause: tokens, windows and shares were timed by the event loop's clock, which stands still while a machine is suspended, so a host could use tokens of an earlier window after it (listed as not covered in design/quotas.md). Change: they use Clock.boottime(), as the lease of the manifest does.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -202,6 +202,12 @@
     When a token arrives for a request whose host is suspended for 10 s
     Then the request is refused
 
+  Scenario: A machine is suspended
+    Guards against tokens of an earlier window, as the event loop's clock stands still meanwhile.
+
+    When the machine of a host that holds tokens is suspended for 10 s
+    Then the host no longer holds them
+
   Scenario: A process starts on a host that ran requests
     Guards against requests of the process before, which do not count.
 
--- a/features/steps/quota_part_steps.py
+++ b/features/steps/quota_part_steps.py
@@ -309,6 +309,32 @@
     run_virtual(run())
 
 
+@when('the machine of a host that holds tokens is suspended for 10 s')
+def step_suspended_machine(context):
+    async def run():
+        local = _LocalPlay()
+        await local.start()
+
+        def held():
+            return local.host.limiter.dump()['customers']['one']['tokens']
+
+        await asyncio.sleep(6)
+        await asyncio.gather(*(local.acquire() for _ in range(60)))
+        context.held = [held()]
+        local.host.suspended_s = 10
+        context.held.append(held())
+        await local.play.stop()
+
+    run_virtual(run())
+
+
+@then('the host no longer holds them')
+def step_dropped(context):
+    before, after = context.held
+    assert before > 0, context.held
+    assert after == 0, context.held
+
+
 @then('the request is refused')
 def step_refused(context):
     assert len(context.refused) == 1, context.refused
--- a/features/steps/quota_play.py
+++ b/features/steps/quota_play.py
@@ -65,13 +65,16 @@
         self.zone = zone
         self.gate = Gate()
         self.tasks = set()
+        # How long the machine has been suspended, which the event loop's clock does not count.
+        self.suspended_s = 0
         self.start()
 
     def start(self):
+        loop = asyncio.get_running_loop()
         self.log = io.StringIO()
         self.environment = Environment(
             settings=make_settings(host=self.name, bounds=_BOUNDS),
-            clock=Clock(wall=1_800_000_000),
+            clock=Clock(wall=1_800_000_000, boottime=lambda: loop.time() + self.suspended_s),
             log=Log(host=self.name, output=self.log),
             incarnation=f'{1_800_000_000_000:012x}{0:08x}',
         )
--- a/src/balsamrail/quotas/limited_customers.py
+++ b/src/balsamrail/quotas/limited_customers.py
@@ -46,7 +46,7 @@
         if customers is not self._seen or fleet_size != self._seen_fleet_size:
             self._seen = customers
             self._seen_fleet_size = fleet_size
-            now = self._environment.clock.monotonic()
+            now = self._environment.clock.boottime()
             self._terms_by_customer = {
                 customer.name: self._derive(customer)
                 for customer in customers
@@ -67,7 +67,7 @@
         if since is None:
             return False
         apply_s = self._environment.settings.bounds.config_apply_s
-        return self._environment.clock.monotonic() - since < apply_s
+        return self._environment.clock.boottime() - since < apply_s
 
     def _derive(self, customer: Customer) -> QuotaTerms:
         bounds = self._environment.settings.bounds
--- a/src/balsamrail/quotas/quota_coordinator.py
+++ b/src/balsamrail/quotas/quota_coordinator.py
@@ -40,12 +40,12 @@
         self._clock = clock
         self._terms_by_customer = terms_by_customer
         self._fleet_size = fleet_size
-        self._delegations = Delegations(now=clock.monotonic())
+        self._delegations = Delegations(now=clock.boottime())
         self._pools_by_customer: dict[str, QuotaPool] = {}
 
     def answer(self, host: str, ask: QuotaAsk) -> QuotaReply:
         """Return the tokens for a host, and record whether it delegates its share."""
-        now = self._clock.monotonic()
+        now = self._clock.boottime()
         delegations = self._delegations
         # The larger of both sizes, so that a host that knows few others raises no one's share.
         delegations.advance(now=now, fleet_size=max(self._fleet_size(), ask.fleet_size))
@@ -91,7 +91,7 @@
         terms = self._terms_by_customer().get(name)
         if terms is None:
             return _UNLIMITED
-        now = self._clock.monotonic()
+        now = self._clock.boottime()
         pool = self._pools_by_customer.get(name)
         if pool is None:
             pool = QuotaPool(now=now)
--- a/src/balsamrail/quotas/quota_fleet.py
+++ b/src/balsamrail/quotas/quota_fleet.py
@@ -51,7 +51,7 @@
 
         These count for one more window, as what they ran is still in it.
         """
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         if now - self._counted_at >= _SIZE_INTERVAL_S:
             self._counted_at = now
             self._size = self._count()
@@ -70,7 +70,7 @@
         if not self._has_ended(member):
             self._ended_at_by_host.pop(member.host, None)
             return True
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         ended_at = self._ended_at_by_host.setdefault(member.host, now)
         window_s = self._environment.settings.bounds.quota_window_s + MAX_RUN_DELAY_S
         return now - ended_at < window_s
--- a/src/balsamrail/quotas/quota_limiter.py
+++ b/src/balsamrail/quotas/quota_limiter.py
@@ -58,7 +58,7 @@
     ) -> None:
         self._environment = environment
         self._window_s = environment.settings.bounds.quota_window_s + MAX_RUN_DELAY_S
-        self._starts_at = environment.clock.monotonic() + self._window_s
+        self._starts_at = environment.clock.boottime() + self._window_s
         self._limited = LimitedCustomers(
             environment=environment, customers=customers, fleet_size=fleet.size
         )
@@ -190,4 +190,4 @@
                 del self._tokens_by_customer[name]
 
     def _now(self) -> float:
-        return self._environment.clock.monotonic()
+        return self._environment.clock.boottime()
--- a/src/balsamrail/quotas/role_client.py
+++ b/src/balsamrail/quotas/role_client.py
@@ -86,12 +86,12 @@
 
     def is_worth_asking(self) -> bool:
         """Return whether the coordinator answers, or has not been asked for a while."""
-        elapsed_s = self._environment.clock.monotonic() - self._asked_at
+        elapsed_s = self._environment.clock.boottime() - self._asked_at
         return not self.is_silent or elapsed_s >= _SILENT_RETRY_S
 
     def ask(self, wanted: dict[str, int], offered: dict[str, int], *, fleet_size: int) -> int:
         """Send a message that also renews the delegation; return its number."""
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         self._asked_at = now
         delegation = self.binding.delegate(self.coordinator, now=now, fleet_size=fleet_size)
         number = self._transmit(
@@ -102,7 +102,7 @@
 
     def withdraw(self, *, can_reach: bool, fleet_size: int) -> None:
         """Withdraw the share from an earlier coordinator that still runs."""
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         if not self.binding.is_bound_elsewhere(self.coordinator, now=now) or not can_reach:
             return
         if now - self._is_leaving_sent_at < _WITHDRAWAL_INTERVAL_S:
@@ -131,7 +131,7 @@
         if host == self.coordinator:
             self.is_silent = False
             self.is_complete = reply.is_complete
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         self._round_trip_s += _ROUND_TRIP_WEIGHT * (now - sent_at - self._round_trip_s)
         is_first = self.binding.note_stamp(
             host, epoch=reply.epoch, stamp_ms=reply.stamp_ms, now=now
@@ -150,7 +150,7 @@
     ) -> int:
         self._number += 1
         number = self._number
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         self._sent_by_number[number] = (host, now, is_leaving)
         if len(self._sent_by_number) > _MAX_OPEN_ASKS:
             self._sent_by_number.popitem(last=False)
--- a/src/balsamrail/quotas/token_seeker.py
+++ b/src/balsamrail/quotas/token_seeker.py
@@ -89,7 +89,7 @@
             self._serving = serving
             for role, host in zip(self._roles, coordinators(serving), strict=True):
                 self._move(role, host)
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         for role in self._roles:
             can_reach = self._fleet.is_running(role.binding.host)
             role.withdraw(can_reach=can_reach, fleet_size=self._fleet_size)
@@ -112,7 +112,7 @@
             self._ask(role)
 
     def _ask(self, role: RoleClient) -> None:
-        now = self._environment.clock.monotonic()
+        now = self._environment.clock.boottime()
         wanted: dict[str, int] = {}
         offered: dict[str, int] = {}
         for name in sorted(role.wanting):
@@ -178,7 +178,7 @@
         is_known = any(role.is_complete and not role.is_silent for role in roles)
         if is_known and tokens.is_over_demanded():
             hold_s = min(_MAX_HOLD_S, _HOLD_S * max(1, self._fleet_size / _HOLD_FLEET_SIZE))
-            now = self._environment.clock.monotonic()
+            now = self._environment.clock.boottime()
             tokens.refuses_until = now + hold_s * random.uniform(*_HOLD_SPREAD)
             tokens.fail_waiting()
             return
