Reuse idle connections as long as targets keep them, and learn from resets

Cause: new connections are dear on both new deployments, and most requests opened one: requests that are not idempotent reused only connections that had been used within the last second, whatever the target announced. Where targets drop connections earlier, even that lost one request after the other. Change: IdleLimits derives the idle time from the announced timeout, and after a reset limits it at that target for 10 s and at the others for 5 s.

--- a/src/balsamrail/delivery/http_connection.py
+++ b/src/balsamrail/delivery/http_connection.py
@@ -38,6 +38,7 @@
         '_max_response_bytes',
         '_stream',
         'address',
+        'idle_before_s',
         'last_used',
         'opened_at',
         'server_idle_timeout_s',
@@ -63,6 +64,8 @@
         self.address = address
         self.opened_at = environment.clock.monotonic()
         self.last_used = self.opened_at
+        # The idle time before the latest request.
+        self.idle_before_s: float = 0
         self.server_idle_timeout_s: float | None = None
         self.was_used = False
 
@@ -115,6 +118,7 @@
         :raises ExchangeError: if no complete response arrived.
         """
         reused, self.was_used = self.was_used, True
+        self.idle_before_s = self.idle_s()
         self._stream.begin_response(self._environment)
         try:
             async with asyncio.timeout_at(deadline):
--- a/src/balsamrail/delivery/http_connection_pool.py
+++ b/src/balsamrail/delivery/http_connection_pool.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from balsamrail.delivery.http_connection import HttpConnection
+from balsamrail.delivery.idle_limits import IdleLimits
 from balsamrail.environment import Environment
 from balsamrail.errors import DeadlineExpiredError, ExchangeError
 
@@ -12,12 +13,6 @@
 _MIN_CONNECT_S = 0.25
 _TCP_USER_TIMEOUT_S = 2.0
 _MAX_RESPONSE_BYTES = 33_554_432
-# Targets close idle connections after about ten seconds unless they announce another timeout.
-_MAX_IDLE_S = 6.0
-# Connections are reused only within this fraction of the idle timeout that a target announced.
-_IDLE_TIMEOUT_FRACTION = 0.6
-# Targets do not close a connection this soon after a response on it.
-_RECENTLY_USED_S = 1.0
 
 
 class HttpConnectionPool:
@@ -26,7 +21,7 @@
     :param opened_metric: name of the counter of opened connections.
     """
 
-    __slots__ = ('_environment', '_idle_by_id', '_opened_metric')
+    __slots__ = ('_environment', '_idle_by_id', '_idle_limits', '_opened_metric')
 
     def __init__(
         self, *, environment: Environment, opened_metric: str = 'target_connections_opened'
@@ -34,14 +29,15 @@
         self._environment = environment
         self._opened_metric = opened_metric
         self._idle_by_id: dict[str, list[HttpConnection]] = {}
+        self._idle_limits = IdleLimits()
 
     async def acquire(
         self, peer_id: str, address: str, *, fresh_only: bool, deadline: float
     ) -> HttpConnection:
         """Return a connection to a target or host, an idle one if possible.
 
-        :param fresh_only: return only a new connection or one used within the last second, since
-            a request that is not idempotent cannot be retried if the target closes the connection
+        :param fresh_only: return only a new connection or one that was used recently, since a
+            request that is not idempotent cannot be retried if the target closes the connection
             meanwhile.
         :raises ExchangeError: if no connection could be opened.
         :raises DeadlineExpiredError: if there was too little time to tell whether one could be.
@@ -72,6 +68,12 @@
         if not connection.is_closed():
             self._idle_by_id.setdefault(peer_id, []).append(connection)
 
+    def note_reset(self, peer_id: str, connection: HttpConnection) -> None:
+        """Record that a request on a reused connection failed without any response."""
+        self._environment.metrics.count('reused_connections_reset')
+        now = self._environment.clock.monotonic()
+        self._idle_limits.note_reset(peer_id, idle_s=connection.idle_before_s, now=now)
+
     def close_idle(self, peer_id: str) -> None:
         """Close the idle connections to a target or host."""
         for connection in self._idle_by_id.pop(peer_id, ()):
@@ -79,8 +81,9 @@
 
     def close_stale(self) -> None:
         """Close the idle connections that are too old to be reused."""
+        self._idle_limits.prune(now=self._environment.clock.monotonic())
         for peer_id, idle in list(self._idle_by_id.items()):
-            usable = [connection for connection in idle if _is_usable(connection)]
+            usable = [each for each in idle if self._is_usable(peer_id, each, fresh_only=False)]
             for connection in idle:
                 if connection not in usable:
                     connection.close()
@@ -102,18 +105,25 @@
         idle = self._idle_by_id.get(peer_id, [])
         while idle:
             # Last in, first out, so that surplus connections age and get closed.
-            if fresh_only and idle[-1].idle_s() > _RECENTLY_USED_S:
-                return None
             connection = idle.pop()
             # A target that restarted elsewhere may still respond at its old address.
-            if connection.address == address and _is_usable(connection):
+            is_usable = connection.address == address and self._is_usable(
+                peer_id, connection, fresh_only=False
+            )
+            if not is_usable:
+                connection.close()
+            elif self._is_usable(peer_id, connection, fresh_only=fresh_only):
                 return connection
-            connection.close()
+            else:
+                idle.append(connection)
+                return None
         return None
 
-
-def _is_usable(connection: HttpConnection) -> bool:
-    limit_s = _MAX_IDLE_S
-    if connection.server_idle_timeout_s is not None:
-        limit_s = min(limit_s, connection.server_idle_timeout_s * _IDLE_TIMEOUT_FRACTION)
-    return connection.idle_s() < limit_s and connection.is_idle()
+    def _is_usable(self, peer_id: str, connection: HttpConnection, *, fresh_only: bool) -> bool:
+        limit_s = self._idle_limits.limit_s(
+            peer_id,
+            announced_s=connection.server_idle_timeout_s,
+            fresh_only=fresh_only,
+            now=self._environment.clock.monotonic(),
+        )
+        return connection.idle_s() < limit_s and connection.is_idle()
--- a/src/balsamrail/delivery/target_exchange.py
+++ b/src/balsamrail/delivery/target_exchange.py
@@ -140,6 +140,10 @@
                 matches_request=matches_request,
                 on_head=handle_head,
             )
+        except ExchangeError as error:
+            if error.was_reused and not error.has_timed_out and not sending.has_response:
+                self._pool.note_reset(entry.target_id, connection)
+            raise
         finally:
             state.retryable_connections.discard(connection)
         self._pool.release(entry.target_id, connection)
--- a/tools/mutants/__init__.py
+++ b/tools/mutants/__init__.py
@@ -9,6 +9,7 @@
 from tools.mutants.explain import EXPLAIN
 from tools.mutants.forwarding import FORWARDING
 from tools.mutants.host import HOST
+from tools.mutants.idle_connections import IDLE_CONNECTIONS
 from tools.mutants.keys import KEYS
 from tools.mutants.liveness import LIVENESS
 from tools.mutants.manifest_lease import MANIFEST_LEASE
@@ -28,6 +29,7 @@
     *STEERING,
     *TARGET_STANDING,
     *FORWARDING,
+    *IDLE_CONNECTIONS,
     *KEYS,
     *HOST,
     *ENTRY,
