Close connections of callers that take too long to send a header

Cause: the manifest's headerTimeoutS was read and not used; a caller that sent a byte now and then kept its connection until the idle timeout. Change: connections whose header has been incomplete for longer are closed, at the second of two checks a second apart, so that a host that was suspended reads first what has arrived.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -99,6 +99,19 @@
     When bodies arrive at 50 and 5000 bytes per second, and one waits behind another request
     Then only the slow one is refused, as 408, within 12 s
 
+  Scenario: Headers that arrive slowly
+    Guards against connections that are kept open with a byte now and then.
+
+    Given a process of a host whose limits for headers and idle connections are 1 s and 120 s
+    When 20 callers send a header byte by byte while another keeps an idle connection
+    Then the host closes the connections of the 20, and the other's next request is answered
+
+  Scenario: A host is suspended while a header arrives
+    Guards against callers that are cut off although their bytes are there to be read.
+
+    When a host is suspended for 10 s between two parts of a header
+    Then the connection is closed only if the header is still incomplete a second later
+
   Scenario: The log of callers that are cut off
     Guards against a log that grows with the number of misbehaving callers.
 
--- a/src/balsamrail/entry/entry_host.py
+++ b/src/balsamrail/entry/entry_host.py
@@ -227,5 +227,6 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self.delivery.close_stale_connections()
             self._environment.caller_memory.refuse_slow()
+            self._listeners.close_slow(header_timeout_s=self.callers.limits.header_timeout_s)
             self._environment.caller_refusals.log_due()
             self._on_members_change()
--- a/src/balsamrail/entry/listeners.py
+++ b/src/balsamrail/entry/listeners.py
@@ -13,6 +13,7 @@
 from balsamrail.environment import Environment
 from balsamrail.exchange.connection_limiter import ConnectionLimiter
 from balsamrail.exchange.descriptor_limits import DescriptorLimits
+from balsamrail.exchange.header_timeouts import HeaderTimeouts
 from balsamrail.membership import PeerServer
 from balsamrail.membership.stream import Stream
 from balsamrail.platform.caller_server import CallerServer
@@ -43,6 +44,7 @@
     __slots__ = (
         '_callers',
         '_environment',
+        '_header_timeouts',
         '_limits',
         '_lookups',
         '_operators',
@@ -70,6 +72,9 @@
             max_header_size=_MAX_HEADER_BYTES,
             chunk_size=_CHUNK_BYTES,
         )
+        self._header_timeouts = HeaderTimeouts(
+            clock=environment.clock, refusals=environment.caller_refusals
+        )
         self._limits = DescriptorLimits.of(environment.settings)
         self._page_connections = ConnectionLimiter(
             limit=self._limits.pages,
@@ -98,6 +103,11 @@
         self._listen(self._page_server(self._operators), settings.operator_address)
         self._listen(self._peers, settings.peer_address)
 
+    def close_slow(self, *, header_timeout_s: float) -> None:
+        """Close the connections of callers that are too slow to send a header."""
+        streams: Any = self._callers.connections
+        self._header_timeouts.check(streams, limit_s=header_timeout_s)
+
     def set_idle_timeout(self, idle_s: float) -> None:
         """Set the idle timeout of callers' connections, including the open ones."""
         self._callers.conn_params.header_timeout = idle_s
--- a/src/balsamrail/exchange/caller_stream.py
+++ b/src/balsamrail/exchange/caller_stream.py
@@ -67,6 +67,14 @@
         self._forget_arrivals()
         return self._arrivals[0][1]
 
+    def header_since(self) -> float | None:
+        """Return when the first byte of a header arrived that is incomplete, ``None`` if there is none."""
+        # Tornado searches for a pattern only to find the end of a header.
+        if self.closed() or self._read_regex is None or not self._read_buffer_size:
+            return None
+        consumed_bytes = self._received_bytes - self._read_buffer_size
+        return next(at for total_bytes, at in self._arrivals if total_bytes > consumed_bytes)
+
     def finish(self) -> None:
         """Close the connection after the response that was written last.
 
--- a/src/balsamrail/exchange/connection_limiter.py
+++ b/src/balsamrail/exchange/connection_limiter.py
@@ -1,6 +1,6 @@
 """Limits the number of callers' connections."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from tornado.iostream import IOStream
 
@@ -36,6 +36,9 @@
         self._streams: dict[IOStream, None] = {}
         self.limit = limit
 
+    def __iter__(self) -> Iterator[IOStream]:
+        return iter(self._streams)
+
     def __len__(self) -> int:
         return len(self._streams)
 
