Soak: customers with keys that are replaced, and one beyond its quota

Cause: the soak knew nothing of customers, keys, the freshness lease and quotas. Change: with the behaviour "customers" the manifest has three customers. Keys are replaced, half of the times while no host can read the store for 4 to 6 s; a tenth of the requests have an earlier key; a third of the callers send several times the quota of theirs. Checked are: no key reaches a target, the customer's name does, no withdrawn key is served later than revoke_s, no valid key is rejected by a host that could not know it, and no window has more requests than the quota allows.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,7 +3,8 @@
   Scenario Outline: A short soak
     This guards against failures that only occur when several faults overlap: kills, pauses, planned
     stops with repeated signals, store faults, disturbed connections, manifest changes, evacuations.
-    Targets crash, drain, lose responses or hand their address over to another service.
+    Targets crash, drain, lose responses or hand their address over to another service. Customers'
+    keys are replaced, also while hosts cannot read it, and one customer sends more than its quota.
 
     When the soak runs seed <seed> for <seconds> s on <hosts> hosts with <callers> callers and <behaviours>
     Then no promise is broken
@@ -12,6 +13,7 @@
       | seed | seconds | hosts | callers | behaviours |
       | 44   | 15      | 4     | 24      | leaving, refusing, endless |
       | 2    | 15      | 4     | 24      | cut                        |
+      | 3    | 15      | 4     | 24      | customers                  |
 
   @long
   Scenario Outline: A seed that once broke a promise
--- a/tools/soak/arrival.py
+++ b/tools/soak/arrival.py
@@ -12,6 +12,8 @@
     :param is_leaving: whether the response announced the shutdown of the target.
     :param refused_for_s: the ``Retry-After`` of the response, if it was a valid time and the
         response was not lost in transit.
+    :param customer: the customer that the request is of, empty if it names none.
+    :param has_key: whether it had an API key.
     """
 
     request_id: str
@@ -23,6 +25,8 @@
     answered_at: float = 0
     is_leaving: bool = False
     refused_for_s: float | None = None
+    customer: str = ''
+    has_key: bool = False
 
     @property
     def target_id(self) -> str:
--- a/tools/soak/behaviours.py
+++ b/tools/soak/behaviours.py
@@ -1,6 +1,6 @@
 """Optional kinds of faults, in addition to those of every run."""
 
-BEHAVIOURS = ('leaving', 'refusing', 'endless', 'series', 'early', 'cut')
+BEHAVIOURS = ('leaving', 'refusing', 'endless', 'series', 'early', 'cut', 'customers')
 
 
 def parse_behaviours(text: str) -> frozenset[str]:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -17,6 +17,7 @@
 _PAUSE_S = 0.05
 _LOOKUP_S = 0.7
 _LOOKUP_TIMEOUT_S = 1.0
+_OLD_KEYS = 0.1
 _LARGE_BODY = b'x' * 3_000
 
 
@@ -28,6 +29,8 @@
         look-ups no longer contain the host.
     :param lookup_addresses: returns the look-up addresses to try.
     :param host_of: returns the host that serves a caller address.
+    :param customer: the customer that it belongs to, empty without customers.
+    :param keys_of: returns the API keys that a customer has had, the present one last.
     """
 
     numbers: ClassVar[Iterator[int]] = itertools.count()
@@ -38,6 +41,8 @@
     keeps_connection: bool
     lookup_addresses: Callable[[], list[str]]
     host_of: Callable[[str], str]
+    customer: str
+    keys_of: Callable[[str], list[str]]
     _named: list[str] = field(default_factory=list)
     _named_until: float = 0.0
     _address: str = ''
@@ -79,12 +84,14 @@
             path=f'/{kind}/{number}',
             is_idempotent=is_idempotent,
             sent_at=asyncio.get_running_loop().time(),
+            customer=self.customer,
         )
         with contextlib.suppress(OSError, TimeoutError, EOFError):
             async with asyncio.timeout(_PATIENCE_S + 1):
                 await self._connect()
                 sent.host = self.host_of(self._address)
                 sent.sent_at = asyncio.get_running_loop().time()
+                sent.key = self._key()
                 self.history.sent.append(sent)
                 try:
                     await self._exchange(sent)
@@ -94,6 +101,14 @@
         if sent.told == 'cut':
             self._disconnect()
 
+    def _key(self) -> str:
+        """Return the present key or, now and then, one that may have been withdrawn."""
+        if not self.customer:
+            return ''
+        keys = self.keys_of(self.customer)
+        is_old = self.random_source.random() < _OLD_KEYS
+        return self.random_source.choice(keys) if is_old else keys[-1]
+
     async def _connect(self) -> None:
         if self._writer and not self._writer.is_closing() and not self._reader.at_eof():
             return
@@ -113,6 +128,9 @@
             f'Cookie: X-Affinity-Key={self.random_source.randrange(40)}',
             f'Content-Length: {len(body)}',
         ]
+        if sent.customer:
+            # Callers may name any customer; only the key counts.
+            lines += [f'Authorization: Bearer {sent.key}', 'X-Tenant: another']
         self._writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
         head = await read_head(self._reader)
         answer = await self._reader.readexactly(head.length())
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -10,6 +10,7 @@
 
 from standins.platform_store import PlatformStore
 from tools.soak.callers import NAME
+from tools.soak.customers import NAMES, Customers
 from tools.soak.history import History
 from tools.soak.http_head import get
 from tools.soak.soak_host import SoakHost
@@ -39,10 +40,23 @@
     ``faults`` collects failures that are not violations of a promise.
 
     :param hosts: number of entry hosts.
+    :param has_customers: whether the manifest has customers, and callers their keys.
     """
 
-    def __init__(self, *, folder: Path, hosts: int, random_source: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        hosts: int,
+        random_source: random.Random,
+        has_customers: bool = False,
+    ) -> None:
         self.history = History()
+        self.customers = Customers(
+            names=NAMES if has_customers else (), periods=self.history.key_periods
+        )
+        self._key_by_customer = {name: self.customers.new_key() for name in self.customers.names}
+        self._read_service = 'reads'
         self.faults: list[str] = []
         self.store = PlatformStore()
         self.zones = tuple(REGION_BY_ZONE)
@@ -66,7 +80,7 @@
     async def start(self) -> None:
         """Start the store, the targets and the hosts, and wait until all are ready."""
         await self.store.start()
-        self.change_manifest('reads')
+        self.change_manifest(self._read_service)
         for service in _SERVICES:
             for zone in self.zones:
                 await self._add_target(service, zone)
@@ -103,8 +117,17 @@
 
     def change_manifest(self, service: str) -> None:
         """Write a manifest that routes reads to a service."""
-        self.store.put('config', 'main', _manifest(next(self._versions), service))
-        self.history.manifests.append((asyncio.get_running_loop().time(), service))
+        self._read_service = service
+        entries = self.customers.entries(self._key_by_customer)
+        self.store.put('config', 'main', _manifest(next(self._versions), service, entries))
+        now = asyncio.get_running_loop().time()
+        self.history.manifests.append((now, service))
+        self.customers.note_keys(self._key_by_customer, now=now)
+
+    def replace_key(self, customer: str) -> None:
+        """Write a manifest in which a customer has a new key instead of its present one."""
+        self._key_by_customer[customer] = self.customers.new_key()
+        self.change_manifest(self._read_service)
 
     def free_target(
         self, random_source: random.Random, *, is_used: bool = False
@@ -164,7 +187,7 @@
         )
 
 
-def _manifest(version: int, service: str) -> dict[str, Any]:
+def _manifest(version: int, service: str, customers: list[dict[str, Any]]) -> dict[str, Any]:
     services = [
         _resource('services', name, {'healthPath': '/health', 'maxConnections': 200})
         for name in _SERVICES
@@ -172,7 +195,7 @@
     reads = _route('read', 'idempotent', service)
     books = _route('book', 'non_idempotent', 'books')
     limits = _resource('limits', 'limits', _LIMITS)
-    return {'version': version, 'resources': [reads, books, limits, *services]}
+    return {'version': version, 'resources': [reads, books, limits, *services, *customers]}
 
 
 def _route(kind: str, repeats: str, service: str) -> dict[str, Any]:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -17,6 +17,8 @@
 _PAUSE_S = (0.2, 1.5)
 # How often the loss of all targets is drawn, relative to each other fault.
 _CUT_WEIGHT = 4
+# How often the replacement of a key is drawn.
+_KEY_WEIGHT = 4
 
 
 def _on_a_host(
@@ -68,6 +70,7 @@
             *((self._rolling_stops, self._reloads_in_series) if 'series' in behaviours else ()),
             *((self._signal_at_start,) if 'early' in behaviours else ()),
             *((self._host_loses_targets,) * _CUT_WEIGHT if 'cut' in behaviours else ()),
+            *((self._key_is_replaced,) * _KEY_WEIGHT if 'customers' in behaviours else ()),
         )
 
     async def run(self, seconds: float) -> None:
@@ -235,6 +238,18 @@
     async def _manifest_changes(self) -> None:
         self._deployment.change_manifest(self._random.choice(('reads', 'others')))
 
+    async def _key_is_replaced(self) -> None:
+        """Replace a key; half of the times hosts cannot hear of it for longer than they may use it."""
+        name = self._random.choice(self._deployment.customers.names)
+        if self._random.random() < 0.5:
+            self._deployment.replace_key(name)
+            return
+        with self._recorded(self._history.spans, 'store'):
+            self._deployment.store.mode = self._random.choice(('busy', 'reset', 'silent'))
+            self._deployment.replace_key(name)
+            await self._sleep(4, 6)
+            self._deployment.store.mode = 'up'
+
     async def _zone_is_evacuated(self) -> None:
         zone = self._random.choice(sorted(self._deployment.zones))
         if any(span.end == float('inf') for span in self._history.evacuated):
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from tools.soak.arrival import Arrival
+from tools.soak.customers import KeyPeriod
 from tools.soak.endless_bytes import EndlessBytes
 
 # Longest time in which a response reaches its host.
@@ -20,6 +21,8 @@
     :param told: done, refused, failed (the request may have run), denied, or cut if no complete
         response arrived.
     :param answered_by: the start of the target whose signature the response has.
+    :param customer: who sends it, by the name in the manifest; empty without customers.
+    :param key: the API key that it has.
     """
 
     request_id: str
@@ -32,6 +35,8 @@
     ended_at: float = 0
     fault: str = ''
     answered_by: str = ''
+    customer: str = ''
+    key: str = ''
 
 
 @dataclass(slots=True, kw_only=True)
@@ -55,6 +60,7 @@
     :param evacuated: evacuations; ``host`` is the zone.
     :param waits: (host, time, seconds): how long a host waited for a processor core in the period
         before the time; the name of this process is empty.
+    :param key_periods: the API keys of customers, and when they were in the manifest.
     :param disturbed: targets whose connections were reset or silenced, and the times.
     """
 
@@ -69,6 +75,7 @@
     disturbed: list[tuple[str, float]] = field(default_factory=list)
     waits: list[tuple[str, float, float]] = field(default_factory=list)
     zone_by_target: dict[str, str] = field(default_factory=dict)
+    key_periods: list[KeyPeriod] = field(default_factory=list)
 
     def runs(self) -> list[Arrival]:
         """Return the requests that were executed."""
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 
 from tools.soak.arrival import Arrival
+from tools.soak.customer_promises import is_denial_allowed, violations_towards_customers
+from tools.soak.customers import LIMITED
 from tools.soak.history import History, Sent
 from tools.soak.soak_host import BOUNDS
 from tools.soak.target_promises import violations_towards_targets
@@ -27,6 +29,7 @@
         *_evacuations(history, sent_by_id),
         *_stops(history, runs_by_id),
         *violations_towards_targets(history, sent_by_id),
+        *violations_towards_customers(history, sent_by_id),
     ]
 
 
@@ -39,7 +42,7 @@
             yield f'TWICE {sent.request_id} ran {count} times, told {sent.told}'
         if not sent.is_idempotent and sent.told == 'refused' and count:
             yield f'REFUSED {sent.request_id} was told {sent.status} by {sent.host} and ran'
-        if sent.told == 'denied':
+        if sent.told == 'denied' and not is_denial_allowed(history, sent):
             yield f'DENIED {sent.request_id} was told {sent.status} by {sent.host}'
 
 
@@ -115,6 +118,16 @@
 
 
 def served_share(history: History, since: float, until: float) -> float:
-    """Return the fraction of the requests sent in a time span that succeeded."""
-    found = [sent for sent in history.sent if since <= sent.sent_at <= until]
+    """Return the fraction of the requests sent in a time span that succeeded.
+
+    Without those of the customer that sends more than its quota, and those with keys that hosts
+    rejected.
+    """
+    found = [
+        sent
+        for sent in history.sent
+        if since <= sent.sent_at <= until
+        and sent.customer != LIMITED
+        and not (sent.told == 'denied' and is_denial_allowed(history, sent))
+    ]
     return sum(sent.told == 'done' for sent in found) / max(1, len(found))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -60,7 +60,12 @@
 
     :param behaviours: additional kinds of faults from :data:`tools.soak.behaviours.BEHAVIOURS`.
     """
-    deployment = Deployment(folder=folder, hosts=hosts, random_source=random.Random(seed + 1))
+    deployment = Deployment(
+        folder=folder,
+        hosts=hosts,
+        random_source=random.Random(seed + 1),
+        has_customers='customers' in behaviours,
+    )
     fault_random = random.Random(seed)
     faults = Faults(deployment=deployment, random_source=fault_random, behaviours=behaviours)
     watch = HostWatch(deployment=deployment)
@@ -99,6 +104,7 @@
 def _start_callers(deployment: Deployment, count: int, seed: int) -> list[asyncio.Task[None]]:
     host_by_address = {host.caller_address: host.name for host in deployment.hosts}
     regions = sorted(set(REGION_BY_ZONE.values()))
+    names = deployment.customers.names or ('',)
     callers = [
         Caller(
             history=deployment.history,
@@ -107,6 +113,8 @@
             keeps_connection=number % _KEEPING_ONE_IN == 0,
             lookup_addresses=lambda: [host.lookup_address for host in deployment.hosts],
             host_of=lambda address: host_by_address.get(address, address),
+            customer=names[number % len(names)],
+            keys_of=deployment.customers.keys_of,
         )
         for number in range(count)
     ]
--- a/tools/soak/soak_host.py
+++ b/tools/soak/soak_host.py
@@ -26,6 +26,10 @@
     'cold_slack': 5,
     'lookup_ttl_s': 5,
     'max_shift': 0.15,
+    'revoke_s': 3,
+    'quota_window_s': 5,
+    'quota_overage': 0.1,
+    'quota_slack': 20,
 }
 MEMORY_MB = 100
 _KB_IN_MB = 1_024
--- a/tools/soak/soak_target.py
+++ b/tools/soak/soak_target.py
@@ -141,6 +141,8 @@
             service=self.service,
             path=head.start[1],
             arrived_at=now,
+            customer=head.headers.get('x-tenant', ''),
+            has_key='authorization' in head.headers,
         )
         self.history.arrivals.append(arrival)
         if self.refusing_until > now or self._running >= _SLOTS + _QUEUE:
