--- a/tools/mutants/misbehaving_callers.py
+++ b/tools/mutants/misbehaving_callers.py
@@ -175,4 +175,28 @@
         feature=_FEATURE,
         scenario='Headers without end',
     ),
+    Mutant(
+        mechanism='a header that arrives slowly is not waited for',
+        file='src/balsamrail/exchange/header_timeouts.py',
+        old='earliest = self._clock.monotonic() - limit_s',
+        new='earliest = self._clock.monotonic() - 100 * limit_s',
+        feature=_FEATURE,
+        scenario='Headers that arrive slowly',
+    ),
+    Mutant(
+        mechanism='an idle connection has no header to wait for',
+        file='src/balsamrail/exchange/caller_stream.py',
+        old='if self.closed() or self._read_regex is None or not self._read_buffer_size:',
+        new='if self.closed() or not self._arrivals:',
+        feature=_FEATURE,
+        scenario='Headers that arrive slowly',
+    ),
+    Mutant(
+        mechanism='a host that was suspended reads before it closes connections',
+        file='src/balsamrail/exchange/header_timeouts.py',
+        old='for stream in late & self._overdue:',
+        new='for stream in late:',
+        feature=_FEATURE,
+        scenario='A host is suspended while a header arrives',
+    ),
 )
