Quotas: the most urgent requests of a customer run first

Change: requests of the manifest's most urgent routes get tokens before others that wait, are asked for while others are refused, and coordinators that are asked for more than the rate keep what urgent requests took lately for them.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -29,6 +29,22 @@
       | 61    |
       | 300   |
 
+  Scenario Outline: Urgent requests of customer <customer>, which is hot, at <hosts> hosts
+    Guards against urgent requests that are refused while others of the customer run.
+
+    Given <hosts> hosts that serve 73 customers
+    When customer <customer> sends 7.5 times its usual requests for 6.5 s, a tenth of them urgent
+    Then at most a tenth of the urgent ones is refused, and more than half of the others
+    And no window has more requests than the quotas allow
+    And it has used 0.85 of its quota in that time
+
+    Examples:
+      | customer | hosts |
+      | 0        | 9     |
+      | 0        | 61    |
+      | 0        | 300   |
+      | 5        | 61    |
+
   Scenario: A hot customer whose callers are all in one zone
     Guards against shares that follow the number of hosts instead of the demand.
 
--- a/features/steps/delivery_parts.py
+++ b/features/steps/delivery_parts.py
@@ -120,7 +120,7 @@
 class UnlimitedCustomers:
     """Lets each request of a customer run."""
 
-    async def acquire(self, customer):
+    async def acquire(self, customer, *, is_urgent):
         return QuotaGrant()
 
 
--- a/features/steps/quota_part_steps.py
+++ b/features/steps/quota_part_steps.py
@@ -234,7 +234,8 @@
         self.host = self.play.host_by_name['h0']
 
     async def acquire(self):
-        return await self.host.limiter.acquire(self.play.customer_by_name['one'])
+        customer = self.play.customer_by_name['one']
+        return await self.host.limiter.acquire(customer, is_urgent=False)
 
 
 def _ask(**fields):
@@ -249,6 +250,7 @@
             'is_leaving': False,
             'fleet_size': 1,
             'wanted_by_customer': {},
+            'urgent_by_customer': {},
             'offered_by_customer': {},
             **fields,
         }
@@ -389,7 +391,7 @@
         self.released = 0
         self.acquired = []
 
-    async def acquire(self, customer):
+    async def acquire(self, customer, *, is_urgent):
         self.acquired.append(customer)
         return self
 
--- a/features/steps/quota_play.py
+++ b/features/steps/quota_play.py
@@ -141,6 +141,10 @@
         self.dead = set()
         self.is_over = False
         self.counts = Counter()
+        self.urgent_share = 0
+        # The numbers of requests and of refusals, by whether the request is urgent.
+        self.offered_by_urgency = Counter()
+        self.refused_by_urgency = Counter()
         self.waits = []
         self.retry_after_s = []
 
@@ -278,10 +282,13 @@
         offered_at = self.now()
         self.offered_by_customer[name].append(offered_at)
         customer = next(c for c in self.customers_of(host.name) if c.name == name)
+        is_urgent = bool(self.urgent_share) and self.random.random() < self.urgent_share
+        self.offered_by_urgency[is_urgent] += 1
         try:
-            grant = await host.limiter.acquire(customer)
+            grant = await host.limiter.acquire(customer, is_urgent=is_urgent)
         except QuotaExceededError as error:
             self.refused_by_customer[name].append(offered_at)
+            self.refused_by_urgency[is_urgent] += 1
             self.retry_after_s.append(error.retry_after_s)
             if may_retry:
                 # The caller, which is no part of the host, returns.
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -114,6 +114,35 @@
     play(context, script)
 
 
+@when('customer {number:d} sends 7.5 times its usual requests for 6.5 s, a tenth of them urgent')
+def step_urgent(context, number):
+    async def script(found):
+        found.urgent_share = 0.1
+        await found.run(WARM_UP_S)
+        for name in found.rate_by_customer:
+            if name != f'customer-{number}':
+                found.rate_by_customer[name] = 0
+        found.offered_by_urgency.clear()
+        found.refused_by_urgency.clear()
+        since = found.now()
+        heat(found, number)
+        await found.run(HOT_S)
+        note_use(context, found, number, since)
+        context.refused_share = {
+            is_urgent: found.refused_by_urgency[is_urgent] / count
+            for is_urgent, count in found.offered_by_urgency.items()
+        }
+        print(context.refused_share, dict(found.offered_by_urgency), context.use)
+
+    play(context, script)
+
+
+@then('at most a tenth of the urgent ones is refused, and more than half of the others')
+def step_urgent_served(context):
+    assert context.refused_share[True] <= 0.1, context.refused_share
+    assert context.refused_share[False] > 0.5, context.refused_share
+
+
 @when('the callers of one zone, and then all, move to another zone')
 def step_move(context):
     async def script(found):
--- a/src/balsamrail/catalog/manifest.py
+++ b/src/balsamrail/catalog/manifest.py
@@ -33,6 +33,7 @@
     _routes_by_host: dict[str, dict[str, ManifestRoute]] = field(
         init=False, repr=False, default_factory=dict
     )
+    _priorities: set[int] = field(init=False, repr=False, default_factory=set)
     _customers_by_key: dict[str, Customer] = field(init=False, repr=False, default_factory=dict)
     _customers_by_name: dict[str, Customer] = field(init=False, repr=False, default_factory=dict)
     _customer_routes: CustomerRoutes = field(
@@ -41,6 +42,7 @@
 
     def __post_init__(self) -> None:
         for route in self.routes:
+            self._priorities.add(route.priority)
             self._routes_by_host.setdefault(route.host, {})[route.path_prefix] = route
         for customer in self.customers:
             self._customers_by_name[customer.name] = customer
@@ -67,6 +69,10 @@
         """Return a route of this manifest with the terms of ``customer``."""
         return route if customer is None else self._customer_routes.route_of(route, customer)
 
+    def is_most_urgent(self, route: ManifestRoute) -> bool:
+        """Return whether a route has the highest priority, and others have a lower one."""
+        return len(self._priorities) > 1 and route.priority == min(self._priorities)
+
     def route_for(self, *, host: str, path: str) -> ManifestRoute | None:
         """Return the route of a request, ``None`` if none matches."""
         route_by_prefix = self._routes_by_host.get(host)
--- a/src/balsamrail/delivery/customer_limits.py
+++ b/src/balsamrail/delivery/customer_limits.py
@@ -15,8 +15,9 @@
 class CustomerLimits(Protocol):
     """Decides whether a request of a customer may run."""
 
-    async def acquire(self, customer: Customer) -> RunGrant:
+    async def acquire(self, customer: Customer, *, is_urgent: bool) -> RunGrant:
         """Return the permission to run one request of a customer.
 
+        :param is_urgent: the request comes before others of the customer.
         :raises QuotaExceededError: if the requests of the customer exceed its quota.
         """
--- a/src/balsamrail/delivery/delivery_plan.py
+++ b/src/balsamrail/delivery/delivery_plan.py
@@ -16,6 +16,7 @@
     :param base_route: the route as the manifest has it.
     :param customer: who sent the request, ``None`` if it belongs to no customer.
     :param budget: retry budget of the service.
+    :param is_urgent: whether it comes before other requests of its customer.
     """
 
     manifest_version: int
@@ -24,3 +25,4 @@
     budget: RetryBudget
     base_route: ManifestRoute
     customer: Customer | None = None
+    is_urgent: bool = False
--- a/src/balsamrail/delivery/delivery_planner.py
+++ b/src/balsamrail/delivery/delivery_planner.py
@@ -121,6 +121,7 @@
             budget=self._budgets.of(service),
             base_route=route,
             customer=customer,
+            is_urgent=manifest.is_most_urgent(route),
         )
 
 
--- a/src/balsamrail/delivery/dispatcher.py
+++ b/src/balsamrail/delivery/dispatcher.py
@@ -137,7 +137,9 @@
 
     async def _run_within_quota(self, plan: DeliveryPlan, request: EntryRequest) -> HttpResponse:
         customer = plan.customer
-        grant = None if customer is None else await self._customer_limits.acquire(customer)
+        grant = None
+        if customer is not None:
+            grant = await self._customer_limits.acquire(customer, is_urgent=plan.is_urgent)
         plan.budget.note_request(now=self._environment.clock.monotonic())
         try:
             return await self._execute(plan, request)
--- a/src/balsamrail/messages/quota_ask.py
+++ b/src/balsamrail/messages/quota_ask.py
@@ -11,8 +11,9 @@
     this coordinator, 0 if there was none. The sender delegates its share for ``valid_ms`` from that
     stamp on the coordinator's clock; 0 means that it does not. ``is_deposit`` tells that the share
     comes with an initial number of tokens, ``is_leaving`` that the sender withdraws it.
-    ``fleet_size`` is the number of hosts that the sender knows. ``offered_by_customer`` are the
-    requests that callers sent since the last message.
+    ``fleet_size`` is the number of hosts that the sender knows. ``urgent_by_customer`` tells how many
+    of the wanted tokens are for urgent requests; customers without any are left out.
+    ``offered_by_customer`` are the requests that callers sent since the last message.
     """
 
     role: int
@@ -24,4 +25,5 @@
     is_leaving: bool
     fleet_size: int
     wanted_by_customer: dict[str, int]
+    urgent_by_customer: dict[str, int]
     offered_by_customer: dict[str, int]
--- a/src/balsamrail/quotas/customer_tokens.py
+++ b/src/balsamrail/quotas/customer_tokens.py
@@ -1,6 +1,5 @@
 """What a host knows about the quota of one customer."""
 
-import asyncio
 import bisect
 import math
 from collections import deque
@@ -9,6 +8,7 @@
 from balsamrail.catalog.customer import Customer
 from balsamrail.quotas.local_window import LocalWindow
 from balsamrail.quotas.quota_terms import QuotaTerms
+from balsamrail.quotas.waiting_requests import WaitingRequests
 
 _RATE_WINDOW_S = 2.0
 # Tokens that expire unused are lost to the customer, so a host asks for fewer than it may use.
@@ -44,7 +44,7 @@
         'pending_roles',
         'refuses_until',
         'terms',
-        'waiters',
+        'waiting',
     )
 
     def __init__(
@@ -53,7 +53,7 @@
         self.local = local
         self.customer = customer
         self.terms = terms
-        self.waiters: deque[asyncio.Future[float]] = deque()
+        self.waiting = WaitingRequests()
         # The roles that were asked for the requests that wait, and those that gave too few tokens.
         self.pending_roles: set[int] = set()
         self.denied_roles: set[int] = set()
@@ -86,13 +86,9 @@
             self.put_back(expires_at)
 
     def put_back(self, expires_at: float) -> None:
-        """Add one token, for the request that waits longest if there is one."""
-        while self.waiters:
-            waiter = self.waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(expires_at)
-                return
-        bisect.insort(self._expiries, expires_at)
+        """Add one token, for the request that is next if any waits."""
+        if not self.waiting.resolve_next(expires_at):
+            bisect.insort(self._expiries, expires_at)
 
     def wanted(self, *, now: float) -> int:
         """Return how many tokens to ask for.
@@ -105,7 +101,7 @@
         lifetime_s = self.terms.token_lifetime_s
         needed_per_s = len(self._taken_at) / _RATE_WINDOW_S
         expected = math.floor(_PREFETCH_FRACTION * needed_per_s * lifetime_s)
-        waiting = sum(not waiter.done() for waiter in self.waiters)
+        waiting = len(self.waiting)
         return max(0, waiting + expected - len(self._expiries)) if waiting else 0
 
     def report_offered(self, *, now: float) -> int:
@@ -121,23 +117,13 @@
         usual_per_s = self.customer.rate_per_s * _MAX_DEMAND_RATIO
         return self.demand_per_s > usual_per_s + _DEMAND_UNCERTAINTY_PER_S
 
-    def has_waiting(self) -> bool:
-        """Return whether requests wait for a token."""
-        return any(not waiter.done() for waiter in self.waiters)
-
     def pass_waiting(self) -> None:
         """Let all requests that wait run without a token."""
-        while self.waiters:
-            waiter = self.waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(math.inf)
+        self.waiting.resolve_all(math.inf)
 
     def fail_waiting(self) -> None:
         """Give all requests that wait nothing."""
-        while self.waiters:
-            waiter = self.waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(-math.inf)
+        self.waiting.resolve_all(-math.inf)
 
     def dump(self, *, now: float) -> dict[str, Any]:
         """Return the state as plain data."""
@@ -145,7 +131,7 @@
         self._drop_old_arrivals(now)
         return {
             'tokens': len(self._expiries),
-            'waiting': len(self.waiters),
+            'waiting': len(self.waiting),
             'needed_per_s': len(self._taken_at) / _RATE_WINDOW_S,
             'demand_per_s': self.demand_per_s,
             'is_refusing': self.is_refusing,
--- a/src/balsamrail/quotas/quota_coordinator.py
+++ b/src/balsamrail/quotas/quota_coordinator.py
@@ -62,7 +62,7 @@
         given: dict[str, int] = {}
         demand: dict[str, int] = {}
         for name, wanted in ask.wanted_by_customer.items():
-            given[name] = self._give(name, wanted, ask.offered_by_customer.get(name, 0))
+            given[name] = self._give(name, wanted, ask)
             if 0 <= given[name] < wanted:
                 demand[name] = round(self._pools_by_customer[name].demand_per_s())
         return QuotaReply(
@@ -87,7 +87,7 @@
             'stock': {name: pool.stock for name, pool in self._pools_by_customer.items()},
         }
 
-    def _give(self, name: str, wanted: int, offered: int) -> int:
+    def _give(self, name: str, wanted: int, ask: QuotaAsk) -> int:
         terms = self._terms_by_customer().get(name)
         if terms is None:
             return _UNLIMITED
@@ -96,5 +96,7 @@
         if pool is None:
             pool = QuotaPool(now=now)
             self._pools_by_customer[name] = pool
-        pool.note_offered(offered, now=now)
-        return pool.give(wanted, terms=terms, delegations=self._delegations)
+        pool.note_offered(ask.offered_by_customer.get(name, 0), now=now)
+        urgent = min(wanted, ask.urgent_by_customer.get(name, 0))
+        pool.note_urgent(urgent, now=now)
+        return pool.give(wanted, urgent=urgent, terms=terms, delegations=self._delegations)
--- a/src/balsamrail/quotas/quota_limiter.py
+++ b/src/balsamrail/quotas/quota_limiter.py
@@ -74,9 +74,11 @@
             tokens_by_customer=self._tokens_by_customer,
         )
 
-    async def acquire(self, customer: Customer) -> QuotaGrant:
+    async def acquire(self, customer: Customer, *, is_urgent: bool) -> QuotaGrant:
         """Return the permission to run one request of a customer.
 
+        :param is_urgent: the request is one of the most urgent; it gets a token before others, and the
+            coordinators are asked for it although they had none for others.
         :raises QuotaExceededError: if the requests of the customer exceed its quota.
         """
         if not customer.is_limited:
@@ -88,9 +90,10 @@
             return QuotaGrant(put_back=partial(tokens.local.put_back, now))
         expires_at = tokens.take(now=now)
         if expires_at is None:
-            if now < tokens.refuses_until or len(tokens.waiters) >= _MAX_WAITING:
+            is_refused = now < tokens.refuses_until and not is_urgent
+            if is_refused or len(tokens.waiting) >= _MAX_WAITING:
                 raise self._refusal(tokens)
-            expires_at = await self._wait(tokens)
+            expires_at = await self._wait(tokens, is_urgent=is_urgent)
         if expires_at == math.inf:
             return QuotaGrant()
         # This process may have been suspended since the token arrived.
@@ -121,9 +124,8 @@
             **self._messenger.dump(),
         }
 
-    async def _wait(self, tokens: CustomerTokens) -> float:
-        waiter: asyncio.Future[float] = asyncio.get_running_loop().create_future()
-        tokens.waiters.append(waiter)
+    async def _wait(self, tokens: CustomerTokens, *, is_urgent: bool) -> float:
+        waiter = tokens.waiting.add(is_urgent=is_urgent)
         self._seeker.seek(tokens)
         try:
             async with asyncio.timeout(_MAX_WAIT_S):
--- a/src/balsamrail/quotas/role_client.py
+++ b/src/balsamrail/quotas/role_client.py
@@ -89,13 +89,23 @@
         elapsed_s = self._environment.clock.boottime() - self._asked_at
         return not self.is_silent or elapsed_s >= _SILENT_RETRY_S
 
-    def ask(self, wanted: dict[str, int], offered: dict[str, int], *, fleet_size: int) -> int:
-        """Send a message that also renews the delegation; return its number."""
+    def ask(
+        self,
+        wanted: dict[str, int],
+        urgent: dict[str, int],
+        offered: dict[str, int],
+        *,
+        fleet_size: int,
+    ) -> int:
+        """Send a message that also renews the delegation; return its number.
+
+        :param urgent: how many of the wanted tokens are for urgent requests.
+        """
         now = self._environment.clock.boottime()
         self._asked_at = now
         delegation = self.binding.delegate(self.coordinator, now=now, fleet_size=fleet_size)
         number = self._transmit(
-            self.coordinator, delegation, wanted, offered, fleet_size=fleet_size
+            self.coordinator, delegation, wanted, urgent, offered, fleet_size=fleet_size
         )
         self.open_number = number
         return number
@@ -109,7 +119,7 @@
             return
         self._is_leaving_sent_at = now
         self._transmit(
-            self.binding.host, Delegation(), {}, {}, fleet_size=fleet_size, is_leaving=True
+            self.binding.host, Delegation(), {}, {}, {}, fleet_size=fleet_size, is_leaving=True
         )
 
     def note_reply(self, host: str, reply: QuotaReply) -> tuple[float, bool, bool] | None:
@@ -143,6 +153,7 @@
         host: str,
         delegation: Delegation,
         wanted: dict[str, int],
+        urgent: dict[str, int],
         offered: dict[str, int],
         *,
         fleet_size: int,
@@ -166,6 +177,7 @@
                 is_leaving=is_leaving,
                 fleet_size=fleet_size,
                 wanted_by_customer=wanted,
+                urgent_by_customer=urgent,
                 offered_by_customer=offered,
             ),
         )
--- a/src/balsamrail/quotas/token_seeker.py
+++ b/src/balsamrail/quotas/token_seeker.py
@@ -59,7 +59,7 @@
 
     def seek(self, tokens: CustomerTokens) -> None:
         """Ask for the tokens that requests wait for, unless a reply is awaited."""
-        if not tokens.has_waiting():
+        if not tokens.waiting:
             tokens.denied_roles.clear()
             return
         if tokens.pending_roles:
@@ -104,7 +104,7 @@
         for tokens in self._tokens_by_customer.values():
             tokens.pending_roles.discard(role.role)
             tokens.denied_roles.discard(role.role)
-            if tokens.has_waiting():
+            if tokens.waiting:
                 asyncio.get_running_loop().call_soon(self.seek, tokens)
 
     def _flush(self, role: RoleClient) -> None:
@@ -114,6 +114,7 @@
     def _ask(self, role: RoleClient) -> None:
         now = self._environment.clock.boottime()
         wanted: dict[str, int] = {}
+        urgent: dict[str, int] = {}
         offered: dict[str, int] = {}
         for name in sorted(role.wanting):
             tokens = self._tokens_by_customer.get(name)
@@ -125,9 +126,12 @@
                 continue
             wanted[name] = count
             offered[name] = tokens.report_offered(now=now)
+            urgent_count = tokens.waiting.urgent_count()
+            if urgent_count:
+                urgent[name] = urgent_count
         role.wanting.clear()
         self._environment.metrics.count('quota_asks')
-        number = role.ask(wanted, offered, fleet_size=self._fleet_size)
+        number = role.ask(wanted, urgent, offered, fleet_size=self._fleet_size)
         asyncio.get_running_loop().call_later(
             role.timeout_s(), self._on_timeout, role, number, tuple(wanted)
         )
