--- a/features/steps/quota_part_steps.py
+++ b/features/steps/quota_part_steps.py
@@ -121,12 +121,12 @@
         for tenth in range(60):
             before = hosts if len(names) == 3 else ()
             advance(delegations, before if tenth < 40 else names, tenth=tenth)
-        pool.give(0, terms=terms, delegations=delegations)
+        pool.give(0, urgent=0, terms=terms, delegations=delegations)
         context.kept.append(pool.stock)
         given = 0
         for tenth in range(60, 160):
             advance(delegations, names, tenth=tenth)
-            given += pool.give(100, terms=terms, delegations=delegations)
+            given += pool.give(100, urgent=0, terms=terms, delegations=delegations)
         context.given.append(given)
 
 
--- a/tools/mutants/customers.py
+++ b/tools/mutants/customers.py
@@ -273,7 +273,7 @@
     ),
     Mutant(
         mechanism='the name that a host adds does not count as a header of the caller',
-        file='src/balsamrail/platform/caller_exchange.py',
+        file='src/balsamrail/platform/header_check.py',
         old='frozenset((CUSTOMER, HANDOVER))',
         new='frozenset((HANDOVER,))',
         feature=_FEATURE,
--- a/tools/mutants/forwarding.py
+++ b/tools/mutants/forwarding.py
@@ -106,8 +106,8 @@
     Mutant(
         mechanism='crashes that hosts of earlier versions report for a service count',
         file='src/balsamrail/delivery/crash_detector.py',
-        old='self._register.check(fingerprint.value, *of_services, limit=_CRASH_LIMIT)',
-        new='self._register.check(fingerprint.value, limit=_CRASH_LIMIT)',
+        old='self._register.check(fingerprint.value, *of_services, limit=CRASH_LIMIT)',
+        new='self._register.check(fingerprint.value, limit=CRASH_LIMIT)',
         feature='features/delivery.feature',
         scenario='Crashes that a host of an earlier version',
     ),
--- a/tools/mutants/membership.py
+++ b/tools/mutants/membership.py
@@ -6,7 +6,7 @@
     Mutant(
         mechanism='a suspected host refutes the suspicion',
         file='src/balsamrail/membership/members.py',
-        old='self._announce_local_state(self._local_member.state, update.refutation + 1)',
+        old='self._announce_local_state(own.state, update.refutation + 1)',
         new='pass',
         feature='features/membership.feature',
         scenario='A paused host refutes on resuming',
--- a/tools/mutants/quotas.py
+++ b/tools/mutants/quotas.py
@@ -57,8 +57,8 @@
     Mutant(
         mechanism='a coordinator keeps tokens in proportion to the delegated shares',
         file=f'{_FOLDER}/quota_pool.py',
-        old='depth = terms.stock * delegations.fraction() / PARTS',
-        new='depth = terms.stock / PARTS',
+        old='return terms.stock * delegations.fraction() / PARTS',
+        new='return terms.stock / PARTS',
         feature=_FEATURE,
         scenario='The hosts of a coordinator are cut off',
     ),
