Idle connections: one look at the socket for each reuse

A reused connection was checked for unread bytes twice, and the stock of a coordinator lost its lower bound. Change: the idle time is compared first; nothing negative is given.

--- a/src/balsamrail/delivery/http_connection_pool.py
+++ b/src/balsamrail/delivery/http_connection_pool.py
@@ -83,7 +83,7 @@
         """Close the idle connections that are too old to be reused."""
         self._idle_limits.prune(now=self._environment.clock.monotonic())
         for peer_id, idle in list(self._idle_by_id.items()):
-            usable = [each for each in idle if self._is_usable(peer_id, each, fresh_only=False)]
+            usable = [connection for connection in idle if self._is_usable(peer_id, connection)]
             for connection in idle:
                 if connection not in usable:
                     connection.close()
@@ -107,23 +107,24 @@
             # Last in, first out, so that surplus connections age and get closed.
             connection = idle.pop()
             # A target that restarted elsewhere may still respond at its old address.
-            is_usable = connection.address == address and self._is_usable(
-                peer_id, connection, fresh_only=False
-            )
-            if not is_usable:
+            if connection.address != address or not self._is_usable(peer_id, connection):
                 connection.close()
-            elif self._is_usable(peer_id, connection, fresh_only=fresh_only):
-                return connection
-            else:
+            elif fresh_only and not self._is_recent(peer_id, connection, fresh_only=True):
+                # The other ones have been idle for longer.
                 idle.append(connection)
                 return None
+            else:
+                return connection
         return None
 
-    def _is_usable(self, peer_id: str, connection: HttpConnection, *, fresh_only: bool) -> bool:
+    def _is_usable(self, peer_id: str, connection: HttpConnection) -> bool:
+        return self._is_recent(peer_id, connection, fresh_only=False) and connection.is_idle()
+
+    def _is_recent(self, peer_id: str, connection: HttpConnection, *, fresh_only: bool) -> bool:
         limit_s = self._idle_limits.limit_s(
             peer_id,
             announced_s=connection.server_idle_timeout_s,
             fresh_only=fresh_only,
             now=self._environment.clock.monotonic(),
         )
-        return connection.idle_s() < limit_s and connection.is_idle()
+        return connection.idle_s() < limit_s
--- a/src/balsamrail/quotas/quota_pool.py
+++ b/src/balsamrail/quotas/quota_pool.py
@@ -33,7 +33,7 @@
         """
         self._refill(terms, delegations)
         reserve = self._reserve(terms, delegations)
-        given = min(urgent, math.floor(self.stock))
+        given = max(0, min(urgent, math.floor(self.stock)))
         given += max(0, min(wanted - urgent, math.floor(self.stock - given - reserve)))
         self.stock -= given
         return given
