Soak: a crash of a target resets its connections, also through the proxy

The case is one of the harness, not of the host. Change: crash() resets, and the proxy passes a reset on as one; the check is unchanged.

--- a/tools/soak/fault_proxy.py
+++ b/tools/soak/fault_proxy.py
@@ -105,7 +105,8 @@
         writer: asyncio.StreamWriter,
         direction: str,
     ) -> None:
-        with contextlib.suppress(OSError):
+        is_reset = False
+        try:
             while chunk := await reader.read(_CHUNK):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
@@ -115,19 +116,28 @@
                     continue
                 writer.write(chunk)
                 await writer.drain()
+        except OSError:
+            # A clean end would complete a response without a length.
+            is_reset = True
         if direction not in pipe.silent:
-            _close(pipe, is_reset=False)
+            _close(pipe, is_reset=is_reset)
 
 
 def _client_port(pipe: _Pipe) -> int:
     return int(pipe.client.get_extra_info('peername')[1])
 
 
+def reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Let a connection end with a reset instead of a clean end when it is closed."""
+    raw = writer.get_extra_info('socket')
+    if raw is not None and raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def _close(pipe: _Pipe, *, is_reset: bool) -> None:
     for writer in (pipe.client, pipe.server):
         if writer is None or writer.is_closing():
             continue
-        raw = writer.get_extra_info('socket')
-        if is_reset and raw is not None:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        if is_reset:
+            reset_on_close(writer)
         writer.close()
--- a/tools/soak/soak_target.py
+++ b/tools/soak/soak_target.py
@@ -9,7 +9,7 @@
 from standins.platform_store import PlatformStore
 from tools.soak.arrival import Arrival
 from tools.soak.endless_bytes import draw_endless
-from tools.soak.fault_proxy import FaultProxy
+from tools.soak.fault_proxy import FaultProxy, reset_on_close
 from tools.soak.history import History
 from tools.soak.http_head import Head, message, read_head
 
@@ -86,11 +86,12 @@
             self.store.remove(_KIND, self.target_id)
 
     def crash(self) -> None:
-        """Stop without notice; the entry stays in the store."""
+        """Stop without notice and reset all connections; the entry stays in the store."""
         self.proxy.is_refusing = True
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
+            reset_on_close(writer)
             writer.transport.abort()
 
     def stop(self) -> None:
